--- /dev/null
+++ b/buckthornshed/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/buckthornshed/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and experiments."""
--- /dev/null
+++ b/buckthornshed/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, headers and codecs; no sockets and no clock."""
--- /dev/null
+++ b/buckthornshed/state/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data: configuration objects, bounded tables and windows."""
--- /dev/null
+++ b/buckthornshed/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
--- /dev/null
+++ b/buckthornshed/tests/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Hypothesis state machines and property tests."""
--- /dev/null
+++ b/buckthornshed/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios of failures."""
--- /dev/null
+++ b/buckthornshed/tests/test_errors.py
@@ -0,0 +1,12 @@
+"""Tests of the exception tree."""
+
+from buckthornshed.errors import ConfigurationError
+
+
+def test_message_names_subject_found_and_expected():
+    error = ConfigurationError(
+        subject="hut.toml: route.book: priority", found="'top'", expected="a priority"
+    )
+    assert str(error) == (
+        "hut.toml: route.book: priority: found 'top', expected a priority"
+    )
--- /dev/null
+++ b/buckthornshed/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: listeners, connection pools, peers, platform reader, admin endpoint."""
