--- /dev/null
+++ b/buckthornshed/coordination/actions.py
@@ -0,0 +1,54 @@
+"""Actions that the decisions ask their driver to carry out.
+
+The driver is the transport of a node process, or a scenario in virtual time.
+"""
+
+from typing import NamedTuple
+
+from ..protocol.messages import Answer, Call
+
+__all__ = [
+    "Action",
+    "CancelPeer",
+    "CancelTarget",
+    "Reply",
+    "SendPeer",
+    "StartTarget",
+]
+
+
+class StartTarget(NamedTuple):
+    """Send a call to the target beside the node."""
+
+    exchange: int
+    call: Call
+
+
+class CancelTarget(NamedTuple):
+    """Cancel a call that runs at the target beside the node."""
+
+    exchange: int
+
+
+class SendPeer(NamedTuple):
+    """Send a call to the node of another target."""
+
+    exchange: int
+    target: str
+    call: Call
+
+
+class CancelPeer(NamedTuple):
+    """Cancel a call that was sent to another node."""
+
+    exchange: int
+
+
+class Reply(NamedTuple):
+    """Answer the request that the driver handed in under `token`."""
+
+    token: int
+    answer: Answer
+
+
+Action = StartTarget | CancelTarget | SendPeer | CancelPeer | Reply
--- /dev/null
+++ b/buckthornshed/protocol/http.py
@@ -0,0 +1,153 @@
+"""HTTP/1.1 messages as typed data, and how they are rendered.
+
+Parsing is the transport's, through a library; rendering is plain text assembly.
+"""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+import msgspec
+
+from .messages import Answer, Pairs
+from .outcome import REASONS, Reason
+
+__all__ = [
+    "ANSWER_HEADER",
+    "CONTEXT_HEADER",
+    "DEADLINE_HEADER",
+    "KEY_HEADER",
+    "OUTCOME_HEADER",
+    "Request",
+    "first",
+    "forwardable",
+    "problem",
+    "render_request",
+    "render_response",
+]
+
+CONTEXT_HEADER = b"buckthornshed-context"
+ANSWER_HEADER = b"buckthornshed-answer"
+OUTCOME_HEADER = b"buckthornshed-outcome"
+DEADLINE_HEADER = b"buckthornshed-deadline-ms"
+KEY_HEADER = b"idempotency-key"
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Headers that concern one connection alone, RFC 9110 section 7.6.1."""
+
+OWN = frozenset({CONTEXT_HEADER, ANSWER_HEADER, OUTCOME_HEADER, DEADLINE_HEADER})
+"""Headers of this system, never forwarded as they came."""
+
+BODILESS = frozenset({204, 304})
+
+STATUS_LINES = {
+    status: b"HTTP/1.1 %d %s\r\n" % (status, phrase.encode("latin-1"))
+    for status, phrase in [
+        *((int(code), code.phrase) for code in HTTPStatus),
+        (499, "Client Closed Request"),
+    ]
+}
+
+
+class Request(NamedTuple):
+    """A whole request: header names in lower case, the body complete."""
+
+    method: bytes
+    path: bytes
+    headers: Pairs
+    body: bytes
+
+
+def first(headers: Pairs, name: bytes) -> bytes | None:
+    """Return the value of the first header called `name`, if any."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def forwardable(headers: Pairs) -> Pairs:
+    """Return the headers that go on to the next hop.
+
+    Headers that the Connection header names are dropped as well.
+    """
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    dropped = HOP_BY_HOP | OWN | named if named else HOP_BY_HOP | OWN
+    return tuple(pair for pair in headers if pair[0] not in dropped)
+
+
+def render_request(request: Request, extra: Pairs) -> bytes:
+    """Return the bytes of a request; `extra` headers are added to its own."""
+    lines = [request.method, b" ", request.path, b" HTTP/1.1\r\n"]
+    for name, value in request.headers:
+        lines += (name, b": ", value, b"\r\n")
+    for name, value in extra:
+        lines += (name, b": ", value, b"\r\n")
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d\r\n" % len(request.body))
+    lines += (b"\r\n", request.body)
+    return b"".join(lines)
+
+
+def render_response(
+    answer: Answer, extra: Pairs = (), *, head_only: bool = False, close: bool = False
+) -> bytes:
+    """Return the bytes of the response that carries `answer`."""
+    line = STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status
+    lines = [line]
+    for name, value in answer.headers:
+        lines += (name, b": ", value, b"\r\n")
+    for name, value in extra:
+        lines += (name, b": ", value, b"\r\n")
+    if close:
+        lines.append(b"connection: close\r\n")
+    bodiless = answer.status in BODILESS
+    if not bodiless:
+        lines.append(b"content-length: %d\r\n" % len(answer.body))
+    lines.append(b"\r\n")
+    if not (bodiless or head_only):
+        lines.append(answer.body)
+    return b"".join(lines)
+
+
+def problem(answer: Answer, detail: str = "") -> Answer:
+    """Return `answer` with the problem details of its reason, RFC 9457.
+
+    An answer that a target gave, which has no reason and a body of its own, is
+    returned as it is.
+    """
+    if answer.reason is None or answer.body:
+        return answer
+    body = msgspec.json.encode(_details(answer, answer.reason, detail))
+    headers: Pairs = ((b"content-type", b"application/problem+json"),)
+    if answer.retry_after is not None:
+        headers += ((b"retry-after", b"%d" % max(1, round(answer.retry_after))),)
+    return answer._replace(headers=headers, body=body)
+
+
+def _details(answer: Answer, reason: Reason, detail: str) -> dict[str, str | int]:
+    details: dict[str, str | int] = {
+        "type": f"urn:buckthornshed:problem:{reason.value}",
+        "title": REASONS[reason].title,
+        "status": answer.status,
+        "outcome": answer.outcome.value,
+    }
+    if detail:
+        details["detail"] = detail
+    return details
--- /dev/null
+++ b/buckthornshed/transport/data_path.py
@@ -0,0 +1,265 @@
+"""The path of calls: listeners, connection pool and the decisions between them."""
+
+from collections.abc import Callable
+
+from ..coordination.actions import (
+    Action,
+    CancelPeer,
+    CancelTarget,
+    Reply,
+    SendPeer,
+    StartTarget,
+)
+from ..coordination.node import NodeCore
+from ..errors import ContextError
+from ..protocol.http import (
+    ANSWER_HEADER,
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    Request,
+    first,
+    forwardable,
+    render_request,
+)
+from ..protocol.messages import Answer, Call, Fault, Pairs
+from ..protocol.wire_context import ContextCodec
+from .http_client import ConnectionPool, ExchangeHandlers, RawAnswer
+from .http_server import Listener, ServerConnection, ServerHandlers
+from .logs import log_event
+from .responses import client_response, peer_response
+
+__all__ = ["DataPath"]
+
+CONNECTIONS_MAX = 4_096
+IDLE_CONNECTIONS_MAX = 64
+
+
+class DataPath:
+    """Carries requests to the decisions and their actions to the sockets.
+
+    Parameters
+    ----------
+    core : NodeCore
+        The decisions.
+    codec : ContextCodec
+        Codec of the headers between nodes.
+    target_address : str
+        Address of the target beside the node, ``ip:port``.
+    body_bytes_max : int
+        Greatest size of a body.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: NodeCore,
+        codec: ContextCodec,
+        target_address: str,
+        body_bytes_max: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.core = core
+        self.codec = codec
+        self.target_address = target_address
+        self.clock = clock
+        self.replies: dict[int, tuple[ServerConnection, bool]] = {}
+        self.next_token = 1
+        self.pool = ConnectionPool(
+            body_bytes_max=body_bytes_max, idle_max=IDLE_CONNECTIONS_MAX, clock=clock
+        )
+        self.ingress = self._listener(self._ingress_request, body_bytes_max)
+        self.egress = self._listener(self._egress_request, body_bytes_max)
+        self.peer_handlers = ExchangeHandlers(self._peer_answer, self._peer_fault)
+        self.target_handlers = ExchangeHandlers(self._target_answer, self._target_fault)
+        self.executors: dict[type, Callable[..., None]] = {
+            StartTarget: self._start_target,
+            CancelTarget: self._cancel,
+            SendPeer: self._send_peer,
+            CancelPeer: self._cancel,
+            Reply: self._reply,
+        }
+
+    def sweep(self) -> None:
+        """Close what has been idle or incomplete for too long."""
+        self.pool.sweep()
+        self.ingress.sweep()
+        self.egress.sweep()
+
+    def execute(self, actions: list[Action]) -> None:
+        """Carry out actions of the decisions."""
+        for action in actions:
+            self.executors[type(action)](action)
+
+    def _listener(
+        self,
+        on_request: Callable[[ServerConnection, Request], None],
+        body_bytes_max: int,
+    ) -> Listener:
+        return Listener(
+            handlers=ServerHandlers(on_request, self._abandoned, self._rejected),
+            body_bytes_max=body_bytes_max,
+            connections_max=CONNECTIONS_MAX,
+            clock=self.clock,
+        )
+
+    def _ingress_request(self, connection: ServerConnection, request: Request) -> None:
+        value = first(request.headers, CONTEXT_HEADER)
+        now = self.clock()
+        if value is not None:
+            try:
+                context = self.codec.decode_context(
+                    value, now=now, receiver=self.core.name
+                )
+            except ContextError as error:
+                log_event("context_rejected", error=str(error))
+            else:
+                token = self._register(connection, from_node=True)
+                call = Call(
+                    context=context,
+                    service="",
+                    method=request.method,
+                    path=request.path,
+                    headers=forwardable(request.headers),
+                    body=request.body,
+                )
+                self.execute(self.core.peer_call(now, token, call))
+                return
+        token = self._register(connection, from_node=False)
+        self.execute(self.core.client_request(now, token, request))
+
+    def _egress_request(self, connection: ServerConnection, request: Request) -> None:
+        token = self._register(connection, from_node=False)
+        parent = _parent(first(request.headers, CONTEXT_HEADER))
+        service = (first(request.headers, b"host") or b"").decode("latin-1")
+        service = service.partition(":")[0]
+        self.execute(
+            self.core.local_call(self.clock(), token, parent, service, request)
+        )
+
+    def _register(self, connection: ServerConnection, *, from_node: bool) -> int:
+        token = self.next_token
+        self.next_token += 1
+        connection.token = token
+        self.replies[token] = (connection, from_node)
+        return token
+
+    def _abandoned(self, connection: ServerConnection) -> None:
+        if self.replies.pop(connection.token, None) is not None:
+            self.execute(self.core.abandoned(self.clock(), connection.token))
+
+    def _rejected(self, detail: str) -> None:
+        log_event("request_rejected", detail=detail)
+
+    def _start_target(self, action: StartTarget) -> None:
+        context = action.call.context
+        remaining_ms = max(1, int((context.deadline - self.clock()) * 1e3))
+        extra: Pairs = (
+            (CONTEXT_HEADER, b"%x" % action.exchange),
+            (DEADLINE_HEADER, b"%d" % remaining_ms),
+        )
+        self._send(
+            action.exchange,
+            self.target_address,
+            action.call,
+            extra,
+            self.target_handlers,
+        )
+
+    def _send_peer(self, action: SendPeer) -> None:
+        view = self.core.view
+        assert view is not None
+        address = view.objects["target"][action.target]["address"]
+        value = self.codec.encode_context(
+            action.call.context, now=self.clock(), receiver=action.target
+        )
+        self._send(
+            action.exchange,
+            address,
+            action.call,
+            ((CONTEXT_HEADER, value),),
+            self.peer_handlers,
+        )
+
+    def _send(
+        self,
+        exchange: int,
+        address: str,
+        call: Call,
+        extra: Pairs,
+        handlers: ExchangeHandlers,
+    ) -> None:
+        headers = call.headers
+        key = call.context.key
+        if key is not None and first(headers, KEY_HEADER) is None:
+            extra = (*extra, (KEY_HEADER, key.encode()))
+        request = Request(call.method, call.path, headers, call.body)
+        self.pool.send(
+            exchange=exchange,
+            address=address,
+            data=render_request(request, extra),
+            head_only=call.method == b"HEAD",
+            handlers=handlers,
+        )
+
+    def _cancel(self, action: CancelTarget | CancelPeer) -> None:
+        self.pool.cancel(action.exchange)
+
+    def _reply(self, action: Reply) -> None:
+        connection, from_node = self.replies.pop(action.token, (None, False))
+        if connection is None:
+            return
+        head_only = connection.method == b"HEAD"
+        if from_node:
+            data = peer_response(action.answer, self.codec, head_only=head_only)
+        else:
+            data = client_response(action.answer, head_only=head_only)
+        connection.respond(data)
+
+    def _target_answer(self, exchange: int, raw: RawAnswer) -> None:
+        headers = forwardable(raw.headers)
+        self.execute(
+            self.core.target_answered(
+                self.clock(), exchange, raw.status, headers, raw.body
+            )
+        )
+
+    def _target_fault(self, fault: Fault) -> None:
+        log_event("target_fault", exchange=fault.exchange, detail=fault.detail)
+        self.execute(self.core.target_failed(self.clock(), fault))
+
+    def _peer_answer(self, exchange: int, raw: RawAnswer) -> None:
+        answer = self._decoded(exchange, raw)
+        if answer is None:
+            fault = Fault(exchange=exchange, started=True, detail="not a node's answer")
+            self._peer_fault(fault)
+            return
+        self.execute(self.core.peer_answered(self.clock(), answer))
+
+    def _decoded(self, exchange: int, raw: RawAnswer) -> Answer | None:
+        value = first(raw.headers, ANSWER_HEADER)
+        if value is None:
+            return None
+        try:
+            answer = self.codec.decode_answer(value, status=raw.status)
+        except ContextError as error:
+            log_event("answer_rejected", error=str(error))
+            return None
+        if answer.exchange != exchange:
+            log_event("answer_misdelivered", exchange=exchange, got=answer.exchange)
+            return None
+        return answer._replace(headers=forwardable(raw.headers), body=raw.body)
+
+    def _peer_fault(self, fault: Fault) -> None:
+        log_event("peer_fault", exchange=fault.exchange, detail=fault.detail)
+        self.execute(self.core.peer_failed(self.clock(), fault))
+
+
+def _parent(value: bytes | None) -> int:
+    """Return the exchange that the target copied from its own request."""
+    try:
+        return int(value or b"", 16)
+    except ValueError:
+        return -1
--- /dev/null
+++ b/buckthornshed/transport/http_client.py
@@ -0,0 +1,304 @@
+"""HTTP/1.1 connections to targets and to other nodes.
+
+Each connection carries one exchange at a time. A connection whose exchange was
+abandoned or failed is closed, so that a late answer can reach no one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+import httptools
+
+from ..protocol.messages import Fault, Pairs
+from .http_parsing import MessageCollector, ParserError, framing_fault
+
+__all__ = ["ConnectionPool", "ExchangeHandlers", "RawAnswer"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_MAX_S = 30.0
+BODILESS = frozenset({204, 304})
+
+
+class RawAnswer(NamedTuple):
+    """A whole response as it came."""
+
+    status: int
+    headers: Pairs
+    body: bytes
+
+
+class ExchangeHandlers(NamedTuple):
+    """What ends an exchange: one of the two is called, once.
+
+    Parameters
+    ----------
+    on_answer : callable
+        Takes the exchange and a whole response.
+    on_fault : callable
+        Takes the fault of an exchange without a usable response.
+    """
+
+    on_answer: Callable[[int, RawAnswer], None]
+    on_fault: Callable[[Fault], None]
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a pool.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        The pool that it goes back to.
+    address : str
+        Where it leads, ``ip:port``.
+    """
+
+    def __init__(self, *, pool: "ConnectionPool", address: str) -> None:
+        self.pool = pool
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.exchange: int | None = None
+        self.handlers: ExchangeHandlers | None = None
+        self.head_only = False
+        self.reused = False
+        self.received = False
+        self.idle_since = 0.0
+        self.collector = MessageCollector(
+            body_bytes_max=pool.body_bytes_max,
+            on_message=self._message_complete,
+            on_head=self._head_complete,
+        )
+        self.parser = httptools.HttpResponseParser(self.collector)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # uvloop's transports do not derive from the classes of asyncio.
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the running exchange."""
+        self.transport = None
+        self.pool.forget(self)
+        self._fail("connection closed before a whole answer")
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self.exchange is None:
+            # Bytes that no request asked for: nothing may come after them.
+            self.close()
+            return
+        self.received = True
+        try:
+            self.parser.feed_data(data)
+        except (ParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"unusable answer: {error}")
+            return
+        if self.collector.too_large:
+            self._fail("answer over the size limit")
+
+    def send(
+        self, *, exchange: int, data: bytes, head_only: bool, handlers: ExchangeHandlers
+    ) -> None:
+        """Send the request of an exchange."""
+        self.exchange = exchange
+        self.handlers = handlers
+        self.head_only = head_only
+        self.received = False
+        self.collector.reset()
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; a running exchange is dropped without a call."""
+        self.exchange = None
+        self.handlers = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _head_complete(self) -> None:
+        if self.parser.get_status_code() == 101:
+            return
+        if self.head_only:
+            self._message_complete()
+            self.close()
+
+    def _message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if self.exchange is None or status < 200:
+            return
+        fault = framing_fault(self.collector.headers) or self._length_fault(status)
+        if fault is not None:
+            self._fail(fault)
+            return
+        if self.collector.too_large:
+            self._fail("answer over the size limit")
+            return
+        exchange, handlers = self.exchange, self.handlers
+        self.exchange = None
+        self.handlers = None
+        assert handlers is not None
+        answer = RawAnswer(status, self.collector.headers, self.collector.body)
+        if self.parser.should_keep_alive() and not self.head_only:
+            self.pool.put_back(self)
+        elif not self.head_only:
+            self.close()
+        handlers.on_answer(exchange, answer)
+
+    def _length_fault(self, status: int) -> str | None:
+        if status in BODILESS or self.head_only:
+            return None
+        for name, _ in self.collector.pairs:
+            if name in (b"content-length", b"transfer-encoding"):
+                return None
+        return "an answer without length, whose end cannot be told from a cut"
+
+    def _fail(self, detail: str) -> None:
+        exchange, handlers = self.exchange, self.handlers
+        self.close()
+        if exchange is not None and handlers is not None:
+            handlers.on_fault(Fault(exchange=exchange, started=True, detail=detail))
+
+
+class ConnectionPool:
+    """Idle connections by address, newest first.
+
+    Parameters
+    ----------
+    body_bytes_max : int
+        Greatest size of an answer's body.
+    idle_max : int
+        Greatest number of idle connections to one address.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self, *, body_bytes_max: int, idle_max: int, clock: Callable[[], float]
+    ) -> None:
+        self.body_bytes_max = body_bytes_max
+        self.idle_max = idle_max
+        self.clock = clock
+        self.idle: dict[str, list[ClientConnection]] = {}
+        self.running: dict[int, ClientConnection] = {}
+        self.connecting: dict[int, asyncio.Task[None]] = {}
+
+    def send(
+        self,
+        *,
+        exchange: int,
+        address: str,
+        data: bytes,
+        head_only: bool,
+        handlers: ExchangeHandlers,
+    ) -> None:
+        """Send a request over an idle connection, or over a new one."""
+        connection = self._take_idle(address)
+        if connection is not None:
+            self._start(connection, exchange, data, head_only, handlers)
+            return
+        opening = self._open(exchange, address, data, head_only, handlers)
+        task = asyncio.get_running_loop().create_task(opening)
+        self.connecting[exchange] = task
+
+    def cancel(self, exchange: int) -> None:
+        """Drop an exchange and the connection that carries it."""
+        connecting = self.connecting.pop(exchange, None)
+        if connecting is not None:
+            connecting.cancel()
+        connection = self.running.pop(exchange, None)
+        if connection is not None:
+            connection.close()
+
+    def put_back(self, connection: ClientConnection) -> None:
+        """Take back a connection whose exchange is complete."""
+        connections = self.idle.setdefault(connection.address, [])
+        if len(connections) >= self.idle_max:
+            connection.close()
+            return
+        connection.idle_since = self.clock()
+        connections.append(connection)
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Remove a connection that has closed."""
+        connections = self.idle.get(connection.address, [])
+        if connection in connections:
+            connections.remove(connection)
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        oldest = self.clock() - IDLE_MAX_S
+        for address, connections in list(self.idle.items()):
+            for connection in [c for c in connections if c.idle_since < oldest]:
+                connection.close()
+            if not connections:
+                del self.idle[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connections in list(self.idle.values()):
+            for connection in list(connections):
+                connection.close()
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        connections = self.idle.get(address)
+        while connections:
+            connection = connections.pop()
+            if (
+                connection.transport is not None
+                and not connection.transport.is_closing()
+            ):
+                connection.reused = True
+                return connection
+        return None
+
+    def _start(
+        self,
+        connection: ClientConnection,
+        exchange: int,
+        data: bytes,
+        head_only: bool,
+        handlers: ExchangeHandlers,
+    ) -> None:
+        def on_answer(ended: int, answer: RawAnswer) -> None:
+            self.running.pop(ended, None)
+            handlers.on_answer(ended, answer)
+
+        def on_fault(fault: Fault) -> None:
+            self.running.pop(fault.exchange, None)
+            handlers.on_fault(fault)
+
+        self.running[exchange] = connection
+        connection.send(
+            exchange=exchange,
+            data=data,
+            head_only=head_only,
+            handlers=ExchangeHandlers(on_answer, on_fault),
+        )
+
+    async def _open(
+        self,
+        exchange: int,
+        address: str,
+        data: bytes,
+        head_only: bool,
+        handlers: ExchangeHandlers,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(pool=self, address=address),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            self.connecting.pop(exchange, None)
+            detail = f"no connection to {address}: {error or 'timeout'}"
+            handlers.on_fault(Fault(exchange=exchange, started=False, detail=detail))
+            return
+        if self.connecting.pop(exchange, None) is None:
+            connection.close()
+            return
+        self._start(connection, exchange, data, head_only, handlers)
--- /dev/null
+++ b/buckthornshed/transport/http_parsing.py
@@ -0,0 +1,122 @@
+"""Collection of one HTTP/1.1 message from the events of the parser library."""
+
+from collections.abc import Callable
+
+import httptools
+
+from ..protocol.messages import Pairs
+
+__all__ = ["HEADERS_MAX", "HEAD_BYTES_MAX", "MessageCollector", "framing_fault"]
+
+HEAD_BYTES_MAX = 32_768
+HEADERS_MAX = 100
+
+
+class MessageCollector:
+    """Callback target of a parser of `httptools`: gathers a whole message.
+
+    Parameters
+    ----------
+    body_bytes_max : int
+        Greatest size of a body.
+    on_message : callable
+        Called without arguments when a message is complete.
+    on_head : callable, optional
+        Called without arguments when the head is complete.
+    """
+
+    def __init__(
+        self,
+        *,
+        body_bytes_max: int,
+        on_message: Callable[[], None],
+        on_head: Callable[[], None] | None = None,
+    ) -> None:
+        self.body_bytes_max = body_bytes_max
+        self.deliver = on_message
+        self.head = on_head
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget the message gathered so far."""
+        self.url = b""
+        self.pairs: list[tuple[bytes, bytes]] = []
+        self.body = b""
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.complete = False
+        self.head_complete = False
+        self.too_large = False
+
+    @property
+    def headers(self) -> Pairs:
+        """The headers, names in lower case."""
+        return tuple(self.pairs)
+
+    def on_message_begin(self) -> None:
+        """Start a new message."""
+        self.reset()
+
+    def on_url(self, part: bytes) -> None:
+        """Add a part of the request target."""
+        self.url += part
+        self._count_head(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        self._count_head(len(name) + len(value))
+        if len(self.pairs) >= HEADERS_MAX:
+            self.too_large = True
+        if not self.too_large:
+            self.pairs.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Report the head."""
+        self.head_complete = True
+        if self.head is not None:
+            self.head()
+
+    def on_body(self, part: bytes) -> None:
+        """Add a part of the body."""
+        self.body_bytes += len(part)
+        if self.body_bytes > self.body_bytes_max:
+            self.too_large = True
+            self.body = b""
+        else:
+            self.body = self.body + part if self.body else part
+
+    def on_message_complete(self) -> None:
+        """Report the message."""
+        self.complete = True
+        self.deliver()
+
+    def _count_head(self, size: int) -> None:
+        self.head_bytes += size
+        if self.head_bytes > HEAD_BYTES_MAX:
+            self.too_large = True
+
+
+def framing_fault(headers: Pairs) -> str | None:
+    """Return why the framing of a message is ambiguous, or None.
+
+    Two parties that read such a message differently could be made to see
+    different messages (request smuggling, RFC 9112 section 11.2).
+    """
+    lengths = [value for name, value in headers if name == b"content-length"]
+    encodings = [value for name, value in headers if name == b"transfer-encoding"]
+    hosts = [value for name, value in headers if name == b"host"]
+    if len(lengths) > 1:
+        return "more than one content-length"
+    if lengths and encodings:
+        return "content-length beside transfer-encoding"
+    if len(encodings) > 1 or (encodings and encodings[0].lower() != b"chunked"):
+        return "a transfer-encoding other than chunked"
+    if lengths and not lengths[0].isdigit():
+        return "a content-length that is not a number"
+    if len(hosts) > 1:
+        return "more than one host"
+    return None
+
+
+ParserError = httptools.HttpParserError
+"""Error of the parser for bytes that are not HTTP/1.1."""
--- /dev/null
+++ b/buckthornshed/transport/http_server.py
@@ -0,0 +1,257 @@
+"""HTTP/1.1 server connections on the path of calls.
+
+A protocol class below anyio streams; docs/design/data-path.md has the
+measurement that decided it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+import httptools
+
+from ..protocol.http import Request
+from ..protocol.messages import refusal
+from ..protocol.outcome import Outcome, Reason
+from .http_parsing import MessageCollector, ParserError, framing_fault
+from .responses import client_response
+
+__all__ = ["Listener", "ServerConnection", "ServerHandlers"]
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HEAD_TIMEOUT_S = 10.0
+SWEEP_INTERVAL_S = 1.0
+
+
+class ServerHandlers(NamedTuple):
+    """What a listener calls.
+
+    Parameters
+    ----------
+    on_request : callable
+        Takes the connection and a whole request.
+    on_abandoned : callable
+        Takes the connection whose caller went away before the response.
+    on_rejected : callable
+        Takes a text for logs on bytes that made no acceptable request.
+    """
+
+    on_request: Callable[["ServerConnection", Request], None]
+    on_abandoned: Callable[["ServerConnection"], None]
+    on_rejected: Callable[[str], None]
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection: one request at a time, further bytes wait.
+
+    Parameters
+    ----------
+    listener : Listener
+        The listener that accepted it.
+    """
+
+    def __init__(self, *, listener: "Listener") -> None:
+        self.listener = listener
+        self.transport: asyncio.Transport | None = None
+        self.token = 0
+        self.busy = False
+        self.closing = False
+        self.waiting = b""
+        self.method = b""
+        self.begun_at: float | None = None
+        self.collector = MessageCollector(
+            body_bytes_max=listener.body_bytes_max,
+            on_message=self._message_complete,
+            on_head=self._head_complete,
+        )
+        self.parser = httptools.HttpRequestParser(self.collector)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        # uvloop's transports do not derive from the classes of asyncio.
+        self.transport = cast(asyncio.Transport, transport)
+        self.listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report an abandoned request and forget the connection."""
+        self.listener.connections.discard(self)
+        self.transport = None
+        if self.busy:
+            self.busy = False
+            self.listener.handlers.on_abandoned(self)
+
+    def eof_received(self) -> bool:
+        """Keep a half-closed connection until its response is written."""
+        return self.busy
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser, or keep the bytes while a request runs."""
+        if self.closing:
+            return
+        if self.busy:
+            self._hold(data)
+            return
+        if self.begun_at is None:
+            self.begun_at = self.listener.clock()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(Reason.BAD_REQUEST, "an upgrade was asked for")
+        except ParserError as error:
+            self._reject(Reason.BAD_REQUEST, str(error))
+        else:
+            self._check_sizes()
+
+    def respond(self, data: bytes, *, close: bool = False) -> None:
+        """Write the response of the running request."""
+        if self.transport is None:
+            return
+        self.busy = False
+        self.begun_at = None
+        self.transport.write(data)
+        if close or self.closing or not self.keeps_alive:
+            self._close()
+            return
+        held, self.waiting = self.waiting, b""
+        if held:
+            self.transport.resume_reading()
+            self.data_received(held)
+
+    def cut(self) -> None:
+        """Abort the connection, so that a partly read response is an error."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close_when_idle(self) -> None:
+        """Close now, or after the response of the running request."""
+        self.closing = True
+        if not self.busy:
+            self._close()
+
+    def _close(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def _hold(self, data: bytes) -> None:
+        self.waiting += data
+        if self.transport is not None and len(self.waiting) > 65_536:
+            self.transport.pause_reading()
+
+    def _head_complete(self) -> None:
+        for name, value in self.collector.pairs:
+            if name == b"expect" and value.lower() == b"100-continue":
+                assert self.transport is not None
+                self.transport.write(CONTINUE)
+
+    def _message_complete(self) -> None:
+        if self.closing:
+            return
+        if self.busy:
+            # A pipelined request parsed from the same segment: the order of
+            # responses cannot be kept, so the connection ends after this one.
+            self.closing = True
+            return
+        self.method = self.parser.get_method()
+        self.keeps_alive = self.parser.should_keep_alive()
+        fault = framing_fault(self.collector.headers)
+        if fault is not None:
+            self._reject(Reason.BAD_REQUEST, fault)
+            return
+        if self.collector.too_large:
+            self._reject(Reason.TOO_LARGE, "a message over the size limits")
+            return
+        self.busy = True
+        request = Request(
+            method=self.method,
+            path=self.collector.url,
+            headers=self.collector.headers,
+            body=self.collector.body,
+        )
+        self.listener.handlers.on_request(self, request)
+
+    def _check_sizes(self) -> None:
+        if self.collector.too_large and not self.collector.complete:
+            self._reject(Reason.TOO_LARGE, "a message over the size limits")
+
+    def _reject(self, reason: Reason, detail: str) -> None:
+        if self.closing:
+            return
+        self.closing = True
+        self.listener.handlers.on_rejected(detail)
+        answer = refusal(exchange=0, outcome=Outcome.NOT_RUN, reason=reason)
+        if self.transport is not None:
+            self.transport.write(client_response(answer, detail=detail, close=True))
+            self.transport.close()
+
+    keeps_alive = True
+
+
+class Listener:
+    """Accepts connections on one address.
+
+    Parameters
+    ----------
+    handlers : ServerHandlers
+        What to call.
+    body_bytes_max : int
+        Greatest size of a request body.
+    connections_max : int
+        Connections above this number are closed at once.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        handlers: ServerHandlers,
+        body_bytes_max: int,
+        connections_max: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.handlers = handlers
+        self.body_bytes_max = body_bytes_max
+        self.connections_max = connections_max
+        self.clock = clock
+        self.connections: set[ServerConnection] = set()
+        self.server: asyncio.Server | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._accept, host, port, backlog=1_024, reuse_address=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections stay."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def close_idle(self) -> None:
+        """Close each connection as soon as it has no running request."""
+        for connection in list(self.connections):
+            connection.close_when_idle()
+
+    def sweep(self) -> None:
+        """Cut connections that have been sending one request for too long."""
+        oldest = self.clock() - HEAD_TIMEOUT_S
+        for connection in list(self.connections):
+            begun_at = connection.begun_at
+            if not connection.busy and begun_at is not None and begun_at < oldest:
+                connection.cut()
+
+    def _accept(self) -> asyncio.Protocol:
+        if len(self.connections) >= self.connections_max:
+            return RefusedConnection()
+        return ServerConnection(listener=self)
+
+
+class RefusedConnection(asyncio.Protocol):
+    """A connection over the limit: closed as soon as it is made."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        transport.close()
