Read, check and encode a configuration set

Cause: nodes and the command line need one check of a whole set, and a value that operators can publish. Every fault is a Finding of file, object, field, found and expected. Ruled out: a digest over the JSON of the whole set, as a node that keeps only some objects could not check it; the digest is taken over object digests.

--- /dev/null
+++ b/buckthornshed/protocol/configuration.py
@@ -0,0 +1,113 @@
+r"""The check of a configuration set as a unit.
+
+``read_set`` reads TOML documents, ``check_set`` a set in memory. Both name every
+fault at once.
+
+Examples
+--------
+>>> reading = read_set([Source("hut.toml", b"[priority.high]\nrank = 99")])
+>>> print(reading.findings[0])
+hut.toml: priority.high: rank: found 99, expected less than or equal to 15
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple, cast
+
+from ..state.objects import ConfigurationSet
+from . import checks_policies, checks_references, checks_targets
+from .documents import Declaration, Source, read_document
+from .draft import Draft, draft_from, run_checks
+from .fields import KINDS
+from .findings import Finding, FindingsError, shown
+
+__all__ = [
+    "CHECK_MODULES",
+    "Finding",
+    "FindingsError",
+    "Reading",
+    "Source",
+    "check_set",
+    "read_set",
+    "require_valid",
+]
+
+CHECK_MODULES = (checks_policies, checks_references, checks_targets)
+"""Modules whose import fills the registry of checks."""
+
+
+class Reading(NamedTuple):
+    """What was read: the valid fields of all objects, and every fault.
+
+    ``objects`` is a whole set only if ``findings`` is empty; see `require`.
+    """
+
+    objects: ConfigurationSet
+    findings: tuple[Finding, ...]
+
+    def require(self) -> ConfigurationSet:
+        """Return the set.
+
+        Raises
+        ------
+        FindingsError
+            If there is any finding.
+        """
+        if self.findings:
+            raise FindingsError(findings=self.findings)
+        return self.objects
+
+
+def read_set(sources: Iterable[Source]) -> Reading:
+    """Read and check the set that `sources` declare together."""
+    documents = [read_document(source) for source in sources]
+    findings = [each for document in documents for each in document.findings]
+    declarations = [each for document in documents for each in document.declarations]
+    if not declarations and not findings:
+        expected = "at least one object"
+        findings.append(Finding("", "", "", "no object in any file", expected))
+    return _reading(declarations, findings)
+
+
+def check_set(objects: Mapping[str, Any]) -> tuple[Finding, ...]:
+    """Check a set in memory, of any structure, and return every fault."""
+    findings: list[Finding] = []
+    declarations = list(_declared(objects, findings))
+    return _reading(declarations, findings).findings
+
+
+def require_valid(objects: Mapping[str, Any]) -> ConfigurationSet:
+    """Return `objects` if it is a set without faults.
+
+    Raises
+    ------
+    FindingsError
+        If there is any finding.
+    """
+    findings = check_set(objects)
+    if findings:
+        raise FindingsError(findings=findings)
+    return cast(ConfigurationSet, objects)
+
+
+def _reading(declarations: list[Declaration], findings: list[Finding]) -> Reading:
+    draft, faults = draft_from(declarations)
+    findings = [*findings, *faults, *run_checks(draft)]
+    return Reading(_objects(draft), tuple(sorted(set(findings))))
+
+
+def _objects(draft: Draft) -> ConfigurationSet:
+    return cast(ConfigurationSet, draft.objects)
+
+
+def _declared(
+    objects: Mapping[str, Any], findings: list[Finding]
+) -> Iterator[Declaration]:
+    for kind, named in objects.items():
+        if kind not in KINDS:
+            expected = "one of the kinds " + ", ".join(sorted(KINDS))
+            findings.append(Finding("", shown(kind), "", "an unknown kind", expected))
+        elif not isinstance(named, Mapping):
+            findings.append(Finding("", kind, "", shown(named), "objects by name"))
+        else:
+            for name, value in named.items():
+                yield Declaration("", kind, str(name), value)
--- /dev/null
+++ b/buckthornshed/protocol/delta.py
@@ -0,0 +1,139 @@
+"""Differences between published sets, object by object."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple, cast
+
+import msgspec
+
+from ..errors import ConfigurationError
+from ..state.objects import ConfigurationSet
+from .canonical import canonical_bytes, object_digest, set_digest
+from .configuration import require_valid
+from .fields import KINDS
+from .published import Published
+
+__all__ = ["Delta", "DeltaError", "apply", "delta"]
+
+
+class DeltaError(ConfigurationError):
+    """A delta is malformed, or does not lead from one set to the other."""
+
+
+class Delta(NamedTuple):
+    """What leads from one published set to a later one.
+
+    Parameters
+    ----------
+    base_generation : int
+        Generation that it applies to.
+    generation : int
+        Generation that it leads to.
+    digest : str
+        Digest of the whole set that it leads to.
+    changed : dict
+        Canonical bytes of new and changed objects, by ``kind/name``.
+    removed : tuple of str
+        Objects that are gone, as ``kind/name`` in order.
+    """
+
+    base_generation: int
+    generation: int
+    digest: str
+    changed: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
+def delta(old: Published, new: Published) -> Delta:
+    """Return what leads from `old` to `new`."""
+    changed = {
+        key: canonical_bytes(_fields(new.objects, key))
+        for key, digest in sorted(new.digests.items())
+        if old.digests.get(key) != digest
+    }
+    removed = tuple(sorted(old.digests.keys() - new.digests.keys()))
+    return Delta(old.generation, new.generation, new.digest, changed, removed)
+
+
+def apply(old: Published, change: Delta) -> Published:
+    """Return the set that `change` leads to; `old` stays as it is.
+
+    Raises
+    ------
+    DeltaError
+        If `change` does not apply to the generation of `old`, does not lead to a
+        higher one, is malformed, or leads to another digest than it states.
+    FindingsError
+        If the set that it leads to has faults.
+    """
+    _expect_generations(old, change)
+    objects = {kind: dict(named) for kind, named in _tables(old.objects).items()}
+    digests = dict(old.digests)
+    _remove(objects, digests, change.removed)
+    for key, encoded in change.changed.items():
+        kind, name = _split(key)
+        objects[kind][name] = _decode(key, encoded)
+        digests[key] = object_digest(encoded)
+    digest = set_digest(digests)
+    if digest != change.digest:
+        raise DeltaError(subject="digest", found=digest, expected=change.digest[:64])
+    return Published(change.generation, digest, require_valid(objects), digests)
+
+
+def _fields(objects: ConfigurationSet, key: str) -> Any:
+    kind, _, name = key.partition("/")
+    return _tables(objects)[kind][name]
+
+
+def _tables(objects: ConfigurationSet) -> dict[str, dict[str, Any]]:
+    return cast(dict[str, dict[str, Any]], objects)
+
+
+def _expect_generations(old: Published, change: Delta) -> None:
+    if change.base_generation != old.generation:
+        raise DeltaError(
+            subject="base generation",
+            found=str(change.base_generation),
+            expected=str(old.generation),
+        )
+    if change.generation <= old.generation:
+        raise DeltaError(
+            subject="generation",
+            found=str(change.generation),
+            expected=f"more than {old.generation}",
+        )
+
+
+def _split(key: str) -> tuple[str, str]:
+    kind, _, name = key.partition("/")
+    if kind not in KINDS:
+        raise DeltaError(subject="delta", found=repr(key[:80]), expected="kind/name")
+    return kind, name
+
+
+def _remove(
+    objects: dict[str, dict[str, Any]],
+    digests: dict[str, bytes],
+    removed: Iterable[str],
+) -> None:
+    for key in removed:
+        kind, name = _split(key)
+        if objects[kind].pop(name, None) is None:
+            raise DeltaError(
+                subject="delta", found=f"{key!r} removed", expected="an object of it"
+            )
+        del digests[key]
+
+
+def _decode(key: str, encoded: bytes) -> Any:
+    """Return an object; bytes that are not canonical would hide it from repair."""
+    try:
+        fields = msgspec.json.decode(encoded)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise DeltaError(
+            subject=key, found=str(error), expected="JSON of an object"
+        ) from error
+    if canonical_bytes(fields) != encoded:
+        raise DeltaError(
+            subject=key, found="JSON of another form", expected="canonical JSON"
+        )
+    return fields
--- /dev/null
+++ b/buckthornshed/protocol/fields.py
@@ -0,0 +1,139 @@
+"""Check of the fields of one object against its kind in ``state.objects``."""
+
+import copy
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, get_args, get_type_hints
+
+from pydantic import TypeAdapter, ValidationError
+
+from ..state.objects import ConfigurationSet, Name
+from .findings import shown
+
+__all__ = ["KINDS", "FieldFault", "ObjectReading", "is_name", "read_fields"]
+
+KINDS: dict[str, TypeAdapter[Any]] = {
+    kind: TypeAdapter(get_args(hint)[1])
+    for kind, hint in get_type_hints(ConfigurationSet).items()
+}
+"""Validator of each kind of object."""
+
+NAME: TypeAdapter[str] = TypeAdapter(Name)
+
+FIELD_NAMES = {
+    kind: sorted(get_type_hints(get_args(hint)[1]))
+    for kind, hint in get_type_hints(ConfigurationSet).items()
+}
+
+PATTERN_HINTS = {
+    "^[a-z0-9]": "a name of lower-case letters, digits and inner hyphens, at most 64",
+    r"^\d{1,3}": "an IPv4 number and a port, as in '127.0.0.1:8080'",
+    "^/": "a path that starts with '/' and has visible ASCII characters only",
+}
+"""What is expected where a pattern that starts so does not match."""
+
+MESSAGE_START = "Input should be "
+
+REMOVED = object()
+"""Stands in a list where a faulty entry was."""
+
+Place = tuple[Any, ...]
+"""Where an error is, as pydantic gives it: field, then key or position."""
+
+
+class FieldFault(NamedTuple):
+    """A fault of one field: its dotted path, what was found and expected."""
+
+    field: str
+    found: str
+    expected: str
+
+
+class ObjectReading(NamedTuple):
+    """The fields of an object that are valid, and the faults of the others.
+
+    ``partial`` names the list and table fields that lost an entry.
+    """
+
+    fields: dict[str, Any]
+    faults: tuple[FieldFault, ...]
+    partial: frozenset[str]
+
+
+def is_name(value: object) -> bool:
+    """Tell whether `value` may name an object."""
+    try:
+        NAME.validate_python(value, strict=True)
+    except ValidationError:
+        return False
+    return True
+
+
+def read_fields(kind: str, value: object) -> ObjectReading:
+    """Check `value` against `kind`.
+
+    Parameters
+    ----------
+    kind : str
+        One of ``KINDS``.
+    value : object
+        What stands in the place of the object.
+
+    Returns
+    -------
+    ObjectReading
+        All faults; the valid rest, for the checks across objects.
+    """
+    try:
+        fields = KINDS[kind].validate_python(value)
+    except ValidationError as error:
+        errors = error.errors(include_url=False)
+    else:
+        return ObjectReading(fields=fields, faults=(), partial=frozenset())
+    faults = tuple(_fault(kind, each) for each in errors)
+    if not isinstance(value, Mapping):
+        return ObjectReading(fields={}, faults=faults, partial=frozenset())
+    places = [each["loc"] for each in errors]
+    rest = _without(value, places)
+    partial = frozenset(str(place[0]) for place in places if place[0] in rest)
+    return ObjectReading(fields=rest, faults=faults, partial=partial)
+
+
+def _without(value: Mapping[str, Any], places: Iterable[Place]) -> dict[str, Any]:
+    """Return a copy of `value` without what stands at `places`."""
+    rest = copy.deepcopy(dict(value))
+    for field, *inner in places:
+        container = rest.get(field)
+        if inner and isinstance(container, dict):
+            container.pop(inner[0], None)
+        elif inner and isinstance(container, list):
+            container[inner[0]] = REMOVED
+        else:
+            rest.pop(field, None)
+    for field, container in rest.items():
+        if isinstance(container, list):
+            rest[field] = [each for each in container if each is not REMOVED]
+    return rest
+
+
+def _fault(kind: str, error: Any) -> FieldFault:
+    """Return a fault from one error of pydantic."""
+    place = [str(part) for part in error["loc"] if part != "[key]"]
+    field = ".".join(place)
+    match error["type"]:
+        case "missing":
+            return FieldFault(field, "nothing", "a value")
+        case "extra_forbidden":
+            names = ", ".join(FIELD_NAMES[kind])
+            return FieldFault(field, "an unknown field", f"one of {names}")
+        case "string_pattern_mismatch":
+            return FieldFault(field, shown(error["input"]), _pattern_hint(error))
+    expected = error["msg"].removeprefix(MESSAGE_START)
+    return FieldFault(field, shown(error["input"]), expected)
+
+
+def _pattern_hint(error: Any) -> str:
+    pattern = error["ctx"]["pattern"]
+    for start, hint in PATTERN_HINTS.items():
+        if pattern.startswith(start):
+            return hint
+    return f"a match of {pattern}"
--- /dev/null
+++ b/buckthornshed/protocol/published.py
@@ -0,0 +1,201 @@
+"""The value that operators publish on the platform.
+
+A value is ``MAGIC`` followed by compressed JSON of the generation, the digest and
+the objects. One value holds a whole set, so that readers see it change at once.
+"""
+
+import zlib
+from collections.abc import Mapping
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+
+from ..errors import ConfigurationError
+from ..state.objects import ConfigurationSet
+from .canonical import Digests, canonical_bytes, digests_of, set_digest
+from .configuration import require_valid
+from .fields import KINDS
+from .findings import Finding
+
+__all__ = [
+    "MAX_GENERATION",
+    "MAX_SET_BYTES",
+    "MAX_VALUE_BYTES",
+    "Published",
+    "PublishedValueError",
+    "check_size",
+    "decode_published",
+    "encode_published",
+    "publish",
+]
+
+MAGIC = b"BTS1"
+"""Format of the value; a later format has another."""
+
+MAX_VALUE_BYTES = 1_000_000
+"""Greatest value that the platform holds."""
+
+MAX_SET_BYTES = 16_000_000
+"""Greatest size of a set before compression, which bounds what a value unpacks to."""
+
+MAX_JSON_BYTES = MAX_SET_BYTES + 1_000
+"""Leaves room for the generation and the digest beside the set."""
+
+MAX_GENERATION = 2**63 - 1
+
+COMPRESSION_LEVEL = 6
+
+
+class PublishedValueError(ConfigurationError):
+    """A published value is malformed, or its digest is wrong."""
+
+
+class Published(NamedTuple):
+    """A set with its generation.
+
+    Parameters
+    ----------
+    generation : int
+        From 1; a later set has a higher one.
+    digest : str
+        Digest of the set in hexadecimal, see `canonical.set_digest`.
+    objects : ConfigurationSet
+        The set.
+    digests : dict
+        Digest of each object by ``kind/name``.
+    """
+
+    generation: int
+    digest: str
+    objects: ConfigurationSet
+    digests: Digests
+
+
+class _Value(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The JSON of a value."""
+
+    generation: Annotated[int, msgspec.Meta(ge=1, le=MAX_GENERATION)]
+    digest: str
+    objects: dict[str, dict[str, dict[str, Any]]]
+
+
+DECODER = msgspec.json.Decoder(_Value)
+
+
+def publish(objects: ConfigurationSet, generation: int) -> Published:
+    """Return `objects` with `generation` and their digests, without a check."""
+    digests = digests_of(objects)
+    return Published(generation, set_digest(digests), objects, digests)
+
+
+def encode_published(objects: ConfigurationSet, generation: int) -> bytes:
+    """Return the value to publish.
+
+    The caller checks the set first; a reader refuses a set with faults.
+
+    Raises
+    ------
+    PublishedValueError
+        If the generation is out of range, or the value exceeds
+        ``MAX_VALUE_BYTES``.
+    """
+    if not 1 <= generation <= MAX_GENERATION:
+        raise PublishedValueError(
+            subject="generation",
+            found=str(generation),
+            expected=f"an integer from 1 to {MAX_GENERATION}",
+        )
+    for finding in check_size(objects):
+        raise PublishedValueError(
+            subject="value", found=finding.found, expected=finding.expected
+        )
+    return _encode(objects, generation)
+
+
+def check_size(objects: ConfigurationSet) -> tuple[Finding, ...]:
+    """Return a finding if `objects` are too large to publish."""
+    size = len(canonical_bytes(objects))
+    if size > MAX_SET_BYTES:
+        found = f"{size} bytes before compression"
+        return (Finding("", "", "", found, f"at most {MAX_SET_BYTES} bytes"),)
+    size = len(_encode(objects, MAX_GENERATION))
+    if size > MAX_VALUE_BYTES:
+        found = f"{size} bytes as published"
+        return (Finding("", "", "", found, f"at most {MAX_VALUE_BYTES} bytes"),)
+    return ()
+
+
+def _encode(objects: ConfigurationSet, generation: int) -> bytes:
+    value = _Value(
+        generation=generation,
+        digest=set_digest(digests_of(objects)),
+        objects=objects,  # type: ignore[arg-type]
+    )
+    return MAGIC + zlib.compress(canonical_bytes(value), COMPRESSION_LEVEL)
+
+
+def decode_published(value: bytes) -> Published:
+    """Return the set in `value` after a check of its digest and of the set.
+
+    Raises
+    ------
+    PublishedValueError
+        If the value is malformed or too large, or its digest is wrong.
+    FindingsError
+        If the set has faults.
+    """
+    read = _parse(_decompress(value))
+    _expect_kinds(read.objects)
+    digests = digests_of(read.objects)
+    digest = set_digest(digests)
+    if digest != read.digest:
+        raise PublishedValueError(
+            subject="digest", found=read.digest[:64], expected=digest
+        )
+    objects = require_valid(read.objects)
+    return Published(read.generation, digest, objects, digests)
+
+
+def _decompress(value: bytes) -> bytes:
+    if len(value) > MAX_VALUE_BYTES:
+        raise PublishedValueError(
+            subject="value",
+            found=f"{len(value)} bytes",
+            expected=f"at most {MAX_VALUE_BYTES} bytes",
+        )
+    if not value.startswith(MAGIC):
+        raise PublishedValueError(
+            subject="value", found=repr(value[: len(MAGIC)]), expected=repr(MAGIC)
+        )
+    stream = zlib.decompressobj()
+    try:
+        data = stream.decompress(value[len(MAGIC) :], MAX_JSON_BYTES)
+    except zlib.error as error:
+        raise PublishedValueError(
+            subject="value", found=str(error), expected="compressed JSON"
+        ) from error
+    if not stream.eof or stream.unused_data:
+        raise PublishedValueError(
+            subject="value",
+            found="more or less than one whole compressed set",
+            expected=f"one of at most {MAX_JSON_BYTES} bytes",
+        )
+    return data
+
+
+def _parse(data: bytes) -> _Value:
+    try:
+        return DECODER.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise PublishedValueError(
+            subject="value", found=str(error), expected="a set with its generation"
+        ) from error
+
+
+def _expect_kinds(objects: Mapping[str, Any]) -> None:
+    """Refuse a value that leaves out a kind: readers index sets by kind."""
+    missing = sorted(KINDS.keys() - objects.keys())
+    if missing:
+        raise PublishedValueError(
+            subject="value", found=f"no {missing[0]}", expected="every kind"
+        )
