--- /dev/null
+++ b/buckthornshed/cli/check.py
@@ -0,0 +1,44 @@
+"""``buckthornshed check``: name every fault of a configuration set."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from ..protocol.canonical import iterate_objects
+from ..state.objects import ConfigurationSet
+from .exits import ExitCode, errors_exit_with
+from .sources import read_checked
+
+__all__ = ["Check"]
+
+
+@cappa.command(name="check", help="Name every fault of a configuration set.")
+@dataclass(kw_only=True)
+class Check:
+    """Name every fault of a configuration set.
+
+    Exits with 0 if there is none, 1 if there is any, 2 if the path cannot be used.
+    """
+
+    path: Annotated[
+        Path, cappa.Arg(help="A TOML file, or a directory with TOML files.")
+    ]
+
+    def __call__(self) -> None:
+        """Print one line for each fault, and a summary."""
+        with errors_exit_with(ExitCode.UNUSABLE):
+            objects, findings = read_checked(self.path)
+        for finding in findings:
+            print(finding)
+        if findings:
+            print(f"{len(findings)} fault{'s' if len(findings) > 1 else ''}")
+            raise cappa.Exit(code=ExitCode.REFUSED)
+        print(f"no faults: {_summary(objects)}")
+
+
+def _summary(objects: ConfigurationSet) -> str:
+    count = sum(1 for _ in iterate_objects(objects))
+    services, targets = len(objects["service"]), len(objects["target"])
+    return f"{count} objects, {services} services, {targets} targets"
--- /dev/null
+++ b/buckthornshed/cli/main.py
@@ -0,0 +1,36 @@
+"""The ``buckthornshed`` program."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import cappa
+
+from .build import Build
+from .check import Check
+from .diff import Diff
+
+__all__ = ["Buckthornshed", "Command", "main"]
+
+PROGRAM = "buckthornshed"
+
+Command = Build | Check | Diff
+"""The commands of the program; each is a dataclass that is called."""
+
+
+@cappa.command(name=PROGRAM, help="Overload control for service call graphs.")
+@dataclass(kw_only=True)
+class Buckthornshed:
+    """Overload control for service call graphs."""
+
+    command: cappa.Subcommands[Command]
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run the command that `argv`, or the command line, names.
+
+    Raises
+    ------
+    SystemExit
+        With the exit code of the command, unless it is 0.
+    """
+    cappa.invoke(Buckthornshed, argv=None if argv is None else list(argv))
--- /dev/null
+++ b/buckthornshed/cli/sources.py
@@ -0,0 +1,126 @@
+"""Configuration sets and published values on disk."""
+
+import os
+from pathlib import Path
+
+from ..errors import BuckthornshedError
+from ..protocol.configuration import Reading, Source, read_set
+from ..protocol.documents import MAX_FILE_BYTES
+from ..protocol.published import (
+    MAX_VALUE_BYTES,
+    Published,
+    check_size,
+    publish,
+    unpack_published,
+)
+
+__all__ = [
+    "UnusablePathError",
+    "read_checked",
+    "read_either",
+    "read_published",
+    "read_sources",
+    "write_value",
+]
+
+SUFFIX = ".toml"
+
+NO_GENERATION = 0
+"""Generation of a set that is not built yet."""
+
+
+class UnusablePathError(BuckthornshedError):
+    """A path cannot be read or written, or holds no configuration."""
+
+
+def read_sources(path: Path) -> list[Source]:
+    """Return the TOML file at `path`, or all TOML files below it.
+
+    Raises
+    ------
+    UnusablePathError
+        If there is no such file, or one cannot be read.
+    """
+    if not path.is_dir():
+        return [Source(path.name, _read(path, MAX_FILE_BYTES))]
+    files = sorted(file for file in path.rglob(f"*{SUFFIX}") if file.is_file())
+    if not files:
+        raise UnusablePathError(
+            subject=str(path), found="no TOML file", expected="at least one"
+        )
+    return [
+        Source(file.relative_to(path).as_posix(), _read(file, MAX_FILE_BYTES))
+        for file in files
+    ]
+
+
+def read_checked(path: Path) -> Reading:
+    """Return the set at `path` with every fault, that of its size included.
+
+    Raises
+    ------
+    UnusablePathError
+        If `path` cannot be read.
+    """
+    objects, findings = read_set(read_sources(path))
+    return Reading(objects, tuple(sorted([*findings, *check_size(objects)])))
+
+
+def read_published(path: Path) -> Published:
+    """Return the published value in the file at `path`, its set unchecked.
+
+    Raises
+    ------
+    UnusablePathError
+        If `path` cannot be read.
+    PublishedValueError
+        If it holds no published value.
+    """
+    return unpack_published(_read(path, MAX_VALUE_BYTES))
+
+
+def read_either(path: Path) -> Published:
+    """Return the set at `path`, of TOML files or of a published value.
+
+    Raises
+    ------
+    UnusablePathError
+        If `path` cannot be read.
+    FindingsError
+        If the TOML files have faults.
+    PublishedValueError
+        If it is a file of neither sort.
+    """
+    if path.is_dir() or path.suffix == SUFFIX:
+        return publish(read_checked(path).require(), NO_GENERATION)
+    return read_published(path)
+
+
+def write_value(path: Path, value: bytes) -> None:
+    """Write `value` so that `path` holds either the whole of it or what was there.
+
+    Raises
+    ------
+    UnusablePathError
+        If the file cannot be written.
+    """
+    partial = path.with_name(path.name + ".partial")
+    try:
+        partial.write_bytes(value)
+        os.replace(partial, path)
+    except OSError as error:
+        raise _unusable(path, error, "a file that can be written") from error
+
+
+def _read(path: Path, limit: int) -> bytes:
+    """Return the content of a file, of at most one byte above `limit`."""
+    try:
+        with path.open("rb") as stream:
+            return stream.read(limit + 1)
+    except OSError as error:
+        raise _unusable(path, error, "a file that can be read") from error
+
+
+def _unusable(path: Path, error: OSError, expected: str) -> UnusablePathError:
+    found = error.strerror or type(error).__name__
+    return UnusablePathError(subject=str(path), found=found, expected=expected)
--- a/buckthornshed/protocol/configuration.py
+++ b/buckthornshed/protocol/configuration.py
@@ -59,7 +59,7 @@
 
 def read_set(sources: Iterable[Source]) -> Reading:
     """Read and check the set that `sources` declare together."""
-    documents = [read_document(source) for source in sources]
+    documents = [read_document(source) for source in sorted(sources)]
     findings = [each for document in documents for each in document.findings]
     declarations = [each for document in documents for each in document.declarations]
     if not declarations and not findings:
--- a/buckthornshed/protocol/findings.py
+++ b/buckthornshed/protocol/findings.py
@@ -35,8 +35,9 @@
 
     def __str__(self) -> str:
         """Return the finding as one line."""
-        place = ": ".join(part for part in self[:3] if part)
-        return f"{place or 'set'}: found {self.found}, expected {self.expected}"
+        place = ": ".join(_printable(part) for part in self[:3] if part)
+        found, expected = _printable(self.found), _printable(self.expected)
+        return f"{place or 'set'}: found {found}, expected {expected}"
 
 
 class FindingsError(ConfigurationError):
@@ -58,6 +59,13 @@
         )
 
 
+def _printable(text: str) -> str:
+    """Return `text` without line breaks and other control characters."""
+    if text.isprintable():
+        return text
+    return "".join(each if each.isprintable() else ascii(each)[1:-1] for each in text)
+
+
 def shown(value: object) -> str:
     """Return `value` on one line of at most ``MAX_SHOWN_CHARACTERS``."""
     try:
--- a/buckthornshed/protocol/published.py
+++ b/buckthornshed/protocol/published.py
@@ -6,7 +6,7 @@
 
 import zlib
 from collections.abc import Mapping
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, NamedTuple, cast
 
 import msgspec
 
@@ -27,6 +27,7 @@
     "decode_published",
     "encode_published",
     "publish",
+    "unpack_published",
 ]
 
 MAGIC = b"BTS1"
@@ -134,15 +135,13 @@
     return MAGIC + zlib.compress(canonical_bytes(value), COMPRESSION_LEVEL)
 
 
-def decode_published(value: bytes) -> Published:
-    """Return the set in `value` after a check of its digest and of the set.
+def unpack_published(value: bytes) -> Published:
+    """Return the set in `value` after a check of its digest, but not of the set.
 
     Raises
     ------
     PublishedValueError
         If the value is malformed or too large, or its digest is wrong.
-    FindingsError
-        If the set has faults.
     """
     read = _parse(_decompress(value))
     _expect_kinds(read.objects)
@@ -152,10 +151,25 @@
         raise PublishedValueError(
             subject="digest", found=read.digest[:64], expected=digest
         )
-    objects = require_valid(read.objects)
+    objects = cast(ConfigurationSet, read.objects)
     return Published(read.generation, digest, objects, digests)
 
 
+def decode_published(value: bytes) -> Published:
+    """Return the set in `value` after a check of its digest and of the set.
+
+    Raises
+    ------
+    PublishedValueError
+        If the value is malformed or too large, or its digest is wrong.
+    FindingsError
+        If the set has faults.
+    """
+    published = unpack_published(value)
+    require_valid(published.objects)
+    return published
+
+
 def _decompress(value: bytes) -> bytes:
     if len(value) > MAX_VALUE_BYTES:
         raise PublishedValueError(
--- /dev/null
+++ b/buckthornshed/tests/test_configuration.py
@@ -0,0 +1,129 @@
+"""Tests of the check of a whole set."""
+
+import tomllib
+
+import pytest
+
+from buckthornshed.protocol.configuration import (
+    FindingsError,
+    Source,
+    check_set,
+    read_set,
+    require_valid,
+)
+from buckthornshed.protocol.draft import CHECKS
+
+from .small_set import DATA, FILE, TEXT, read_text, small_set
+
+FAULTS = tomllib.loads((DATA / "faults.toml").read_text())
+
+
+def with_fault(text, fault):
+    return text.replace(FAULTS[fault]["old"], FAULTS[fault]["new"])
+
+
+def brief(findings):
+    return [f"{each.object}: {each.field}: {each.found}" for each in findings]
+
+
+def assert_findings(findings, expected):
+    assert len(findings) == len(expected), findings
+    for found, start in zip(brief(findings), expected, strict=True):
+        assert found.startswith(start)
+
+
+def test_set_without_faults_has_no_findings():
+    assert read_text(TEXT).findings == ()
+    assert check_set(small_set()) == ()
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_fault_is_the_only_finding(fault):
+    assert TEXT.count(FAULTS[fault]["old"]) == 1
+    findings = read_text(with_fault(TEXT, fault)).findings
+    assert_findings(findings, FAULTS[fault]["findings"])
+    assert all(each.file == FILE and each.expected for each in findings)
+
+
+def test_ten_faults_in_two_files_are_all_named():
+    singles = (
+        "syntax",
+        "dangling_admission",
+        "slots",
+        "dangling_service",
+        "shares",
+        "same_address",
+        "retry_of_unrepeatable",
+        "retry_after",
+        "no_targets",
+    )
+    text = TEXT
+    for fault in singles:
+        text = with_fault(text, fault)
+    other = b"[retry.none]\nallowance = 0\nbackoff_ms = 50\n"
+    sources = [Source("b.toml", other), Source("a.toml", text.encode())]
+    expected = [start for fault in singles for start in FAULTS[fault]["findings"]]
+    expected.append("retry.none: : declared in a.toml too")
+    # The fault "no_targets" adds two lines above.
+    expected = [each.replace("line 46", "line 48") for each in expected]
+    assert len(expected) == 10
+    findings = read_set(sources).findings
+    assert findings == read_set(reversed(sources)).findings
+    assert_findings(sorted(findings, key=lambda each: brief([each])), sorted(expected))
+
+
+@pytest.mark.parametrize("name", CHECKS)
+def test_each_check_is_needed(name, monkeypatch):
+    def findings_of_all():
+        return {fault: read_text(with_fault(TEXT, fault)).findings for fault in FAULTS}
+
+    before = findings_of_all()
+    monkeypatch.delitem(CHECKS, name)
+    assert findings_of_all() != before
+
+
+def test_one_booking_below_many_browsing_routes_is_one_finding():
+    start = TEXT.index("[route.browse]")
+    browse = TEXT[start : TEXT.index("[shift")]
+    text = TEXT.replace("[priority.high]\nrank = 0", "[priority.high]\nrank = 9")
+    for name in ("a", "b"):
+        text += browse.replace("browse]", f"{name}]").replace("/stalls", f"/{name}")
+    assert_findings(
+        read_text(text).findings, ["route.book: priority: 'high' of rank 9"]
+    )
+
+
+def test_long_chain_of_calls_is_checked():
+    objects = small_set()
+    for number in range(5_000):
+        objects["service"][f"s{number}"] = {
+            "admission": "short",
+            "calls": [f"s{(number + 1) % 5_000}"],
+        }
+    found = [each for each in check_set(objects) if each.field == "calls"]
+    assert [each.object for each in found] == ["service.s4999"]
+
+
+@pytest.mark.parametrize(
+    ("data", "found"),
+    [
+        (b"\xff", "byte 0xff at offset 0"),
+        (b"", "no object in any file"),
+        (b"retry = 3", "3"),
+        (b"a = " + b"1" * 5_000, "Exceeds the limit"),
+        (b"a = " + b"[" * 50_000, "values nested too deeply"),
+        (b"x" * 16_000_001, "16000001 bytes"),
+    ],
+)
+def test_unusable_file_is_a_finding(data, found):
+    (finding,) = read_set([Source(FILE, data)]).findings
+    assert finding.found.startswith(found)
+
+
+def test_faulty_set_is_refused_with_all_findings():
+    reading = read_text(TEXT.replace("rank", "rang"))
+    with pytest.raises(FindingsError, match="with 4 faults") as caught:
+        reading.require()
+    assert caught.value.findings == reading.findings
+    with pytest.raises(FindingsError):
+        require_valid({"route": None})
