--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -20,6 +20,7 @@
 from buckthornshed.protocol.canonical import canonical_bytes
 from buckthornshed.protocol.configuration import Source, check_set, read_set
 from buckthornshed.protocol.delta import apply, delta
+from buckthornshed.protocol.encoded_sets import EncodedSets, encode_objects
 from buckthornshed.protocol.published import (
     Published,
     decode_published,
@@ -186,6 +187,7 @@
         "delta of one object": lambda: delta(old, one),
         "apply one object": lambda: apply(old, to_one),
         f"apply {BURST} objects": lambda: apply(old, to_many),
+        "check and digest, encoded, one object changed": encoded_change(old, one),
         "route table": lambda: RouteTable(objects=objects),
     }
     for name, step in steps.items():
@@ -195,6 +197,23 @@
     yield f"{LOOKUPS} route lookups", lookups
 
 
+def encoded_change(old: Published, new: Published) -> Callable[[], object]:
+    """Return a step that takes a set of encoded objects after another."""
+    sets = EncodedSets()
+    before, after = encode_objects(old.objects), encode_objects(new.objects)
+    sets.check(before)
+    sets.digest(before)
+
+    def follow() -> None:
+        # There and back in turn, so that each call has one change to take.
+        nonlocal before, after
+        before, after = after, before
+        sets.digest(before)
+        sets.check(before)
+
+    return follow
+
+
 def look_up(table: RouteTable) -> None:
     """Look the same route up many times."""
     for _ in range(LOOKUPS):
--- a/buckthornshed/protocol/delta.py
+++ b/buckthornshed/protocol/delta.py
@@ -3,13 +3,11 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple, cast
 
-import msgspec
-
 from ..errors import ConfigurationError
 from ..state.objects import ConfigurationSet
 from .canonical import canonical_bytes, object_digest, set_digest
 from .configuration import check_change
-from .fields import KINDS
+from .encoded_sets import decode_object, split_key
 from .findings import FindingsError
 from .published import Published, unpack_published
 
@@ -17,7 +15,7 @@
 
 
 class DeltaError(ConfigurationError):
-    """A delta is malformed, or does not lead from one set to the other."""
+    """A delta does not lead from one set to the other."""
 
 
 class Delta(NamedTuple):
@@ -62,7 +60,9 @@
     ------
     DeltaError
         If `change` does not apply to the generation of `old`, does not lead to a
-        higher one, is malformed, or leads to another digest than it states.
+        higher one, or leads to another digest than it states.
+    EncodedObjectError
+        If `change` is malformed.
     FindingsError
         If the set that it leads to has faults.
     """
@@ -71,8 +71,8 @@
     digests = dict(old.digests)
     _remove(objects, digests, change.removed)
     for key, encoded in change.changed.items():
-        kind, name = _split(key)
-        objects[kind][name] = _decode(key, encoded)
+        kind, name = split_key(key)
+        objects[kind][name] = decode_object(key, encoded)
         digests[key] = object_digest(encoded)
     digest = set_digest(digests)
     if digest != change.digest:
@@ -103,9 +103,9 @@
 def _expect_valid(objects: ConfigurationSet, change: Delta) -> None:
     changed: dict[str, dict[str, Any]] = {}
     for key in change.changed:
-        kind, name = _split(key)
+        kind, name = split_key(key)
         changed.setdefault(kind, {})[name] = _fields(objects, key)
-    removed = {_split(key)[0] for key in change.removed}
+    removed = {split_key(key)[0] for key in change.removed}
     findings = check_change(objects, changed=changed, removed=removed)
     if findings:
         raise FindingsError(findings=findings)
@@ -135,37 +135,15 @@
         )
 
 
-def _split(key: str) -> tuple[str, str]:
-    kind, _, name = key.partition("/")
-    if kind not in KINDS:
-        raise DeltaError(subject="delta", found=repr(key[:80]), expected="kind/name")
-    return kind, name
-
-
 def _remove(
     objects: dict[str, dict[str, Any]],
     digests: dict[str, bytes],
     removed: Iterable[str],
 ) -> None:
     for key in removed:
-        kind, name = _split(key)
+        kind, name = split_key(key)
         if objects[kind].pop(name, None) is None:
             raise DeltaError(
                 subject="delta", found=f"{key!r} removed", expected="an object of it"
             )
         del digests[key]
-
-
-def _decode(key: str, encoded: bytes) -> Any:
-    """Return an object; bytes that are not canonical would hide it from repair."""
-    try:
-        fields = msgspec.json.decode(encoded)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise DeltaError(
-            subject=key, found=str(error), expected="JSON of an object"
-        ) from error
-    if canonical_bytes(fields) != encoded:
-        raise DeltaError(
-            subject=key, found="JSON of another form", expected="canonical JSON"
-        )
-    return fields
--- /dev/null
+++ b/buckthornshed/protocol/encoded_sets.py
@@ -0,0 +1,201 @@
+"""Sets as canonical bytes of each object, as nodes pass them on.
+
+Nodes hold ``kind/name`` to bytes and take new sets as changes of these.
+"""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, cast
+
+import msgspec
+
+from ..errors import ConfigurationError
+from ..state.objects import ConfigurationSet, empty_set
+from .canonical import (
+    canonical_bytes,
+    iterate_objects,
+    object_digest,
+    set_digest,
+)
+from .configuration import check_change, check_set
+from .fields import KINDS
+from .findings import FindingsError
+from .published import encode_published, unpack_published
+
+__all__ = [
+    "EncodedObjectError",
+    "EncodedObjects",
+    "EncodedSet",
+    "EncodedSets",
+    "decode_object",
+    "decode_objects",
+    "decode_set",
+    "encode_objects",
+    "encode_set",
+    "split_key",
+]
+
+EncodedObjects = Mapping[str, bytes]
+"""``kind/name`` to the canonical bytes of the object."""
+
+
+class EncodedObjectError(ConfigurationError):
+    """The key or the bytes of an object are malformed."""
+
+
+class EncodedSet(NamedTuple):
+    """A set with its generation and its digest of 32 bytes."""
+
+    generation: int
+    digest: bytes
+    objects: EncodedObjects
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return kind and name of ``kind/name``.
+
+    Raises
+    ------
+    EncodedObjectError
+        If there is no such kind.
+    """
+    kind, _, name = key.partition("/")
+    if kind not in KINDS:
+        raise EncodedObjectError(
+            subject="object", found=repr(key[:80]), expected="kind/name"
+        )
+    return kind, name
+
+
+def decode_object(key: str, encoded: bytes) -> Any:
+    """Return the fields of an object.
+
+    Raises
+    ------
+    EncodedObjectError
+        If `encoded` is not canonical JSON; another form of the same object would
+        have another digest.
+    """
+    try:
+        fields = msgspec.json.decode(encoded)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise EncodedObjectError(
+            subject=key, found=str(error), expected="JSON of an object"
+        ) from error
+    if canonical_bytes(fields) != encoded:
+        raise EncodedObjectError(
+            subject=key, found="JSON of another form", expected="canonical JSON"
+        )
+    return fields
+
+
+def encode_objects(objects: ConfigurationSet) -> dict[str, bytes]:
+    """Return the canonical bytes of each object by ``kind/name``."""
+    return {key: canonical_bytes(fields) for key, fields in iterate_objects(objects)}
+
+
+def decode_objects(objects: EncodedObjects) -> ConfigurationSet:
+    """Return a set of encoded objects, without a check.
+
+    Raises
+    ------
+    EncodedObjectError
+        If a key or an object is malformed.
+    """
+    decoded = empty_set()
+    tables = _tables(decoded)
+    for key, encoded in objects.items():
+        kind, name = split_key(key)
+        tables[kind][name] = decode_object(key, encoded)
+    return decoded
+
+
+def encode_set(generation: int, objects: EncodedObjects) -> bytes:
+    """Return the value that holds `objects`; see `published.encode_published`."""
+    return encode_published(decode_objects(objects), generation)
+
+
+def decode_set(value: bytes) -> EncodedSet:
+    """Return the set in a value after a check of its digest, but not of the set.
+
+    Raises
+    ------
+    PublishedValueError
+        If the value is malformed.
+    """
+    published = unpack_published(value)
+    return EncodedSet(
+        published.generation,
+        bytes.fromhex(published.digest),
+        encode_objects(published.objects),
+    )
+
+
+class EncodedSets:
+    """Digest and check of encoded sets.
+
+    Remembers the set that passed last, so that the next one costs what differs.
+    Sets that are passed in are not to be changed afterwards.
+    """
+
+    def __init__(self) -> None:
+        self.accepted: EncodedObjects = {}
+        self.objects = empty_set()
+        self.digests: dict[str, tuple[bytes, bytes]] = {}
+
+    def digest(self, objects: EncodedObjects) -> bytes:
+        """Return the digest of a set, 32 bytes."""
+        known = self.digests
+        self.digests = {
+            key: known[key]
+            if key in known and known[key][0] == encoded
+            else (encoded, object_digest(encoded))
+            for key, encoded in objects.items()
+        }
+        digests = {key: digest for key, (_, digest) in self.digests.items()}
+        return bytes.fromhex(set_digest(digests))
+
+    def check(self, objects: EncodedObjects) -> ConfigurationSet:
+        """Return the set if it has no faults.
+
+        Raises
+        ------
+        EncodedObjectError
+            If a key or an object is malformed.
+        FindingsError
+            If the set has faults.
+        """
+        if not self.accepted:
+            decoded = decode_objects(objects)
+            findings = check_set(decoded)
+        else:
+            changed = self._changed(objects)
+            removed = {split_key(key)[0] for key in self.accepted.keys() - objects}
+            decoded = self._following(objects, changed)
+            findings = check_change(decoded, changed=changed, removed=removed)
+        if findings:
+            raise FindingsError(findings=findings)
+        self.accepted, self.objects = objects, decoded
+        return decoded
+
+    def _changed(self, objects: EncodedObjects) -> dict[str, dict[str, Any]]:
+        changed: dict[str, dict[str, Any]] = {}
+        for key, encoded in objects.items():
+            if self.accepted.get(key) != encoded:
+                kind, name = split_key(key)
+                changed.setdefault(kind, {})[name] = decode_object(key, encoded)
+        return changed
+
+    def _following(
+        self, objects: EncodedObjects, changed: dict[str, dict[str, Any]]
+    ) -> ConfigurationSet:
+        """Return the set after a change, which shares what did not change."""
+        old = _tables(self.objects)
+        tables = {kind: old[kind] | changed.get(kind, {}) for kind in KINDS}
+        for key in self.accepted.keys() - objects:
+            kind, name = split_key(key)
+            del tables[kind][name]
+        return cast(ConfigurationSet, tables)
+
+
+def _tables(objects: ConfigurationSet) -> dict[str, dict[str, Any]]:
+    return cast(dict[str, dict[str, Any]], objects)
--- a/buckthornshed/tests/test_delta.py
+++ b/buckthornshed/tests/test_delta.py
@@ -9,6 +9,7 @@
 
 from buckthornshed.protocol.configuration import check_change, check_set
 from buckthornshed.protocol.delta import Delta, DeltaError, advance, apply, delta
+from buckthornshed.protocol.encoded_sets import EncodedObjectError
 from buckthornshed.protocol.fields import KINDS
 from buckthornshed.protocol.findings import FindingsError
 from buckthornshed.protocol.published import (
@@ -74,13 +75,14 @@
         ("priority/low", {"changed": {"priority/low": b"{"}}),
         ("priority/low", {"changed": {"priority/low": b"[" * 100_000}}),
         ("priority/low", {"changed": {"priority/low": b'"\xff"'}}),
-        ("delta", {"changed": {"relay/low": b"{}"}}),
+        ("object", {"changed": {"relay/low": b"{}"}}),
         ("delta", {"removed": ("priority/lowest",)}),
         ("delta", {"removed": ("priority",)}),
+        ("object", {"removed": ("relay/x",)}),
     ],
 )
 def test_delta_that_does_not_fit_is_refused(subject, changes):
-    with pytest.raises(DeltaError) as caught:
+    with pytest.raises((DeltaError, EncodedObjectError)) as caught:
         apply(publish(small_set(), 3), good_delta()._replace(**changes))
     assert caught.value.subject == subject
 
