--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -7,6 +7,7 @@
 import argparse
 import bz2
 import lzma
+import random
 import time
 import zlib
 from collections.abc import Callable, Iterator
@@ -38,6 +39,9 @@
 SERVICES_WITH_SHIFT = 10
 """One service in so many moves between providers."""
 
+TARGETS_MAX = 10_000
+"""Keeps the control ports apart from the others."""
+
 LOOKUPS = 10_000
 BURST = 100
 
@@ -122,14 +126,17 @@
 
 def _add_target(objects: Any, n: int, size: Size) -> None:
     service, replica = n % size.services, n // size.services
-    host = f"10.{n % DOMAINS}.{n // 250}.{n % 250 + 1}"
-    objects["target"][f"service-{service}-{replica}"] = {
+    # Names and addresses as a scheduler gives them, which compress badly.
+    source = random.Random(n)
+    host = f"10.{n % DOMAINS}.{source.randrange(256)}.{source.randrange(256)}"
+    port = 20_000 + n
+    objects["target"][f"service-{service}-{source.randbytes(4).hex()}"] = {
         "service": f"service-{service}",
         "provider": "new" if replica % 3 == 2 else "old",
         "failure_domain": f"domain-{n % DOMAINS}",
-        "address": f"{host}:8080",
-        "control": f"{host}:8081",
-        "slots": 20 + n % 50,
+        "address": f"{host}:{port}",
+        "control": f"{host}:{port + TARGETS_MAX}",
+        "slots": source.randrange(10, 80),
         "connections": 400,
     }
 
--- a/buckthornshed/tests/test_configuration.py
+++ b/buckthornshed/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Tests of the check of a whole set."""
 
+import re
 import tomllib
 from typing import Any
 
@@ -14,6 +15,7 @@
     require_valid,
 )
 from buckthornshed.protocol.draft import CHECKS
+from buckthornshed.protocol.fields import FIELD_NAMES
 
 from .small_set import DATA, FILE, TEXT, read_text, small_set
 
@@ -141,3 +143,12 @@
     assert caught.value.findings == reading.findings
     with pytest.raises(FindingsError):
         require_valid({"route": None})
+
+
+def test_operators_page_has_each_kind_and_field():
+    page = (DATA.parents[2] / "docs/operators/configuration.md").read_text()
+    sections = {
+        section.partition("\n")[0]: re.findall(r"^\| `(\w+)` \|", section, re.MULTILINE)
+        for section in page.split("\n### ")[1:]
+    }
+    assert {kind: sorted(fields) for kind, fields in sections.items()} == FIELD_NAMES
