State limits of lengths as what is expected of a field

Cause: faults of length printed the sentence of the validator after 'expected'. Texts by type of error stand in one table now.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from statistics import median
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 from tabulate import tabulate
 
@@ -94,7 +94,7 @@
         _add_service(objects, n, size)
     for n in range(size.targets):
         _add_target(objects, n, size)
-    return objects
+    return cast(ConfigurationSet, objects)
 
 
 def _add_service(objects: Any, n: int, size: Size) -> None:
--- a/buckthornshed/protocol/fields.py
+++ b/buckthornshed/protocol/fields.py
@@ -31,6 +31,15 @@
 }
 """What is expected where a pattern that starts so does not match."""
 
+TEXTS: dict[str, tuple[str | None, str]] = {
+    "missing": ("nothing", "a value"),
+    "extra_forbidden": ("an unknown field", "one of {fields}"),
+    "string_pattern_mismatch": (None, "{hint}"),
+    "string_too_long": (None, "at most {max_length} characters"),
+    "too_short": (None, "at least {min_length} entry"),
+}
+"""What was found, if not the value, and expected, by the type of the error."""
+
 MESSAGE_START = "Input should be "
 
 REMOVED = object()
@@ -117,22 +126,19 @@
 
 def _fault(kind: str, error: Any) -> FieldFault:
     """Return a fault from one error of pydantic."""
-    place = [str(part) for part in error["loc"] if part != "[key]"]
-    field = ".".join(place)
-    match error["type"]:
-        case "missing":
-            return FieldFault(field, "nothing", "a value")
-        case "extra_forbidden":
-            names = ", ".join(FIELD_NAMES[kind])
-            return FieldFault(field, "an unknown field", f"one of {names}")
-        case "string_pattern_mismatch":
-            return FieldFault(field, shown(error["input"]), _pattern_hint(error))
-    expected = error["msg"].removeprefix(MESSAGE_START)
-    return FieldFault(field, shown(error["input"]), expected)
-
-
-def _pattern_hint(error: Any) -> str:
-    pattern = error["ctx"]["pattern"]
+    field = ".".join(str(part) for part in error["loc"] if part != "[key]")
+    context = error.get("ctx", {})
+    found, expected = TEXTS.get(error["type"], (None, "{message}"))
+    expected = expected.format(
+        fields=", ".join(FIELD_NAMES[kind]),
+        hint=_pattern_hint(context.get("pattern", "")),
+        message=error["msg"].removeprefix(MESSAGE_START),
+        **context,
+    )
+    return FieldFault(field, found or shown(error["input"]), expected)
+
+
+def _pattern_hint(pattern: str) -> str:
     for start, hint in PATTERN_HINTS.items():
         if pattern.startswith(start):
             return hint
