--- /dev/null
+++ b/buckthornshed/standins/asgi.py
@@ -0,0 +1,205 @@
+"""A small ASGI application with a table of routes, served by hypercorn."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, TypeVar
+from urllib.parse import parse_qsl, unquote
+
+import anyio
+import hypercorn
+import hypercorn.asyncio
+import msgspec
+from pydantic import TypeAdapter, ValidationError
+
+from ..errors import BuckthornshedError, SettingsError
+
+__all__ = [
+    "Application",
+    "Request",
+    "Response",
+    "bound_address",
+    "json_response",
+    "listen",
+    "parse_address",
+    "patch",
+    "serve_application",
+]
+
+GRACE_S = 0.2
+
+
+class Request(NamedTuple):
+    """An HTTP request with its whole body; ``rest`` is the path after the prefix."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[bytes, bytes]
+    body: bytes
+    rest: str = ""
+
+
+class Response(NamedTuple):
+    """An HTTP response with its whole body."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+T = TypeVar("T", bound=tuple[Any, ...])
+
+
+def json_response(content: object, *, status: int = 200) -> Response:
+    """Return ``content`` as JSON."""
+    headers = ((b"content-type", b"application/json"),)
+    return Response(status, msgspec.json.encode(content), headers)
+
+
+def patch(current: T, body: bytes) -> T:
+    """Return the named tuple ``current`` with the fields of a JSON object replaced.
+
+    Raises
+    ------
+    SettingsError
+        If the body is no object, or names a field that is unknown or out of range.
+    """
+    fields = current._asdict()  # type: ignore[attr-defined]
+    try:
+        fields |= msgspec.json.decode(body, type=dict[str, Any])
+        return TypeAdapter(type(current)).validate_python(fields)
+    except (msgspec.DecodeError, ValidationError) as error:
+        raise SettingsError(
+            subject=type(current).__name__,
+            found=str(error),
+            expected="an object with fields of this type",
+        ) from error
+
+
+class Application:
+    """Dispatches by method and path.
+
+    A handler is added with the decorator `route`. A prefix that ends in ``/``
+    also matches what follows it, which the handler finds in ``rest``.
+    """
+
+    def __init__(self) -> None:
+        self.routes: dict[tuple[str, str], Handler] = {}
+
+    def route(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Register the decorated handler for a method and a path."""
+
+        def register(handler: Handler) -> Handler:
+            self.routes[method, path] = handler
+            return handler
+
+        return register
+
+    async def respond(self, request: Request) -> Response:
+        """Return the response of the handler that matches."""
+        handler = self.routes.get((request.method, request.path))
+        for (method, prefix), candidate in self.routes.items():
+            matches = prefix.endswith("/") and request.path.startswith(prefix)
+            if handler is None and method == request.method and matches:
+                handler = candidate
+                request = request._replace(rest=request.path.removeprefix(prefix))
+        if handler is None:
+            return Response(404)
+        try:
+            return await handler(request)
+        except BuckthornshedError as error:
+            return json_response({"error": str(error)}, status=400)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one ASGI scope; a client that goes away cancels its handler."""
+        if scope["type"] != "http":
+            return
+        request = await read_request(scope, receive)
+        response = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(cancel_on_disconnect, receive, group.cancel_scope)
+            response = await self.respond(request)
+            group.cancel_scope.cancel()
+        if response is None:
+            return
+        length = (b"content-length", str(len(response.body)).encode())
+        headers = [*response.headers, length]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": response.status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": response.body})
+
+
+async def read_request(scope: Any, receive: Any) -> Request:
+    """Return the request of an ASGI scope with its whole body."""
+    body = b""
+    more = True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    return Request(
+        method=scope["method"],
+        path=unquote(scope["path"]),
+        query=dict(parse_qsl(scope["query_string"].decode("latin-1"))),
+        headers=dict(scope["headers"]),
+        body=body,
+    )
+
+
+async def cancel_on_disconnect(receive: Any, scope: anyio.CancelScope) -> None:
+    """Cancel ``scope`` once the client has gone away."""
+    message = await receive()
+    while message["type"] != "http.disconnect":
+        message = await receive()
+    scope.cancel()
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    Raises
+    ------
+    SettingsError
+        If the text is not of that form.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit():
+        raise SettingsError(subject="address", found=repr(text), expected="ip:port")
+    return host, int(port)
+
+
+def listen(address: str) -> socket.socket:
+    """Return a socket that listens at ``ip:port``; port 0 takes any free port."""
+    listener = socket.create_server(parse_address(address), backlog=1024)
+    listener.setblocking(False)
+    return listener
+
+
+async def serve_application(
+    application: Application, listener: socket.socket, stop: anyio.Event
+) -> None:
+    """Serve ``application`` with hypercorn until ``stop`` is set.
+
+    hypercorn takes over and closes the descriptor of ``listener``.
+    """
+    config = hypercorn.Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.graceful_timeout = GRACE_S
+    config.errorlog = None
+    await hypercorn.asyncio.serve(
+        application,
+        config,
+        shutdown_trigger=stop.wait,
+    )
+
+
+def bound_address(listener: socket.socket) -> str:
+    """Return ``ip:port`` of a listening socket."""
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
