Add the emulated target with slots, faults and a ledger

Cause: promises are judged by what really ran at the targets, so a target records each run from the moment it gets a slot. Slots, queue, connection cost, probe cost, cold start, drain, deadlines, cancellation and faults of answers are settable.

--- /dev/null
+++ b/buckthornshed/standins/http_client.py
@@ -0,0 +1,169 @@
+"""A lean HTTP/1.1 client with a pool of connections for each address."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any
+
+import httptools
+
+from ..errors import UpstreamError
+from .asgi import Response, parse_address
+
+__all__ = ["ClientPool", "encode_request"]
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+
+def encode_request(
+    *, method: str, path: str, host: str, headers: Headers, body: bytes
+) -> bytes:
+    """Return the bytes of a request with a content length."""
+    lines = [f"{method} {path} HTTP/1.1".encode(), b"host: " + host.encode()]
+    lines += [b"%s: %s" % header for header in headers]
+    if body or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join([*lines, b"", body])
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection with at most one exchange in flight."""
+
+    def __init__(self) -> None:
+        self.transport: Any = None
+        self.answer: asyncio.Future[Response] | None = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Prepare for the next response."""
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body: list[bytes] = []
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in flight."""
+        self.fail("connection lost" if exc is None else f"connection lost: {exc!r}")
+
+    def fail(self, found: str) -> None:
+        """End the exchange in flight with an error."""
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(
+                UpstreamError(subject="answer", found=found, expected="an answer")
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; bytes that nobody asked for end the connection."""
+        if self.answer is None or self.answer.done():
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.fail(f"malformed answer: {error!r}")
+            self.transport.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self.headers.append((name.lower(), value))
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the response."""
+        status = self.parser.get_status_code()
+        if status < 200 or self.answer is None or self.answer.done():
+            return
+        response = Response(status, b"".join(self.body), tuple(self.headers))
+        self.answer.set_result(response)
+
+    async def exchange(self, request: bytes) -> Response:
+        """Send a request and return its response.
+
+        Raises
+        ------
+        UpstreamError
+            If the connection ends, or the response is malformed.
+        """
+        self.reset()
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(request)
+        return await self.answer
+
+    def reusable(self) -> bool:
+        """Return whether another request may follow."""
+        return self.parser.should_keep_alive() and not self.transport.is_closing()
+
+
+class ClientPool:
+    """Keeps idle connections by address; an abandoned exchange closes its own."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, list[ClientConnection]] = defaultdict(list)
+        self.opened = 0
+
+    async def connect(self, address: str) -> ClientConnection:
+        """Return an idle connection, or a new one."""
+        idle = self.idle[address]
+        while idle:
+            connection = idle.pop()
+            if not connection.transport.is_closing():
+                return connection
+        self.opened += 1
+        loop = asyncio.get_running_loop()
+        host, port = parse_address(address)
+        try:
+            _, opened = await loop.create_connection(ClientConnection, host, port)
+        except OSError as error:
+            raise UpstreamError(
+                subject=address, found=repr(error), expected="a connection"
+            ) from error
+        return opened
+
+    async def request(
+        self, address: str, request: bytes, *, timeout_s: float
+    ) -> Response:
+        """Send ``request`` and return the response.
+
+        Raises
+        ------
+        UpstreamError
+            If there is no whole response within ``timeout_s`` seconds.
+        """
+        connection: ClientConnection | None = None
+        kept = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.connect(address)
+                response = await connection.exchange(request)
+            kept = connection.reusable()
+            return response
+        except TimeoutError as error:
+            raise UpstreamError(
+                subject=address,
+                found=f"nothing after {timeout_s:.3f} s",
+                expected="an answer",
+            ) from error
+        finally:
+            if connection is not None:
+                self.release(address, connection, kept)
+
+    def release(self, address: str, connection: ClientConnection, kept: bool) -> None:
+        """Keep a connection for the next request, or close it."""
+        connection.answer = None
+        if kept:
+            self.idle[address].append(connection)
+        else:
+            connection.transport.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.transport.close()
+        self.idle.clear()
--- /dev/null
+++ b/buckthornshed/standins/target.py
@@ -0,0 +1,316 @@
+"""An emulated target instance: slots, queue, service times, faults and ledger."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Annotated, Literal, NamedTuple
+
+import msgspec
+from pydantic import Field
+
+from .asgi import Request, Response, json_response
+from .behaviour import RouteBehaviour, ServiceBehaviour, find_route
+from .calls import Caller, Incoming
+from .http_server import HttpServerProtocol, RawResponse, encode_response
+from .ledger import End, Ledger
+
+__all__ = ["EmulatedTarget", "Health", "TargetFaults"]
+
+MS = 1e-3
+GARBAGE = b"\x00\x17 this is not HTTP \xff\r\n\r\n"
+RETRY_AFTER = ((b"retry-after", b"1"),)
+FAULT_STATUS = 500
+
+Share = Annotated[float, Field(ge=0.0, le=1.0)]
+NonNegative = Annotated[float, Field(ge=0.0)]
+
+
+class TargetFaults(NamedTuple):
+    """What is wrong with a target.
+
+    Parameters
+    ----------
+    slow_factor : float
+        Factor on service times.
+    slow_answer_s : float
+        Seconds by which a finished answer is held back.
+    garbage, truncated, excess, foreign, error : float
+        Share of answers that are no HTTP, end early, are followed by further
+        bytes, carry another request's id, or are a 500.
+    refuse_connections : bool
+        Whether new connections are closed at once.
+    health : str
+        What the health endpoint says: the truth, always ``healthy``, or always
+        ``failing``.
+    health_lag_s : float
+        Age up to which the health endpoint repeats itself, seconds.
+    """
+
+    slow_factor: NonNegative = 1.0
+    slow_answer_s: NonNegative = 0.0
+    garbage: Share = 0.0
+    truncated: Share = 0.0
+    excess: Share = 0.0
+    foreign: Share = 0.0
+    error: Share = 0.0
+    refuse_connections: bool = False
+    health: Literal["true", "healthy", "failing"] = "true"
+    health_lag_s: NonNegative = 0.0
+
+
+class Health(NamedTuple):
+    """What the health endpoint tells."""
+
+    state: Literal["serving", "draining", "failing"]
+    running: int
+    waiting: int
+    slots: int
+
+
+class EmulatedTarget:
+    """One instance of a service.
+
+    Parameters
+    ----------
+    name, service : str
+        The instance and its service.
+    behaviour : ServiceBehaviour
+        What it does.
+    caller : Caller
+        Makes the calls below.
+    clock : callable
+        Returns seconds of the machine's monotonic clock.
+    source : random.Random
+        Source of service times and faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        behaviour: ServiceBehaviour,
+        caller: Caller,
+        clock: Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.behaviour = behaviour
+        self.caller = caller
+        self.clock = clock
+        self.source = source
+        self.faults = TargetFaults()
+        self.ledger = Ledger()
+        self.slots = asyncio.Semaphore(behaviour.slots)
+        self.running = 0
+        self.waiting = 0
+        self.connections: set[HttpServerProtocol] = set()
+        self.started = clock()
+        self.accept_free = 0.0
+        self.leaving_since: float | None = None
+        self.health: tuple[float, Health] | None = None
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def protocol(self) -> HttpServerProtocol:
+        """Return the protocol of a new connection."""
+        return HttpServerProtocol(
+            handler=self.handle,
+            connections=self.connections,
+            accept_delay=self.accept_delay,
+            cancel_on_close=self.behaviour.cancellation,
+        )
+
+    def accept_delay(self) -> float | None:
+        """Return the seconds until a new connection is read, None to refuse it.
+
+        New connections are set up one after the other.
+        """
+        full = len(self.connections) >= self.behaviour.connections
+        if full or self.faults.refuse_connections:
+            self.ledger.count("refused_connections")
+            return None
+        self.ledger.count("connections")
+        now = self.clock()
+        cost = self.behaviour.connection_ms * MS
+        self.accept_free = max(now, self.accept_free) + cost
+        return self.accept_free - now
+
+    def begin_to_leave(self) -> None:
+        """Start to drain; calls that still come are served and recorded."""
+        if self.leaving_since is None:
+            self.leaving_since = self.clock()
+
+    def leaving_s(self) -> float:
+        """Return the seconds since the target began to leave, 0 before."""
+        if self.leaving_since is None:
+            return 0.0
+        return max(self.clock() - self.leaving_since, 1e-9)
+
+    def restart_cold(self) -> None:
+        """Let the cold start begin anew."""
+        self.started = self.clock()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a request."""
+        if request.path == "/health":
+            return await self.probe()
+        self.ledger.count("received")
+        route = find_route(self.behaviour, request.method, request.path)
+        if route is None:
+            return json_response({"error": "no such route"}, status=404)
+        incoming = Incoming.of(request, now=self.clock(), behaviour=self.behaviour)
+        if self.slots.locked() and self.waiting >= self.behaviour.queue:
+            self.ledger.count("shed")
+            return Response(503, headers=RETRY_AFTER)
+        await self.take_slot()
+        try:
+            if self.clock() >= incoming.deadline:
+                self.ledger.count("expired")
+                return json_response({"error": "deadline"}, status=504)
+            return await self.run(route, incoming)
+        finally:
+            self.free_slot()
+
+    async def take_slot(self) -> None:
+        """Wait for a slot."""
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        except asyncio.CancelledError:
+            self.ledger.count("abandoned")
+            raise
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        self.idle.clear()
+
+    def free_slot(self) -> None:
+        """Give a slot back."""
+        self.slots.release()
+        self.running -= 1
+        if not self.running and not self.waiting:
+            self.idle.set()
+
+    async def run(self, route: RouteBehaviour, incoming: Incoming) -> Response:
+        """Do the work of a request and record it."""
+        run = self.ledger.start(
+            request=incoming.request_id,
+            key=incoming.key,
+            route=f"{route.method} {route.path}",
+            now=self.clock(),
+            leaving_s=self.leaving_s(),
+        )
+        outcome: End = "failed"
+        try:
+            async with asyncio.timeout(incoming.left_s(self.clock())):
+                response = await self.work(route, incoming, run)
+            outcome = "completed" if response.status == 200 else "failed"
+        except TimeoutError:
+            return json_response({"error": "deadline"}, status=504)
+        except asyncio.CancelledError:
+            outcome = "cancelled"
+            raise
+        finally:
+            self.ledger.end(run, outcome, now=self.clock())
+        return await self.spoil(response)
+
+    async def work(
+        self, route: RouteBehaviour, incoming: Incoming, run: int
+    ) -> Response:
+        """Spend the service time and make the calls below."""
+        seconds = self.service_time(route)
+        if not route.calls:
+            await asyncio.sleep(seconds)
+            return self.compose(route, incoming, run, [])
+        await asyncio.sleep(seconds / 2)
+        result = await self.caller.call_all(route, incoming, self.ledger)
+        if result.failure is not None:
+            return result.failure
+        await asyncio.sleep(seconds / 2)
+        return self.compose(route, incoming, run, result.parts)
+
+    def service_time(self, route: RouteBehaviour) -> float:
+        """Draw a service time, seconds."""
+        seconds = route.service_ms * MS * self.faults.slow_factor * self.cold_factor()
+        if route.sigma:
+            seconds *= self.source.lognormvariate(0.0, route.sigma)
+        return seconds
+
+    def cold_factor(self) -> float:
+        """Return the factor of the cold start, which falls to 1 linearly."""
+        if not self.behaviour.cold_s:
+            return 1.0
+        left = 1.0 - (self.clock() - self.started) / self.behaviour.cold_s
+        return 1.0 + max(0.0, left) * (self.behaviour.cold_factor - 1.0)
+
+    def compose(
+        self, route: RouteBehaviour, incoming: Incoming, run: int, parts: list[object]
+    ) -> Response:
+        """Return the answer, in which each piece names the request."""
+        request = incoming.request_id
+        if self.faults.foreign and self.source.random() < self.faults.foreign:
+            request = f"not-{request}"
+        content = {
+            "request": request,
+            "service": self.service,
+            "route": f"{route.method} {route.path}",
+            "run": f"{self.name}/{run}",
+            "parts": parts,
+        }
+        if route.filler:
+            content["filler"] = "." * route.filler
+        return json_response(content)
+
+    async def spoil(self, response: Response) -> Response:
+        """Apply the faults that concern answers."""
+        faults = self.faults
+        if faults.slow_answer_s:
+            await asyncio.sleep(faults.slow_answer_s)
+        draw = self.source.random() if any(faults[2:7]) else 1.0
+        encoded = encode_response(response, close=False)
+        spoiled = (
+            (faults.garbage, RawResponse(200, GARBAGE)),
+            (faults.truncated, RawResponse(200, encoded[: -len(response.body) // 2])),
+            (faults.excess, RawResponse(200, encoded + response.body)),
+            (faults.error, Response(FAULT_STATUS)),
+        )
+        for share, replacement in spoiled:
+            if draw < share:
+                return replacement
+            draw -= share
+        return response
+
+    async def probe(self) -> Response:
+        """Answer a health probe, which costs a slot."""
+        self.ledger.count("probes")
+        if self.behaviour.probe_ms:
+            await self.take_slot()
+            try:
+                await asyncio.sleep(self.behaviour.probe_ms * MS)
+            finally:
+                self.free_slot()
+        health = self.reported_health()
+        status = 503 if health.state == "failing" else 200
+        return Response(status, msgspec.json.encode(health._asdict()))
+
+    def reported_health(self) -> Health:
+        """Return what the health endpoint tells, which may lag or mislead."""
+        now = self.clock()
+        lag = self.faults.health_lag_s
+        if self.health is None or now - self.health[0] >= lag:
+            self.health = (now, self.true_health())
+        told = self.health[1]
+        if self.faults.health == "healthy":
+            return told._replace(state="serving", running=0, waiting=0)
+        if self.faults.health == "failing":
+            return told._replace(state="failing")
+        return told
+
+    def true_health(self) -> Health:
+        """Return the state of this moment."""
+        state: Literal["serving", "draining"] = "serving"
+        if self.leaving_since is not None:
+            state = "draining"
+        return Health(state, self.running, self.waiting, self.behaviour.slots)
--- /dev/null
+++ b/buckthornshed/standins/target_control.py
@@ -0,0 +1,47 @@
+"""The control endpoint of an emulated target."""
+
+from .asgi import Application, Request, Response, json_response, patch
+from .target import EmulatedTarget
+
+__all__ = ["target_application"]
+
+
+def target_application(target: EmulatedTarget) -> Application:
+    """Return the endpoint that sets faults and reads the ledger."""
+    application = Application()
+
+    @application.route("GET", "/ledger")
+    async def ledger(request: Request) -> Response:
+        since = int(request.query.get("since", "0"))
+        return json_response(
+            {
+                "name": target.name,
+                "service": target.service,
+                "runs": target.ledger.runs,
+                "running": target.running,
+                "waiting": target.waiting,
+                "counters": target.ledger.counters._asdict(),
+                "entries": [entry._asdict() for entry in target.ledger.since(since)],
+            }
+        )
+
+    @application.route("GET", "/counters")
+    async def counters(request: Request) -> Response:
+        return json_response(target.ledger.counters._asdict())
+
+    @application.route("PUT", "/faults")
+    async def faults(request: Request) -> Response:
+        target.faults = patch(target.faults, request.body)
+        return json_response(target.faults._asdict())
+
+    @application.route("POST", "/drain")
+    async def drain(request: Request) -> Response:
+        target.begin_to_leave()
+        return Response(204)
+
+    @application.route("POST", "/cold")
+    async def cold(request: Request) -> Response:
+        target.restart_cold()
+        return Response(204)
+
+    return application
