--- a/buckthornshed/cli/target.py
+++ b/buckthornshed/cli/target.py
@@ -12,7 +12,7 @@
 import cappa
 
 from ..errors import SettingsError
-from ..standins.asgi import listen, serve_application
+from ..standins.asgi import listen, patch, serve_application
 from ..standins.behaviour import (
     RouteBehaviour,
     ServiceBehaviour,
@@ -20,6 +20,7 @@
     read_deployment,
 )
 from ..standins.calls import Caller
+from ..standins.ledger import Ledger
 from ..standins.target import EmulatedTarget
 from ..standins.target_control import target_application
 
@@ -49,6 +50,12 @@
     calls: Annotated[
         str, cappa.Arg(long=True, help="service:METHOD:/path,... for any request")
     ] = ""
+    override: Annotated[
+        str, cappa.Arg(long=True, help="JSON object with fields of the service")
+    ] = "{}"
+    journal: Annotated[
+        Path | None, cappa.Arg(long=True, help="file that takes the ledger")
+    ] = None
     seed: Annotated[int, cappa.Arg(long=True, help="seed of times and faults")] = 1
 
     def __call__(self) -> int:
@@ -73,7 +80,8 @@
 
     def create_target(self) -> EmulatedTarget:
         """Return the target of these settings."""
-        behaviour = self.read_behaviour()
+        journal = self.journal.open("wb", buffering=0) if self.journal else None
+        behaviour = patch(self.read_behaviour(), self.override.encode())
         caller = Caller(
             behaviour=behaviour,
             egress=self.egress,
@@ -87,6 +95,7 @@
             caller=caller,
             clock=time.monotonic,
             source=random.Random(f"{self.seed} {self.name}"),
+            ledger=Ledger(journal=journal),
         )
 
     async def serve(self) -> None:
--- /dev/null
+++ b/buckthornshed/load/fleet.py
@@ -0,0 +1,271 @@
+"""A deployment as separate processes on loopback, for the demo and the benches.
+
+The processes of the product start no others; only this driver does.
+"""
+
+import asyncio
+import time
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import httpx
+import msgspec
+
+from ..standins.ledger import Entry, read_journal
+from .processes import Ports, Process, start_process, wait_until_ready
+
+__all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
+
+KEY = "5c" * 32
+CONTROL_TIMEOUT_S = 20.0
+
+Objects = dict[str, dict[str, dict[str, Any]]]
+
+
+class Member(NamedTuple):
+    """One instance and the addresses of its target and its node."""
+
+    name: str
+    service: str
+    failure_domain: str
+    target: str
+    target_control: str
+    ingress: str
+    egress: str
+    control: str
+    admin: str
+
+
+class TargetLedger(NamedTuple):
+    """What ran at one process of a target."""
+
+    name: str
+    service: str
+    entries: list[Entry]
+
+
+def read_objects(folder: Path) -> Objects:
+    """Return the objects of all TOML files in a folder, by kind and name."""
+    objects: Objects = {}
+    for path in sorted(folder.glob("*.toml")):
+        for kind, named in tomllib.loads(path.read_text()).items():
+            objects.setdefault(kind, {}).update(named)
+    return objects
+
+
+class Fleet:
+    """Platform, targets and, where asked for, nodes.
+
+    Parameters
+    ----------
+    objects : dict
+        The set; addresses of its targets are replaced by loopback ones.
+    behaviour : Path
+        What the targets do.
+    nodes : bool
+        Whether each target has its node, or targets call each other directly.
+    folder : Path
+        Takes settings and logs of the processes.
+    ports : Ports
+        Source of free ports.
+    overrides : mapping
+        Fields of the services' behaviour to replace.
+    seed : int
+        Seed of the targets.
+    """
+
+    def __init__(
+        self,
+        *,
+        objects: Objects,
+        behaviour: Path,
+        nodes: bool,
+        folder: Path,
+        ports: Ports,
+        overrides: Mapping[str, Any] | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.behaviour = behaviour
+        self.nodes = nodes
+        self.folder = folder
+        self.overrides = dict(overrides or {})
+        self.seed = seed
+        self.platform = ports.take()
+        self.platform_control = ports.take()
+        self.members = {
+            name: create_member(name, target, ports)
+            for name, target in objects["target"].items()
+        }
+        self.objects = with_addresses(objects, self.members)
+        self.processes: dict[str, Process] = {}
+        self.journals: dict[Path, Member] = {}
+        self.client = httpx.AsyncClient(timeout=CONTROL_TIMEOUT_S)
+
+    async def __aenter__(self) -> "Fleet":
+        """Start all processes and wait until they are ready."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Stop all processes."""
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start the platform, publish the set, start targets and nodes."""
+        await self.start_platform()
+        async with asyncio.TaskGroup() as group:
+            for name in self.members:
+                group.create_task(self.start_member(name))
+
+    async def start_platform(self) -> None:
+        """Start the platform and publish the set."""
+        addresses = ["--address", self.platform, "--control", self.platform_control]
+        await self.start_one("platform", "platform", addresses)
+        await self.wait("platform", f"http://{self.platform_control}/counters")
+        if self.nodes:
+            await self.publish(self.objects, generation=1)
+
+    async def publish(self, objects: Objects, *, generation: int) -> None:
+        """Publish a set, as an operator does."""
+        await self.put_value("set", msgspec.json.encode(objects))
+
+    async def put_value(self, key: str, value: bytes) -> None:
+        """Put a value on the platform."""
+        url = f"http://{self.platform_control}/values/{key}"
+        (await self.client.put(url, content=value)).raise_for_status()
+
+    async def start_member(self, name: str) -> None:
+        """Start a target and its node and list the instance as live."""
+        await self.start_target(name)
+        if self.nodes:
+            await self.start_node(name)
+        await self.list_instance(name, "live")
+
+    async def list_instance(self, name: str, state: str) -> None:
+        """Put an instance on the platform's list."""
+        url = f"http://{self.platform_control}/instances/{name}"
+        content = {"incarnation": time.time_ns(), "state": state}
+        (await self.client.put(url, json=content)).raise_for_status()
+
+    async def start_target(self, name: str) -> None:
+        """Start a target and wait until it is ready."""
+        member = self.members[name]
+        arguments = ["--name", name, "--service", member.service]
+        arguments += ["--address", member.target, "--control", member.target_control]
+        arguments += ["--behaviour", str(self.behaviour), "--seed", str(self.seed)]
+        arguments += ["--override", msgspec.json.encode(self.overrides).decode()]
+        journal = self.folder / f"{name}-{len(self.journals)}.journal"
+        self.journals[journal] = member
+        arguments += ["--journal", str(journal)]
+        if self.nodes:
+            arguments += ["--egress", member.egress]
+        else:
+            arguments += ["--peers", self.peers()]
+        await self.start_one(name, "target", arguments)
+        await self.wait(name, f"http://{member.target_control}/counters")
+
+    def peers(self) -> str:
+        """Return the addresses of all targets by service, for the command line."""
+        services = sorted({member.service for member in self.members.values()})
+        entries = self.entries()
+        return ",".join(f"{name}={'+'.join(entries[name])}" for name in services)
+
+    async def start_node(self, name: str) -> None:
+        """Start a node and wait until it is ready."""
+        member = self.members[name]
+        settings = self.folder / f"{name}-node.toml"
+        settings.write_text(node_settings(member, self.platform))
+        await self.start_one(f"{name}-node", "node", [str(settings)])
+        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
+
+    async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
+        """Start a process and keep it by name."""
+        self.processes[name] = await start_process(
+            name, command, arguments, folder=self.folder
+        )
+
+    async def wait(self, name: str, url: str) -> None:
+        """Wait until a process answers."""
+        await wait_until_ready(self.processes[name], self.client, url)
+
+    async def stop(self) -> dict[str, int]:
+        """Stop nodes, targets and platform in turn and return the exit codes."""
+        codes: dict[str, int] = {}
+        names = list(self.processes)
+        nodes = [name for name in names if name.endswith("-node")]
+        targets = [name for name in names if name in self.members]
+        for group in (nodes, targets, ["platform"]):
+            present = [name for name in group if name in self.processes]
+            stops = (self.processes[name].stop() for name in present)
+            codes |= dict(zip(present, await asyncio.gather(*stops), strict=True))
+        await self.client.aclose()
+        self.processes.clear()
+        return codes
+
+    def entries(self) -> dict[str, tuple[str, ...]]:
+        """Return for each service the addresses that clients may call."""
+        entries: dict[str, tuple[str, ...]] = {}
+        for member in self.members.values():
+            address = member.ingress if self.nodes else member.target
+            entries[member.service] = (*entries.get(member.service, ()), address)
+        return entries
+
+    async def set_faults(self, service: str, **faults: Any) -> None:
+        """Set faults of all targets of a service."""
+        for member in self.members.values():
+            if member.service == service and self.processes[member.name].alive():
+                url = f"http://{member.target_control}/faults"
+                (await self.client.put(url, json=faults)).raise_for_status()
+
+    def kill(self, name: str) -> None:
+        """Kill a target and its node."""
+        for process in (name, f"{name}-node"):
+            if process in self.processes:
+                self.processes[process].kill()
+
+    def ledgers(self) -> list[TargetLedger]:
+        """Return what ran at each target process, also at those that are gone."""
+        ledgers = []
+        for journal, member in self.journals.items():
+            with journal.open("rb") as lines:
+                entries = read_journal(lines)
+            ledgers.append(TargetLedger(member.name, member.service, entries))
+        return ledgers
+
+
+def create_member(name: str, target: Mapping[str, Any], ports: Ports) -> Member:
+    """Return an instance with addresses of its own."""
+    addresses = [ports.take() for _ in range(6)]
+    return Member(name, target["service"], target["failure_domain"], *addresses)
+
+
+def with_addresses(objects: Objects, members: Mapping[str, Member]) -> Objects:
+    """Return the set with the loopback addresses of its targets."""
+    targets = {
+        name: target
+        | {"address": members[name].ingress, "control": members[name].control}
+        for name, target in objects["target"].items()
+    }
+    return {**objects, "target": targets}
+
+
+def node_settings(member: Member, platform: str) -> str:
+    """Return the settings of a node as TOML."""
+    values = {
+        "name": member.name,
+        "failure_domain": member.failure_domain,
+        "ingress": member.ingress,
+        "egress": member.egress,
+        "control": member.control,
+        "admin": member.admin,
+        "target": member.target,
+        "platform": f"http://{platform}",
+    }
+    lines = [f'{name} = "{value}"' for name, value in values.items()]
+    return "\n".join([*lines, f'keys = ["{KEY}"]', ""])
--- /dev/null
+++ b/buckthornshed/load/processes.py
@@ -0,0 +1,157 @@
+"""Processes of the demo and the benches: start, wait, signal, stop."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+
+from ..errors import BuckthornshedError
+
+__all__ = ["FleetError", "Ports", "Process", "start_process", "wait_until_ready"]
+
+READY_POLL_S = 0.05
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+LOOPBACK = "127.0.0.1"
+
+
+class FleetError(BuckthornshedError):
+    """A process of the fleet did not start, or ended by itself."""
+
+
+class Ports:
+    """Hands out free loopback ports below the ephemeral range."""
+
+    def __init__(self, *, first: int = FIRST_PORT) -> None:
+        self.next = first
+
+    def take(self) -> str:
+        """Return the next free address.
+
+        Raises
+        ------
+        FleetError
+            If the range is used up.
+        """
+        while self.next < LAST_PORT:
+            port = self.next
+            self.next += 1
+            if is_free(port):
+                return f"{LOOPBACK}:{port}"
+        raise FleetError(
+            subject="ports", found="none free", expected=f"one below {LAST_PORT}"
+        )
+
+
+def is_free(port: int) -> bool:
+    """Return whether a loopback port can be listened at."""
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
+
+
+class Process(NamedTuple):
+    """A process with the file that takes its output."""
+
+    name: str
+    running: asyncio.subprocess.Process
+    log: Path
+
+    def alive(self) -> bool:
+        """Return whether it still runs."""
+        return self.running.returncode is None
+
+    def kill(self) -> None:
+        """End it at once."""
+        os.kill(self.running.pid, signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Pause it."""
+        os.kill(self.running.pid, signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on."""
+        os.kill(self.running.pid, signal.SIGCONT)
+
+    async def stop(self) -> int:
+        """Ask it to stop by SIGTERM and return its exit code.
+
+        A process that does not end in time is killed.
+        """
+        if self.alive():
+            os.kill(self.running.pid, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await self.running.wait()
+        except TimeoutError:
+            self.kill()
+            return await self.running.wait()
+
+
+def program(command: str) -> list[str]:
+    """Return what starts a command of this program in another process."""
+    if getattr(sys, "frozen", False):
+        return [sys.executable, command]
+    return [sys.executable, "-m", f"buckthornshed.cli.{command}"]
+
+
+async def start_process(
+    name: str, command: str, arguments: list[str], *, folder: Path
+) -> Process:
+    """Start a command of this program; its output goes to a file."""
+    log = folder / f"{name}.log"
+    with log.open("ab") as output:
+        running = await asyncio.create_subprocess_exec(
+            *program(command),
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+        )
+    return Process(name, running, log)
+
+
+async def wait_until_ready(
+    process: Process, client: httpx.AsyncClient, url: str
+) -> None:
+    """Wait until ``url`` answers with 200.
+
+    Raises
+    ------
+    FleetError
+        If the process ends, or does not answer in time.
+    """
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await answers(client, url):
+                if not process.alive():
+                    raise not_ready(process, f"exit code {process.running.returncode}")
+                await asyncio.sleep(READY_POLL_S)
+    except TimeoutError:
+        raise not_ready(process, f"nothing at {url}") from None
+
+
+async def answers(client: httpx.AsyncClient, url: str) -> bool:
+    """Return whether ``url`` answers with 200."""
+    try:
+        response = await client.get(url)
+    except httpx.HTTPError:
+        return False
+    return response.status_code == httpx.codes.OK
+
+
+def not_ready(process: Process, found: str) -> FleetError:
+    """Return the error of a process that did not become ready."""
+    tail = process.log.read_text(errors="replace")[-2000:]
+    return FleetError(
+        subject=process.name, found=f"{found}; log: {tail}", expected="a ready process"
+    )
--- /dev/null
+++ b/buckthornshed/load/runner.py
@@ -0,0 +1,267 @@
+"""Open-loop arrivals and impatient clients."""
+
+import asyncio
+import random
+import time
+import uuid
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..errors import UpstreamError
+from ..standins.asgi import Response
+from ..standins.behaviour import Deployment
+from ..standins.calls import DEADLINE_HEADER
+from ..standins.http_client import ClientPool, encode_request
+from .plan import Plan, Traffic
+from .records import Attempt, RequestRecord, Result
+from .verify import expected_answer, find_fault
+
+__all__ = ["LoadRunner", "TimedAction", "mint_key"]
+
+MS = 1e-3
+MAX_IN_FLIGHT = 20_000
+MAX_REQUESTS = 500_000
+PROGRESS_INTERVAL_S = 1.0
+PROBLEM_JSON = b"application/problem+json"
+
+REFUSED_STATUSES = frozenset({429, 503})
+
+
+class TimedAction(NamedTuple):
+    """Something that the driver does at a time of the run."""
+
+    at_s: float
+    label: str
+    act: Callable[[], Awaitable[None]]
+
+
+def mint_key(source: random.Random, *, wall_clock: Callable[[], float]) -> str:
+    """Return a new UUID of version 7, RFC 9562."""
+    stamp = int(wall_clock() * 1000)
+    value = stamp << 80 | source.getrandbits(80)
+    value = value & ~(0xF << 76) | 0x7 << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
+class LoadRunner:
+    """Runs a plan against entry addresses.
+
+    Parameters
+    ----------
+    plan : Plan
+        Rates, kinds, phases and habits of the clients.
+    entries : dict
+        For each service, the addresses at which clients may call it.
+    deployment : Deployment or None
+        What a whole answer holds; None checks the ids only.
+    actions : tuple of TimedAction
+        What happens during the run.
+    name : str
+        Start of all request ids.
+    report : callable
+        Takes a line of progress each second.
+    """
+
+    def __init__(
+        self,
+        *,
+        plan: Plan,
+        entries: dict[str, tuple[str, ...]],
+        deployment: Deployment | None = None,
+        actions: tuple[TimedAction, ...] = (),
+        name: str = "r",
+        report: Callable[[str], None] = lambda line: None,
+    ) -> None:
+        self.plan = plan
+        self.entries = entries
+        self.actions = actions
+        self.name = name
+        self.report = report
+        self.source = random.Random(plan.seed)
+        self.pool = ClientPool()
+        self.records: list[RequestRecord] = []
+        self.in_flight = 0
+        self.unsent = 0
+        self.results: Counter[Result] = Counter()
+        self.origin = 0.0
+        self.expected = [
+            expected_answer(deployment, kind.service, kind.method, kind.path)
+            if deployment
+            else None
+            for kind in plan.traffic
+        ]
+
+    def elapsed(self) -> float:
+        """Return the seconds since the start of the run."""
+        return time.monotonic() - self.origin
+
+    async def run(self) -> list[RequestRecord]:
+        """Run the plan and return the records of all requests."""
+        self.origin = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            progress = group.create_task(self.report_progress())
+            for action in self.actions:
+                group.create_task(self.act(action))
+            await self.generate()
+            progress.cancel()
+        self.pool.close()
+        return self.records
+
+    async def act(self, action: TimedAction) -> None:
+        """Do one timed action."""
+        await asyncio.sleep(action.at_s - self.elapsed())
+        self.report(f"t={self.elapsed():5.1f} s  {action.label}")
+        await action.act()
+
+    async def generate(self) -> None:
+        """Start each request when it is due, and wait for the last one.
+
+        Each request draws from a source of its own, so that the arrivals and
+        kinds of a seed do not depend on the answers.
+        """
+        due = 0.0
+        count = 0
+        duration = self.plan.duration_s()
+        weights = [kind.weight for kind in self.plan.traffic]
+        kinds = range(len(weights))
+        async with asyncio.TaskGroup() as group:
+            while count < MAX_REQUESTS:
+                factor = max(self.plan.phase_at(due).factor, 1e-6)
+                due += self.source.expovariate(self.plan.rate * factor)
+                kind = self.source.choices(kinds, weights)[0]
+                seed = self.source.getrandbits(64)
+                if due >= duration:
+                    break
+                delay = due - self.elapsed()
+                if delay > 0.0:
+                    await asyncio.sleep(delay)
+                count += 1
+                if self.in_flight >= MAX_IN_FLIGHT:
+                    self.unsent += 1
+                    continue
+                client = self.serve_client(count, kind, due, random.Random(seed))
+                group.create_task(client)
+
+    async def serve_client(
+        self, number: int, kind: int, due: float, source: random.Random
+    ) -> None:
+        """Send one request and its retries, and record them."""
+        self.in_flight += 1
+        traffic = self.plan.traffic[kind]
+        habits = self.plan.client
+        request_id = f"{self.name}{number}"
+        key = mint_key(source, wall_clock=time.time) if traffic.keyed else ""
+        addresses = self.entries[traffic.service]
+        turn = source.randrange(len(addresses))
+        attempts: list[Attempt] = []
+        pause_s = 0.0
+        for number_of_try in range(habits.retries + 1):
+            if pause_s:
+                await asyncio.sleep(pause_s)
+            address = addresses[(turn + number_of_try) % len(addresses)]
+            attempt_id = f"{request_id}.{number_of_try}"
+            attempt, asked_s = await self.attempt(kind, address, attempt_id, key)
+            attempts.append(attempt)
+            self.results[attempt.result] += 1
+            if attempt.result is Result.WHOLE:
+                break
+            pause_s = source.uniform(0.5, 1.5) * habits.pause_ms * MS
+            if habits.honour_retry_after:
+                pause_s = max(pause_s, asked_s)
+        record = RequestRecord(request_id, kind, key, due, tuple(attempts))
+        self.records.append(record)
+        self.in_flight -= 1
+
+    async def attempt(
+        self, kind: int, address: str, attempt_id: str, key: str
+    ) -> tuple[Attempt, float]:
+        """Send one try; return it and the seconds that the answer asks to wait."""
+        traffic = self.plan.traffic[kind]
+        request = build_request(traffic, attempt_id, key)
+        timeout_s = self.plan.client.timeout_ms * MS
+        start = self.elapsed()
+        try:
+            response = await self.pool.request(address, request, timeout_s=timeout_s)
+        except UpstreamError as error:
+            end = self.elapsed()
+            result = Result.TIMEOUT if end - start >= timeout_s else Result.LOST
+            lost = Attempt(attempt_id, start, end, result, 0, "", "", str(error))
+            return lost, 0.0
+        end = self.elapsed()
+        result, outcome, reason, detail = self.judge(kind, attempt_id, response)
+        status = response.status
+        attempt = Attempt(
+            attempt_id, start, end, result, status, outcome, reason, detail
+        )
+        return attempt, retry_after_s(response)
+
+    def judge(
+        self, kind: int, attempt_id: str, response: Response
+    ) -> tuple[Result, str, str, str]:
+        """Return result, outcome, reason and detail of an answer."""
+        if response.status == 200:
+            fault = find_fault(response.body, attempt_id, self.expected[kind])
+            result = Result.WHOLE if fault is None else Result.WRONG
+            return result, "", "", fault or ""
+        problem = read_problem(response)
+        outcome = str(problem.get("outcome", ""))
+        reason = str(problem.get("reason", ""))
+        refused = outcome == "not_run" or (
+            not outcome and response.status in REFUSED_STATUSES
+        )
+        result = Result.REFUSED if refused else Result.FAILED
+        return result, outcome, reason, str(problem.get("title", ""))
+
+    async def report_progress(self) -> None:
+        """Report a line each second."""
+        before: Counter[Result] = Counter()
+        while True:
+            await asyncio.sleep(PROGRESS_INTERVAL_S)
+            now = Counter(self.results)
+            rates = "  ".join(
+                f"{result}={now[result] - before[result]:4d}" for result in Result
+            )
+            phase = self.plan.phase_at(self.elapsed()).name
+            self.report(
+                f"t={self.elapsed():5.1f} s  {phase:8s} {rates}  "
+                f"in flight={self.in_flight}"
+            )
+            before = now
+
+
+def build_request(traffic: Traffic, attempt_id: str, key: str) -> bytes:
+    """Return the bytes of one try."""
+    headers = [(b"x-request-id", attempt_id.encode())]
+    if key:
+        headers.append((b"idempotency-key", key.encode()))
+    if traffic.deadline_ms:
+        headers.append((DEADLINE_HEADER, b"%d" % traffic.deadline_ms))
+    return encode_request(
+        method=traffic.method,
+        path=traffic.path,
+        host=traffic.service,
+        headers=headers,
+        body=traffic.body.encode(),
+    )
+
+
+def read_problem(response: Response) -> dict[str, Any]:
+    """Return the problem details of an answer, empty if it has none."""
+    if (b"content-type", PROBLEM_JSON) not in response.headers:
+        return {}
+    try:
+        return msgspec.json.decode(response.body, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return {}
+
+
+def retry_after_s(response: Response) -> float:
+    """Return the seconds of a Retry-After header, 0 without one."""
+    for name, value in response.headers:
+        if name == b"retry-after" and value.isdigit():
+            return float(value)
+    return 0.0
--- /dev/null
+++ b/buckthornshed/load/summary.py
@@ -0,0 +1,217 @@
+"""Figures of a load run: goodput, refusals, retries, recovery, latency."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import TypedDict
+
+from hdrh.histogram import HdrHistogram
+from tabulate import tabulate
+
+from .plan import Plan
+from .records import RequestRecord, Result
+
+__all__ = [
+    "LatencySummary",
+    "LoadSummary",
+    "PurposeSummary",
+    "added_latency",
+    "recovery_s",
+    "summarize",
+    "tables",
+]
+
+HIGHEST_US = 120_000_000
+DIGITS = 3
+BIN_S = 0.5
+CALM_SHARE = 0.95
+PERCENTILES = {"p50": 50.0, "p99": 99.0, "p99_9": 99.9}
+
+
+class LatencySummary(TypedDict):
+    """Latency of whole requests from when they were due, milliseconds."""
+
+    p50: float
+    p99: float
+    p99_9: float
+    max: float
+
+
+class PurposeSummary(TypedDict):
+    """Requests of one purpose in one phase."""
+
+    purpose: str
+    rank: int
+    phase: str
+    offered: int
+    whole: int
+    whole_per_s: float
+    share: float
+    latency_ms: LatencySummary
+
+
+class LoadSummary(TypedDict):
+    """A whole run.
+
+    ``recovery_s`` is None if the run did not become calm before its end.
+    ``retries`` maps the number of retries of a client request to requests.
+    """
+
+    requests: int
+    attempts: int
+    unsent: int
+    purposes: list[PurposeSummary]
+    results: dict[str, int]
+    refusals: dict[str, int]
+    wrong: list[str]
+    retries: dict[int, int]
+    retries_max: int
+    recovery_s: float | None
+    latency_ms: LatencySummary
+
+
+def histogram(latencies_s: Iterable[float]) -> HdrHistogram:
+    """Return a histogram of microseconds."""
+    kept = HdrHistogram(1, HIGHEST_US, DIGITS)
+    for latency_s in latencies_s:
+        kept.record_value(max(1, min(HIGHEST_US, round(latency_s * 1e6))))
+    return kept
+
+
+def latency_summary(latencies_s: Iterable[float]) -> LatencySummary:
+    """Return the percentiles, milliseconds."""
+    kept = histogram(latencies_s)
+    p50, p99, p99_9 = (
+        kept.get_value_at_percentile(percentile) / 1e3
+        for percentile in PERCENTILES.values()
+    )
+    return LatencySummary(p50=p50, p99=p99, p99_9=p99_9, max=kept.get_max_value() / 1e3)
+
+
+def recovery_s(plan: Plan, records: Sequence[RequestRecord]) -> float | None:
+    """Return the seconds from the end of the disturbance to calm.
+
+    A bin of arrivals is calm if 95 in 100 of its requests were whole at their
+    first try. The run is calm from the end of the last bin that was not; None if
+    that is the last bin.
+    """
+    end = plan.disturbance_end_s()
+    offered: Counter[int] = Counter()
+    good: Counter[int] = Counter()
+    for record in records:
+        index = int((record.arrival - end) // BIN_S)
+        offered[index] += 1
+        good[index] += record.whole() and len(record.attempts) == 1
+    after = [index for index in sorted(offered) if index >= 0]
+    bad = [index for index in after if good[index] < CALM_SHARE * offered[index]]
+    if not bad:
+        return 0.0
+    if bad[-1] == after[-1]:
+        return None
+    return (bad[-1] + 1) * BIN_S
+
+
+def summarize(
+    plan: Plan, records: Sequence[RequestRecord], *, unsent: int = 0
+) -> LoadSummary:
+    """Return the figures of a run."""
+    attempts = [attempt for record in records for attempt in record.attempts]
+    refusals = Counter(
+        f"{attempt.status} {attempt.outcome or '-'} {attempt.reason or '-'}"
+        for attempt in attempts
+        if attempt.status not in (0, 200)
+    )
+    retries = Counter(len(record.attempts) - 1 for record in records)
+    wrong = [one.detail for one in attempts if one.result is Result.WRONG]
+    results = Counter(str(attempt.result) for attempt in attempts)
+    whole = (record.latency_s() for record in records if record.whole())
+    return LoadSummary(
+        requests=len(records),
+        attempts=len(attempts),
+        unsent=unsent,
+        purposes=summarize_purposes(plan, records),
+        results=dict(results),
+        refusals=dict(refusals.most_common()),
+        wrong=wrong[:10],
+        retries=dict(sorted(retries.items())),
+        retries_max=max(retries, default=0),
+        recovery_s=recovery_s(plan, records),
+        latency_ms=latency_summary(whole),
+    )
+
+
+def summarize_purposes(
+    plan: Plan, records: Sequence[RequestRecord]
+) -> list[PurposeSummary]:
+    """Return the figures by phase and purpose."""
+    ranks = {kind.purpose: kind.rank for kind in plan.traffic}
+    cells: dict[tuple[str, str], list[RequestRecord]] = {}
+    for record in records:
+        phase = plan.phase_at(record.arrival).name
+        purpose = plan.traffic[record.traffic].purpose
+        cells.setdefault((phase, purpose), []).append(record)
+    summaries = []
+    for phase in dict.fromkeys(phase.name for phase in plan.phase):
+        seconds = sum(part.seconds for part in plan.phase if part.name == phase)
+        for purpose in sorted(ranks, key=lambda name: ranks[name]):
+            cell = cells.get((phase, purpose), [])
+            whole = [record for record in cell if record.whole()]
+            summaries.append(
+                PurposeSummary(
+                    purpose=purpose,
+                    rank=ranks[purpose],
+                    phase=phase,
+                    offered=len(cell),
+                    whole=len(whole),
+                    whole_per_s=round(len(whole) / seconds, 1),
+                    share=len(whole) / max(1, len(cell)),
+                    latency_ms=latency_summary(r.latency_s() for r in whole),
+                )
+            )
+    return summaries
+
+
+def added_latency(
+    through: Sequence[RequestRecord], direct: Sequence[RequestRecord]
+) -> LatencySummary:
+    """Return the difference of the percentiles of two runs, milliseconds."""
+    ours = latency_summary(r.latency_s() for r in through if r.whole())
+    base = latency_summary(r.latency_s() for r in direct if r.whole())
+    return LatencySummary(
+        p50=ours["p50"] - base["p50"],
+        p99=ours["p99"] - base["p99"],
+        p99_9=ours["p99_9"] - base["p99_9"],
+        max=ours["max"] - base["max"],
+    )
+
+
+def tables(summary: LoadSummary) -> str:
+    """Return the figures as tables."""
+    purposes = [
+        [
+            one["phase"],
+            one["purpose"],
+            one["offered"],
+            one["whole"],
+            f"{100 * one['share']:.1f}",
+            one["whole_per_s"],
+            *(f"{one['latency_ms'][name]:.1f}" for name in ("p50", "p99", "p99_9")),
+        ]
+        for one in summary["purposes"]
+    ]
+    headers = ["phase", "purpose", "offered", "whole", "%", "whole/s"]
+    headers += ["p50 ms", "p99 ms", "p99.9 ms"]
+    recovery = summary["recovery_s"]
+    totals: list[list[object]] = [
+        ["client requests", summary["requests"]],
+        ["tries", summary["attempts"]],
+        ["not sent", summary["unsent"]],
+        ["retries of a client at most", summary["retries_max"]],
+        ["retries: requests", summary["retries"]],
+        ["results of tries", summary["results"]],
+        ["recovery, s", "none" if recovery is None else recovery],
+    ]
+    totals += [
+        [f"refusals {name}", count] for name, count in summary["refusals"].items()
+    ]
+    totals += [["wrong answer", detail] for detail in summary["wrong"]]
+    return "\n\n".join([tabulate(purposes, headers), tabulate(totals)])
--- /dev/null
+++ b/buckthornshed/load/verify.py
@@ -0,0 +1,77 @@
+"""Checks that an answer is whole and belongs to the request."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..standins.behaviour import Deployment, find_route
+
+__all__ = ["Expected", "expected_answer", "find_fault"]
+
+
+class Expected(NamedTuple):
+    """The pieces that an answer has."""
+
+    service: str
+    route: str
+    required: bool
+    parts: tuple["Expected", ...]
+
+
+def expected_answer(
+    deployment: Deployment,
+    service: str,
+    method: str,
+    path: str,
+    *,
+    required: bool = True,
+) -> Expected | None:
+    """Return the pieces of a whole answer, None if the route is not known."""
+    if service not in deployment.service:
+        return None
+    route = find_route(deployment.service[service], method, path)
+    if route is None:
+        return None
+    parts = []
+    for call in route.calls:
+        part = expected_answer(
+            deployment, call.service, call.method, call.path, required=call.required
+        )
+        if part is not None:
+            parts.append(part)
+    name = f"{route.method} {route.path}"
+    return Expected(service, name, required, tuple(parts))
+
+
+def find_fault(body: bytes, request_id: str, expected: Expected | None) -> str | None:
+    """Return what is wrong with an answer, None if it is whole and its own."""
+    try:
+        content = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return f"no JSON: {error}"
+    return find_part_fault(content, request_id, expected)
+
+
+def find_part_fault(
+    content: Any, request_id: str, expected: Expected | None
+) -> str | None:
+    """Return what is wrong with one piece and those below it."""
+    if not isinstance(content, dict):
+        return f"piece is {content!r:.40}"
+    if content.get("request") != request_id:
+        return f"piece of request {content.get('request')!r}"
+    if expected is None:
+        return None
+    found = (content.get("service"), content.get("route"))
+    if found != (expected.service, expected.route):
+        return f"piece of {found}, not of {expected[:2]}"
+    parts = content.get("parts")
+    if not isinstance(parts, list) or len(parts) != len(expected.parts):
+        return f"{expected.service}: wrong number of pieces"
+    for part, wanted in zip(parts, expected.parts, strict=True):
+        if part is None and not wanted.required:
+            continue
+        fault = find_part_fault(part, request_id, wanted)
+        if fault is not None:
+            return fault
+    return None
--- a/buckthornshed/standins/ledger.py
+++ b/buckthornshed/standins/ledger.py
@@ -1,9 +1,13 @@
 """The record of what really ran at a target, by which promises are judged."""
 
 from collections import deque
+from collections.abc import Iterable
+from io import RawIOBase
 from typing import Literal, NamedTuple
 
-__all__ = ["Entry", "Ledger", "TargetCounters"]
+import msgspec
+
+__all__ = ["Entry", "Ledger", "TargetCounters", "read_journal"]
 
 CAPACITY = 1_000_000
 
@@ -57,9 +61,21 @@
 
 
 class Ledger:
-    """Entries by run, of which the oldest fall out beyond the capacity."""
+    """Entries by run, of which the oldest fall out beyond the capacity.
+
+    Parameters
+    ----------
+    capacity : int
+        Number of entries that are kept.
+    journal : binary file or None
+        Takes each entry as a line of JSON when a run starts and when it ends, so
+        that the record outlives a killed target.
+    """
 
-    def __init__(self, *, capacity: int = CAPACITY) -> None:
+    def __init__(
+        self, *, capacity: int = CAPACITY, journal: RawIOBase | None = None
+    ) -> None:
+        self.journal = journal
         self.entries: deque[Entry] = deque(maxlen=capacity)
         self.runs = 0
         self.counters = TargetCounters()
@@ -72,15 +88,22 @@
         self.runs += 1
         entry = Entry(run, request, key, route, now, 0.0, "running", leaving_s)
         self.entries.append(entry)
+        self.write(entry)
         return run
 
+    def write(self, entry: Entry) -> None:
+        """Write an entry to the journal, if there is one."""
+        if self.journal is not None:
+            self.journal.write(msgspec.json.encode(entry) + b"\n")
+
     def end(self, run: int, outcome: End, *, now: float) -> None:
         """Record how a run ended."""
         index = run - (self.runs - len(self.entries))
         if index < 0:
             return
-        entry = self.entries[index]
-        self.entries[index] = entry._replace(end=now, outcome=outcome)
+        entry = self.entries[index]._replace(end=now, outcome=outcome)
+        self.entries[index] = entry
+        self.write(entry)
         busy = self.counters.busy_s + now - entry.start
         self.counters = self.counters._replace(busy_s=busy)
 
@@ -92,3 +115,16 @@
     def since(self, run: int) -> list[Entry]:
         """Return the entries from a run on."""
         return [entry for entry in self.entries if entry.run >= run]
+
+
+def read_journal(lines: Iterable[bytes]) -> list[Entry]:
+    """Return the entries of a journal, each as it was written last.
+
+    A last line that a killed target did not finish is left out.
+    """
+    entries: dict[int, Entry] = {}
+    for line in lines:
+        if line.endswith(b"\n"):
+            entry = msgspec.json.decode(line, type=Entry)
+            entries[entry.run] = entry
+    return list(entries.values())
--- a/buckthornshed/standins/target.py
+++ b/buckthornshed/standins/target.py
@@ -82,6 +82,8 @@
         Returns seconds of the machine's monotonic clock.
     source : random.Random
         Source of service times and faults.
+    ledger : Ledger
+        Records what runs.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         caller: Caller,
         clock: Callable[[], float],
         source: random.Random,
+        ledger: Ledger,
     ) -> None:
         self.name = name
         self.service = service
@@ -101,7 +104,7 @@
         self.clock = clock
         self.source = source
         self.faults = TargetFaults()
-        self.ledger = Ledger()
+        self.ledger = ledger
         self.slots = asyncio.Semaphore(behaviour.slots)
         self.running = 0
         self.waiting = 0
