Test the stand-ins; let a target become idle after a cancelled wait

Cause: a target that drained waited for ever when the last thing to go was a request in its queue whose client had left: only freeing a slot set the event. Found by the test of the queue, which hung; now both ways out set it.

--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -101,6 +101,7 @@
         self.objects = with_addresses(objects, self.members)
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
+        self.generation = 0
         self.client = httpx.AsyncClient(timeout=CONTROL_TIMEOUT_S)
 
     async def __aenter__(self) -> "Fleet":
@@ -129,12 +130,22 @@
         await self.start_one("platform", "platform", addresses)
         await self.wait("platform", f"http://{self.platform_control}/counters")
         if self.nodes:
-            await self.publish(self.objects, generation=1)
+            await self.publish_next()
 
     async def publish(self, objects: Objects, *, generation: int) -> None:
         """Publish a set, as an operator does."""
         await self.put_value("set", msgspec.json.encode(objects))
 
+    async def publish_next(self) -> int:
+        """Publish the set again under the next generation and return that."""
+        self.generation += 1
+        await self.publish(self.objects, generation=self.generation)
+        return self.generation
+
+    async def generations_in_force(self) -> dict[str, list[int]]:
+        """Return the generation in force at each node."""
+        return {}
+
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
         url = f"http://{self.platform_control}/values/{key}"
@@ -194,6 +205,22 @@
         """Wait until a process answers."""
         await wait_until_ready(self.processes[name], self.client, url)
 
+    async def stop_member(self, name: str) -> dict[str, int]:
+        """Stop an instance as planned: its node first, then its target.
+
+        Returns the exit codes of both.
+        """
+        control = self.members[name].target_control
+        await self.list_instance(name, "leaving")
+        (await self.client.post(f"http://{control}/drain")).raise_for_status()
+        codes = {}
+        for process in (f"{name}-node", name):
+            if process in self.processes:
+                codes[process] = await self.processes[process].stop()
+        url = f"http://{self.platform_control}/instances/{name}"
+        (await self.client.delete(url)).raise_for_status()
+        return codes
+
     async def stop(self) -> dict[str, int]:
         """Stop nodes, targets and platform in turn and return the exit codes."""
         codes: dict[str, int] = {}
--- a/buckthornshed/standins/ledger.py
+++ b/buckthornshed/standins/ledger.py
@@ -2,8 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from io import RawIOBase
-from typing import Literal, NamedTuple
+from typing import IO, Literal, NamedTuple
 
 import msgspec
 
@@ -73,7 +72,7 @@
     """
 
     def __init__(
-        self, *, capacity: int = CAPACITY, journal: RawIOBase | None = None
+        self, *, capacity: int = CAPACITY, journal: IO[bytes] | None = None
     ) -> None:
         self.journal = journal
         self.entries: deque[Entry] = deque(maxlen=capacity)
--- a/buckthornshed/standins/target.py
+++ b/buckthornshed/standins/target.py
@@ -179,20 +179,25 @@
     async def take_slot(self) -> None:
         """Wait for a slot."""
         self.waiting += 1
+        self.idle.clear()
         try:
             await self.slots.acquire()
         except asyncio.CancelledError:
             self.ledger.count("abandoned")
-            raise
-        finally:
             self.waiting -= 1
+            self.note_idle()
+            raise
+        self.waiting -= 1
         self.running += 1
-        self.idle.clear()
 
     def free_slot(self) -> None:
         """Give a slot back."""
         self.slots.release()
         self.running -= 1
+        self.note_idle()
+
+    def note_idle(self) -> None:
+        """Set the event once nothing runs or waits."""
         if not self.running and not self.waiting:
             self.idle.set()
 
--- /dev/null
+++ b/buckthornshed/tests/test_standin_target.py
@@ -0,0 +1,342 @@
+"""Tests of the emulated target and its ledger."""
+
+import asyncio
+import io
+import uuid
+
+import msgspec
+import pytest
+
+from buckthornshed.errors import SettingsError, UpstreamError
+from buckthornshed.load.verify import Expected, find_fault
+from buckthornshed.standins.behaviour import (
+    CallBelow,
+    RouteBehaviour,
+    parse_calls,
+    read_deployment,
+)
+from buckthornshed.standins.calls import derive_key
+from buckthornshed.standins.http_client import ClientPool, encode_request
+from buckthornshed.standins.ledger import Ledger, read_journal
+from buckthornshed.standins.target import TargetFaults
+
+from .standin_targets import NEVER_MS, leaf, open_target
+
+KEY = "0197a000-0000-7000-8000-000000000001"
+EXPECTED = Expected("stables", "GET /", True, ())
+
+
+def encode(path="/", method="GET", **headers):
+    pairs = [
+        (name.replace("_", "-").encode(), value) for name, value in headers.items()
+    ]
+    return encode_request(
+        method=method, path=path, host="stables", headers=pairs, body=b""
+    )
+
+
+async def ask(address, **fields):
+    pool = ClientPool()
+    try:
+        return await pool.request(address, encode(**fields), timeout_s=30.0)
+    finally:
+        pool.close()
+
+
+def last(target):
+    return target.ledger.entries[-1]
+
+
+def test_chain_answers_with_the_pieces_of_all_calls():
+    calls = (CallBelow("stables", "GET", "/a"), CallBelow("stables", "GET", "/b"))
+
+    async def check(parallel):
+        top = leaf(calls=calls, parallel=parallel)
+        async with open_target() as (below, peer):
+            peers = {"stables": (peer,)}
+            arguments = {"service": "booking", "routes": [top], "peers": peers}
+            async with open_target(**arguments) as (above, address):
+                response = await ask(address, x_request_id=b"r1")
+                content = msgspec.json.decode(response.body)
+        assert [part["request"] for part in content["parts"]] == ["r1", "r1"]
+        assert [entry.request for entry in below.ledger.entries] == ["r1", "r1"]
+        assert (last(above).outcome, last(below).outcome) == ("completed", "completed")
+        part = Expected("stables", "GET /", True, ())
+        expected = Expected("booking", "GET /", True, (part, part))
+        assert find_fault(response.body, "r1", expected) is None
+
+    asyncio.run(check(False))
+    asyncio.run(check(True))
+
+
+@pytest.mark.parametrize(("required", "status"), [(True, 502), (False, 200)])
+def test_failed_call_below_fails_the_whole_if_required(required, status):
+    async def check():
+        top = leaf(calls=(CallBelow("nowhere", "GET", "/", required),))
+        async with open_target(routes=[top]) as (target, address):
+            assert (await ask(address)).status == status
+            assert last(target).outcome == ("failed" if required else "completed")
+
+    asyncio.run(check())
+
+
+def test_own_retries_are_counted():
+    async def check():
+        top = leaf(calls=(CallBelow("stables", "GET", "/"),))
+        async with open_target() as (below, peer):
+            below.faults = TargetFaults(error=1.0)
+            arguments = {"routes": [top], "peers": {"stables": (peer,)}, "retries": 2}
+            async with open_target(**arguments) as (above, address):
+                assert (await ask(address)).status == 502
+        assert below.ledger.runs == 3
+        assert above.ledger.counters.retries_below == 2
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("cancellation", [True, False])
+def test_client_that_closes_cancels_where_supported(cancellation):
+    async def check():
+        slow = RouteBehaviour("GET", "/", service_ms=NEVER_MS)
+        arguments = {"routes": [slow], "cancellation": cancellation}
+        async with open_target(**arguments) as (target, address):
+            client = asyncio.create_task(ask(address))
+            await target.ledger.started.wait()
+            (connection,) = target.connections
+            client.cancel()
+            await asyncio.wait([client])
+            while target.connections:
+                await asyncio.sleep(0)
+            if cancellation:
+                await target.ledger.ended.wait()
+            assert last(target).outcome == ("cancelled" if cancellation else "running")
+            connection.task.cancel()
+
+    asyncio.run(check())
+
+
+def test_request_waits_for_a_slot_and_is_shed_beyond_the_queue():
+    async def check():
+        slow = RouteBehaviour("GET", "/", service_ms=NEVER_MS)
+        async with open_target(routes=[slow], slots=1, queue=1) as (target, address):
+            clients = [asyncio.create_task(ask(address)) for _ in range(2)]
+            while target.waiting < 1:
+                await asyncio.sleep(0)
+            response = await ask(address)
+            assert response.status == 503
+            assert (b"retry-after", b"1") in response.headers
+            assert (target.ledger.runs, target.ledger.counters.shed) == (1, 1)
+            for client in clients:
+                client.cancel()
+            await asyncio.wait(clients)
+            await target.idle.wait()
+            assert (target.running, target.waiting) == (0, 0)
+
+    asyncio.run(check())
+
+
+def test_expired_request_does_not_run():
+    async def check():
+        async with open_target() as (target, address):
+            response = await ask(address, buckthornshed_deadline_ms=b"0")
+            assert response.status == 504
+            assert (target.ledger.runs, target.ledger.counters.expired) == (0, 1)
+
+    asyncio.run(check())
+
+
+def test_deadline_ends_a_run():
+    async def check():
+        slow = RouteBehaviour("GET", "/", service_ms=NEVER_MS)
+        async with open_target(routes=[slow]) as (target, address):
+            response = await ask(address, buckthornshed_deadline_ms=b"20")
+            assert response.status == 504
+            assert last(target).outcome == "failed"
+
+    asyncio.run(check())
+
+
+def test_key_is_recorded_and_derived_below():
+    async def check():
+        top = RouteBehaviour(
+            "POST", "/", service_ms=0.0, calls=(CallBelow("stables", "POST", "/"),)
+        )
+        bottom = RouteBehaviour("POST", "/", service_ms=0.0)
+        async with open_target(routes=[bottom]) as (below, peer):
+            peers = {"stables": (peer,)}
+            async with open_target(routes=[top], peers=peers) as (above, address):
+                for _ in range(2):
+                    await ask(address, method="POST", idempotency_key=KEY.encode())
+        assert {entry.key for entry in above.ledger.entries} == {KEY}
+        (key,) = {entry.key for entry in below.ledger.entries}
+        return key
+
+    key = uuid.UUID(asyncio.run(check()))
+    assert key.version == 7
+    assert key.bytes[:6] == uuid.UUID(KEY).bytes[:6]
+    assert str(key) != KEY
+    assert derive_key(KEY, CallBelow("a", "POST", "/")) != derive_key(
+        KEY, CallBelow("b", "POST", "/")
+    )
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected"),
+    [
+        (TargetFaults(garbage=1.0), "error"),
+        (TargetFaults(truncated=1.0), "error"),
+        (TargetFaults(excess=1.0), "whole"),
+        (TargetFaults(foreign=1.0), "piece of request 'not-r1'"),
+        (TargetFaults(error=1.0), "status"),
+    ],
+)
+def test_what_a_client_sees_of_a_faulty_answer(faults, expected):
+    async def check():
+        async with open_target() as (target, address):
+            target.faults = faults
+            try:
+                response = await ask(address, x_request_id=b"r1")
+            except UpstreamError:
+                return "error"
+            if response.status != 200:
+                return "status"
+            return find_fault(response.body, "r1", EXPECTED) or "whole"
+
+    assert asyncio.run(check()) == expected
+
+
+def test_connection_with_excess_bytes_is_not_used_again():
+    async def check():
+        async with open_target() as (target, address):
+            target.faults = TargetFaults(excess=1.0)
+            pool = ClientPool()
+            for _ in range(2):
+                await pool.request(address, encode(), timeout_s=30.0)
+            return pool.opened
+
+    assert asyncio.run(check()) == 2
+
+
+def test_connections_beyond_the_limit_are_refused():
+    async def check():
+        async with open_target(connections=1) as (target, address):
+            pool = ClientPool()
+            await pool.request(address, encode(), timeout_s=30.0)
+            with pytest.raises(UpstreamError):
+                await ask(address)
+            assert target.ledger.counters.refused_connections == 1
+            pool.close()
+
+    asyncio.run(check())
+
+
+def test_leaving_target_serves_and_records_it():
+    async def check():
+        async with open_target() as (target, address):
+            await ask(address)
+            target.begin_to_leave()
+            await ask(address)
+            health = await ask(address, path="/health")
+            assert [entry.leaving_s > 0 for entry in target.ledger.entries] == [0, 1]
+            assert msgspec.json.decode(health.body)["state"] == "draining"
+
+    asyncio.run(check())
+
+
+def test_health_lags_and_misleads():
+    async def check():
+        async with open_target() as (target, _):
+            target.faults = TargetFaults(health_lag_s=1e9)
+            assert target.reported_health().state == "serving"
+            target.begin_to_leave()
+            assert target.reported_health().state == "serving"
+            target.faults = TargetFaults()
+            assert target.reported_health().state == "draining"
+            target.faults = TargetFaults(health="healthy")
+            assert target.reported_health().state == "serving"
+            target.faults = TargetFaults(health="failing")
+            assert (await target.probe()).status == 503
+            assert target.ledger.counters.probes == 1
+
+    asyncio.run(check())
+
+
+def test_cold_target_is_slow_until_it_is_warm():
+    async def check():
+        async with open_target(cold_s=10.0, cold_factor=5.0) as (target, _):
+            now = target.started
+            factors = []
+            for age in (0.0, 5.0, 10.0, 20.0):
+                target.clock = lambda age=age: now + age
+                factors.append(target.cold_factor())
+            return factors
+
+    assert asyncio.run(check()) == [5.0, 3.0, 1.0, 1.0]
+
+
+def test_requests_sent_at_once_on_one_connection_are_answered_in_order():
+    async def check():
+        async with open_target() as (_, address):
+            host, _, port = address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode(x_request_id=b"r1") + encode(x_request_id=b"r2"))
+            data = b""
+            while data.count(b'"parts":[]}') < 2:
+                data += await reader.read(4096)
+            writer.close()
+            return data.index(b'"r1"') < data.index(b'"r2"')
+
+    assert asyncio.run(check())
+
+
+def test_malformed_request_gets_400():
+    async def check():
+        async with open_target() as (target, address):
+            host, _, port = address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"\x00 nonsense\r\n\r\n")
+            data = await reader.read()
+            writer.close()
+            assert target.ledger.runs == 0
+            return data
+
+    assert asyncio.run(check()).startswith(b"HTTP/1.1 400")
+
+
+def test_journal_holds_each_entry_as_it_was_last():
+    journal = io.BytesIO()
+    ledger = Ledger(capacity=1, journal=journal)
+    for name in ("r0", "r1"):
+        ledger.start(request=name, key="", route="GET /", now=1.0, leaving_s=0.0)
+    ledger.end(1, "completed", now=2.0)
+    ledger.end(0, "completed", now=2.0)
+    journal.seek(0)
+    entries = read_journal([*journal.getvalue().splitlines(keepends=True), b"[1,"])
+    assert [entry.outcome for entry in entries] == ["running", "completed"]
+    assert [entry.request for entry in ledger.entries] == ["r1"]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[service.a]\nslot = 3\n",
+        "[service.a]\nslots = 0\n",
+        '[[service.a.route]]\nmethod = "GET"\n',
+        "[service",
+    ],
+)
+def test_behaviour_file_with_a_fault_is_refused(tmp_path, text):
+    path = tmp_path / "behaviour.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=r"behaviour\.toml"):
+        read_deployment(path)
+
+
+def test_calls_of_a_command_line():
+    calls = parse_calls("stables:GET:/a,farrier:POST:/b")
+    assert calls == (
+        CallBelow("stables", "GET", "/a"),
+        CallBelow("farrier", "POST", "/b"),
+    )
+    with pytest.raises(SettingsError):
+        parse_calls("stables:/a")
