--- /dev/null
+++ b/buckthornshed/tests/test_load_judge.py
@@ -0,0 +1,115 @@
+"""Tests that each check of a promise fails on evidence against it."""
+
+import pytest
+
+from buckthornshed.load.fleet import TargetLedger
+from buckthornshed.load.judge import Evidence, judge, wasted_share
+from buckthornshed.load.plan import Phase, Plan, Traffic
+from buckthornshed.load.records import Attempt, RequestRecord, Result
+from buckthornshed.standins.behaviour import (
+    Deployment,
+    RouteBehaviour,
+    ServiceBehaviour,
+)
+from buckthornshed.standins.ledger import Entry
+
+ROUTES = (RouteBehaviour("GET", "/"), RouteBehaviour("POST", "/"))
+DEPLOYMENT = Deployment({"stables": ServiceBehaviour(route=ROUTES)})
+PLAN = Plan(
+    rate=1.0,
+    traffic=(
+        Traffic("booking", 0, "stables", "POST", "/", keyed=True),
+        Traffic("browsing", 1, "stables", "GET", "/"),
+    ),
+    phase=(Phase("surge", 10.0, 2.0),),
+)
+
+
+def entry(run, request="r1.0", key="k1", route="POST /", leaving_s=0.0):
+    return Entry(run, request, key, route, 1.0, 2.0, "completed", leaving_s)
+
+
+def record(number, kind, result, *, outcome=""):
+    name = f"r{number}"
+    attempt = Attempt(f"{name}.0", 1.0, 2.0, result, 200, outcome, "", "")
+    return RequestRecord(name, kind, "", 1.0, (attempt,))
+
+
+def evidence(**fields):
+    records = (record(1, 0, Result.WHOLE), record(2, 1, Result.REFUSED))
+    ledger = TargetLedger("stables-1", "stables", [entry(0)])
+    base = Evidence(PLAN, DEPLOYMENT, records, [ledger], 1, {"a": 0})
+    return base._replace(**fields)
+
+
+def held(name, **fields):
+    (verdict,) = (one for one in judge(evidence(**fields)) if name in one.promise)
+    return verdict.held
+
+
+def ledgers(*entries):
+    return [TargetLedger("stables-1", "stables", list(entries))]
+
+
+def test_good_evidence_breaks_no_promise():
+    assert not [one for one in judge(evidence()) if one.held is False]
+
+
+def test_more_runs_than_the_allowance():
+    two = [entry(0), entry(1, key="k2")]
+    assert held("retries", ledgers=ledgers(*two))
+    assert held("retries", ledgers=ledgers(*two, entry(2, key="k3"))) is False
+
+
+def test_browsing_that_outlasts_bookings():
+    swapped = (record(1, 0, Result.REFUSED), record(2, 1, Result.WHOLE))
+    assert held("outlast", records=swapped) is False
+    assert held("outlast", records=(record(1, 0, Result.WHOLE),)) is None
+    assert held("outlast", records=swapped, short_service="farrier") is None
+
+
+def test_wrong_answer():
+    assert held("own", records=(record(1, 0, Result.WRONG),)) is False
+
+
+def test_refusal_that_ran():
+    refused = (record(1, 0, Result.REFUSED, outcome="not_run"),)
+    assert held("refused", records=refused) is False
+    assert held("refused", records=refused, ledgers=ledgers()) is True
+    assert held("refused") is None
+
+
+def test_key_that_ran_twice():
+    assert held("at most once", ledgers=ledgers(entry(0), entry(1, "r1.1"))) is False
+
+
+@pytest.mark.parametrize(("age", "expected"), [(1.0, True), (9.0, False)])
+def test_new_work_for_a_leaving_target(age, expected):
+    late = entry(0, leaving_s=age)
+    assert held("leaving", ledgers=ledgers(late)) is expected
+
+
+def test_planned_stop_that_cuts():
+    assert held("planned", cut=("r1.0",)) is False
+    assert held("planned", exit_codes={"a": 1}) is False
+    assert held("planned", exit_codes={}) is None
+
+
+@pytest.mark.parametrize(
+    ("generations", "expected"),
+    [
+        ({"a": [1, 2], "b": [2]}, True),
+        ({"a": [1, 2], "b": [1]}, False),
+        ({"a": [2, 1, 2]}, False),
+        ({"a": []}, False),
+        ({}, False),
+    ],
+)
+def test_configuration_that_is_late_or_goes_back(generations, expected):
+    found = held("configuration", generations=generations, generation=2)
+    assert found is expected
+
+
+def test_work_for_tries_that_were_not_whole_is_wasted():
+    both = ledgers(entry(0), entry(1, "r2.0"))
+    assert wasted_share(evidence(ledgers=both)) == 0.5
