--- /dev/null
+++ b/buckthornshed/tests/test_deadlines.py
@@ -0,0 +1,31 @@
+"""Tests of deadlines."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornshed.coordination import deadlines
+
+TIMES = st.floats(0, 1e6)
+
+
+@given(now=TIMES, left=st.floats(0, 600))
+def test_the_wire_never_gives_more_time(now, left):
+    left_ms = deadlines.remaining_ms(now, now + left)
+    assert deadlines.deadline_of(now, left_ms, 600.0) <= now + left + 1e-6
+    assert deadlines.deadline_below(now, now + left) < now + left
+
+
+def test_a_deadline_is_cut_to_the_route():
+    assert deadlines.deadline_of(10.0, 5_000, 2.0) == 12.0
+    assert deadlines.deadline_of(10.0, -5, 2.0) == 10.0
+
+
+def test_work_starts_only_if_it_can_end_in_time():
+    assert deadlines.can_finish(1.0, 2.0, 1.0)
+    assert not deadlines.can_finish(1.0, 2.0, 1.1)
+    assert not deadlines.can_finish(2.0, 2.0, 0.0)
+
+
+def test_a_gap_of_more_than_three_ticks_is_a_pause():
+    assert not deadlines.was_paused(1.0, 0.0, 0.5)
+    assert deadlines.was_paused(2.0, 0.0, 0.5)
