--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: run one with ``python -m benchmarks.<name>``."""
--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -6,6 +6,8 @@
 soon as the slots carry all that is offered. See ``docs/design/admission.md``.
 """
 
+from math import exp
+
 from ..protocol.messages import CallContext
 from ..protocol.outcome import Reason
 from ..state.objects import Admission
@@ -26,12 +28,33 @@
 DRAIN_S = 0.2
 """Seconds in which a queue that is too long or too short is brought right."""
 
-SERVICE_WEIGHT = 0.05
-"""Weight of one call in the mean service time."""
+SERVICE_WEIGHT = 0.02
+"""Least weight of one call in the mean service time."""
+
+SERVICE_S = 1.0
+"""Time constant of the mean service time when calls are rare."""
+
+FLOW_S = 1.0
+"""Time constant of the rate at which calls finish."""
+
+CALM_FLOW_S = 10.0
+"""Seconds over which the rate of calls offered in calm is averaged."""
+
+SPARE_LEAST = 0.05
+"""Least part of the rate of finished calls that is left to returning callers."""
+
+SPARE_LIMIT = 0.8
+"""Part of the rate of finished calls that the planned load may reach."""
 
 FIRST_SERVICE_TIME_S = 0.01
 """Service time that is assumed before any call has finished."""
 
+NEAR_CAPACITY = 0.95
+"""Part of the capacity above which a long queue means overload."""
+
+BURST_FACTOR = 3.0
+"""Multiple of the allowed delay that means overload at any demand."""
+
 CALM_S = 0.2
 """Seconds for which the slots must carry the demand before all are admitted."""
 
@@ -54,6 +77,7 @@
         self.service_time = FIRST_SERVICE_TIME_S
         self.shortest = FIRST_SERVICE_TIME_S
         self.finished_calls = 0
+        self.last_finish = 0.0
         self.returns = ReturnTimes(
             least=policy["retry_after_min_s"], greatest=policy["retry_after_max_s"]
         )
@@ -69,11 +93,17 @@
         """Discard the threshold and the demand that were learned."""
         self.threshold = 0
         self.overloaded = False
+        self.late_windows = 0
         self.demand = Demand()
         self.last_update = now
         self.carried_since: float | None = None
         self.waiting = 0
         self.longest_wait = 0.0
+        self.finished_in_window = 0
+        self.refused_in_window = 0
+        self.finish_rate = 0.0
+        self.calm_rate = 0.0
+        self.calm_seconds = 0.0
         self.returns.reset()
 
     def decide(
@@ -114,8 +144,12 @@
         self._advance(now)
         if self.finished_calls == 0:
             self.service_time = self.shortest = service_time
+        gap = max(0.0, now - self.last_finish)
+        weight = max(SERVICE_WEIGHT, 1.0 - exp(-gap / SERVICE_S))
+        self.last_finish = now
         self.finished_calls += 1
-        self.service_time += SERVICE_WEIGHT * (service_time - self.service_time)
+        self.finished_in_window += 1
+        self.service_time += weight * (service_time - self.service_time)
         rise = SERVICE_WEIGHT * (self.service_time - self.shortest)
         self.shortest = min(service_time, self.shortest + rise)
 
@@ -126,8 +160,15 @@
         self._advance(now)
 
     def retry_after(self, now: float, priority: int, rng: RandomSource) -> float:
-        """Return after how many seconds a refused caller may come back."""
-        return self.returns.book(now, priority, self.capacity, rng)
+        """Return after how many seconds a refused caller may come back.
+
+        The callers who come back get what the load seen in calm leaves of the
+        rate at which calls finish now, also where a node below is the bottleneck.
+        """
+        self.refused_in_window += 1
+        least = SPARE_LEAST * self.finish_rate
+        spare = max(least, SPARE_LIMIT * self.finish_rate - self.calm_rate)
+        return self.returns.book(now, priority, spare, rng)
 
     def _least_service_time(self) -> float:
         return self.shortest if self.finished_calls else 0.0
@@ -143,17 +184,33 @@
 
     def _update(self, now: float, elapsed: float) -> None:
         self.demand.roll(elapsed, self.threshold)
+        self._measure_flow(elapsed)
         delay = max(self.longest_wait, self.waiting / self.capacity)
         self.longest_wait = 0.0
-        if delay > self.delay_limit:
+        near = self.demand.total > NEAR_CAPACITY * self.capacity
+        late = delay > self.delay_limit * (1.0 if near else BURST_FACTOR)
+        self.late_windows = self.late_windows + 1 if late else 0
+        if self.late_windows >= 2:
             self.overloaded = True
             self.carried_since = None
         if self.overloaded:
             self._move(now)
 
+    def _measure_flow(self, elapsed: float) -> None:
+        finished = self.finished_in_window / elapsed
+        self.finish_rate += (1.0 - exp(-elapsed / FLOW_S)) * (
+            finished - self.finish_rate
+        )
+        if self.refused_in_window == 0 and not self.overloaded:
+            self.calm_seconds += elapsed
+            weight = elapsed / min(self.calm_seconds, CALM_FLOW_S)
+            self.calm_rate += weight * (self.demand.total - self.calm_rate)
+        self.finished_in_window = 0
+        self.refused_in_window = 0
+
     def _move(self, now: float) -> None:
         """Set the threshold at which the slots carry what is admitted."""
-        wanted_queue = self.capacity * self.delay_limit / 2
+        wanted_queue = self.capacity * self.delay_limit
         refill = (wanted_queue - self.waiting) / DRAIN_S
         self.threshold = self.demand.threshold_for(max(0.0, self.capacity + refill))
         if self.threshold > 0:
--- a/buckthornshed/coordination/demand.py
+++ b/buckthornshed/coordination/demand.py
@@ -28,6 +28,11 @@
         self.hidden = [0] * RANKS
         self.threshold = 0
 
+    @property
+    def total(self) -> float:
+        """Offered calls a second over all ranks."""
+        return sum(self.rates)
+
     def arrived(self, importance: int) -> None:
         """Count a call of level ``importance``, whether admitted or not."""
         counts = self.visible if importance >= self.threshold else self.hidden
--- a/buckthornshed/coordination/return_times.py
+++ b/buckthornshed/coordination/return_times.py
@@ -10,8 +10,8 @@
 
 __all__ = ["ReturnTimes"]
 
-RETURN_SHARE = 0.5
-"""Part of the capacity that is left for callers who come back."""
+LEAST_RATE = 1.0
+"""Least calls a second at which callers are asked back."""
 
 JITTER = 0.25
 """Greatest deviation from the booked time, as a part of it."""
@@ -38,9 +38,7 @@
         self.lines = [0.0] * RANKS
         self.advanced = 0.0
 
-    def book(
-        self, now: float, priority: int, capacity: float, rng: RandomSource
-    ) -> float:
+    def book(self, now: float, priority: int, rate: float, rng: RandomSource) -> float:
         """Return after how many seconds a caller of rank ``priority`` returns.
 
         Parameters
@@ -49,12 +47,12 @@
             Seconds of the monotonic clock.
         priority : int
             Rank of the refused call.
-        capacity : float
-            Calls a second that the target carries.
+        rate : float
+            Calls a second that can be taken from those who come back.
         rng : RandomSource
             Source of the jitter.
         """
-        rate = max(capacity * RETURN_SHARE, 1e-9)
+        rate = max(rate, LEAST_RATE)
         self._advance(now, rate)
         rank = min(max(priority, 0), RANKS - 1)
         for behind in range(rank, RANKS):
