--- /dev/null
+++ b/buckthornshed/coordination/idempotency.py
@@ -0,0 +1,299 @@
+"""The table of keys at their owner: work that may not be repeated runs at most once.
+
+A key that the table does not hold may be begun only if nothing else can have begun
+it: not an earlier incarnation of this node, not this node before a pause, not an
+earlier owner. When that cannot be shown, the answer is ``UNKNOWN``.
+See docs/design/idempotency.md for the argument.
+"""
+
+import heapq
+import math
+from enum import Enum, auto
+from typing import NamedTuple, Protocol
+
+from ..errors import ContextError
+from ..protocol.messages import Answer
+from ..protocol.outcome import Outcome, Reason
+from .keys import ParsedKey, parse_key
+
+__all__ = [
+    "ANSWER_BYTES",
+    "KEPT_BYTES",
+    "Begun",
+    "Gate",
+    "InProgress",
+    "KeyTable",
+    "Refused",
+    "Replay",
+    "Started",
+    "barrier_after",
+    "check_new_key",
+]
+
+ANSWER_BYTES = 16 * 1024
+KEPT_BYTES = 32 * 1024 * 1024
+
+
+class Started(NamedTuple):
+    """The caller may start the work, and has to report how it ended."""
+
+    key: str
+
+
+class Replay(NamedTuple):
+    """The work has run; this was its answer."""
+
+    answer: Answer
+
+
+class InProgress(NamedTuple):
+    """The work runs now, for an earlier exchange with the same key."""
+
+    reason: Reason = Reason.KEY_IN_PROGRESS
+    outcome: Outcome = Outcome.UNKNOWN
+
+
+class Refused(NamedTuple):
+    """The work is not started for this exchange.
+
+    ``NOT_RUN`` is stated only when no exchange with this key has started before.
+    """
+
+    reason: Reason
+    outcome: Outcome
+
+
+Begun = Started | Replay | InProgress | Refused
+
+
+class Gate(Protocol):
+    """Says whether this node may begin a key that its table does not hold."""
+
+    def check(self, key: ParsedKey) -> Refused | None:
+        """Return the refusal of the key, or None if it may begin."""
+
+
+class Phase(Enum):
+    """Where the work of an entry stands."""
+
+    RUNNING = auto()
+    FINISHED = auto()
+    LOST = auto()
+
+
+_REPEATS = {
+    Phase.FINISHED: Reason.KEY_COMPLETED,
+    Phase.LOST: Reason.ANSWER_LOST,
+}
+
+
+class Entry:
+    """One key that this incarnation has begun."""
+
+    __slots__ = ("answer", "fingerprint", "minted", "outcome", "phase")
+
+    def __init__(self, *, minted: float, fingerprint: bytes) -> None:
+        self.minted = minted
+        self.fingerprint = fingerprint
+        self.phase = Phase.RUNNING
+        self.outcome = Outcome.UNKNOWN
+        self.answer: Answer | None = None
+
+
+def barrier_after(wall: float, clock_bound: float) -> float:
+    """Return the newest mint time of a key that may have begun before ``wall``.
+
+    Whoever began or sent a key checked that its mint time was at most one clock
+    bound ahead of a clock which itself was at most one bound ahead of ours.
+    """
+    return wall + 2 * clock_bound
+
+
+def check_new_key(text: str, *, wall: float, clock_bound: float) -> Refused | None:
+    """Return why a key that a client sends cannot be used, or None.
+
+    The edge calls this before it sends a key anywhere. A key that another edge may
+    have admitted by its own clock is refused as ``UNKNOWN``.
+    """
+    try:
+        key = parse_key(text)
+    except ContextError:
+        return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
+    ahead = key.minted - wall
+    if ahead <= clock_bound:
+        return None
+    outcome = Outcome.UNKNOWN if ahead <= 2 * clock_bound else Outcome.NOT_RUN
+    return Refused(Reason.KEY_INVALID, outcome)
+
+
+class KeyTable:
+    """The keys that this incarnation of a node has begun for its target.
+
+    Parameters
+    ----------
+    entries : int
+        Greatest number of keys; when full, new keys are refused as ``NOT_RUN``.
+    lifetime : float
+        Age in seconds after which a key is refused, and its entry is dropped.
+    clock_bound : float
+        Greatest offset in seconds of any two clocks of nodes at one time.
+    started_wall : float
+        Wall clock at the start of this incarnation, seconds.
+    gate : Gate or None
+        Whether this node is the settled owner; None for a sole, fixed owner.
+    answer_bytes : int
+        Longest body that is kept for repeats.
+    kept_bytes : int
+        Total of all bodies that are kept; the oldest are dropped first.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: int,
+        lifetime: float,
+        clock_bound: float,
+        started_wall: float,
+        gate: Gate | None = None,
+        answer_bytes: int = ANSWER_BYTES,
+        kept_bytes: int = KEPT_BYTES,
+    ) -> None:
+        self.entries = entries
+        self.lifetime = lifetime
+        self.clock_bound = clock_bound
+        self.gate = gate
+        self.answer_bytes = answer_bytes
+        self.kept_bytes = kept_bytes
+        self.barrier = barrier_after(started_wall, clock_bound)
+        self.wall = started_wall
+        self.held: dict[str, Entry] = {}
+        self.expiring: dict[int, set[str]] = {}
+        self.expiry_seconds: list[int] = []
+        self.answered: dict[str, int] = {}
+        self.answered_bytes = 0
+
+    def woke(self, wall: float) -> None:
+        """Treat a pause that ended at ``wall`` as a new start for unknown keys."""
+        self._advance(wall)
+        self.barrier = max(self.barrier, barrier_after(self.wall, self.clock_bound))
+
+    def begin(self, now: float, wall: float, text: str, fingerprint: bytes) -> Begun:
+        """Say what an exchange with the key ``text`` may do.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds, for symmetry with the other decisions.
+        wall : float
+            Wall clock, seconds.
+        text : str
+            The key.
+        fingerprint : bytes
+            Digest of what the call asks for, see ``keys.fingerprint``.
+        """
+        self._advance(wall)
+        try:
+            key = parse_key(text)
+        except ContextError:
+            return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
+        entry = self.held.get(key.text)
+        if entry is not None:
+            return _repeat(entry, fingerprint)
+        refused = self._check(key)
+        if refused is not None:
+            return refused
+        self.held[key.text] = Entry(minted=key.minted, fingerprint=fingerprint)
+        self._expire_later(key)
+        return Started(key.text)
+
+    def finish(self, now: float, text: str, answer: Answer) -> None:
+        """Record the answer of the work that ``begin`` let start.
+
+        An answer that is ``NOT_RUN`` or ``UNKNOWN`` is recorded as ``fail`` does.
+        """
+        if answer.outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
+            self.fail(now, text, started=answer.outcome is Outcome.UNKNOWN)
+            return
+        entry = self.held.get(text.lower())
+        if entry is None or entry.phase is not Phase.RUNNING:
+            return
+        entry.phase = Phase.FINISHED
+        entry.outcome = answer.outcome
+        self._keep(text.lower(), entry, answer)
+
+    def fail(self, now: float, text: str, started: bool) -> None:
+        """Record that the work ended without an answer.
+
+        Only work whose first byte cannot have reached the target (``started`` is
+        False) may be begun again.
+        """
+        entry = self.held.get(text.lower())
+        if entry is None or entry.phase is not Phase.RUNNING:
+            return
+        if started:
+            entry.phase = Phase.LOST
+        else:
+            del self.held[text.lower()]
+            self.expiring[self._expiry_second(entry.minted)].discard(text.lower())
+
+    def _advance(self, wall: float) -> None:
+        self.wall = max(self.wall, wall)
+        seconds = self.expiry_seconds
+        while seconds and seconds[0] < self.wall:
+            for text in self.expiring.pop(heapq.heappop(seconds)):
+                self._forget_answer(text)
+                del self.held[text]
+
+    def _expiry_second(self, minted: float) -> int:
+        return math.ceil(minted + self.lifetime)
+
+    def _expire_later(self, key: ParsedKey) -> None:
+        second = self._expiry_second(key.minted)
+        texts = self.expiring.get(second)
+        if texts is None:
+            texts = self.expiring[second] = set()
+            heapq.heappush(self.expiry_seconds, second)
+        texts.add(key.text)
+
+    def _check(self, key: ParsedKey) -> Refused | None:
+        if key.minted > self.wall + self.clock_bound:
+            return Refused(Reason.KEY_INVALID, Outcome.UNKNOWN)
+        if key.minted + self.lifetime < self.wall:
+            return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
+        if key.minted <= self.barrier:
+            return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
+        refused = self.gate.check(key) if self.gate is not None else None
+        if refused is not None:
+            return refused
+        if len(self.held) >= self.entries:
+            return Refused(Reason.KEY_TABLE_FULL, Outcome.NOT_RUN)
+        return None
+
+    def _keep(self, text: str, entry: Entry, answer: Answer) -> None:
+        size = len(answer.body) + sum(
+            len(name) + len(value) for name, value in answer.headers
+        )
+        if size > min(self.answer_bytes, self.kept_bytes):
+            return
+        entry.answer = answer
+        self.answered[text] = size
+        self.answered_bytes += size
+        while self.answered_bytes > self.kept_bytes:
+            self._forget_answer(next(iter(self.answered)))
+
+    def _forget_answer(self, text: str) -> None:
+        size = self.answered.pop(text, None)
+        if size is None:
+            return
+        self.answered_bytes -= size
+        self.held[text].answer = None
+
+
+def _repeat(entry: Entry, fingerprint: bytes) -> Begun:
+    if entry.fingerprint != fingerprint:
+        return Refused(Reason.KEY_INVALID, Outcome.UNKNOWN)
+    if entry.answer is not None:
+        return Replay(entry.answer)
+    if entry.phase is Phase.RUNNING:
+        return InProgress()
+    return Refused(_REPEATS[entry.phase], entry.outcome)
--- /dev/null
+++ b/buckthornshed/coordination/keys.py
@@ -0,0 +1,148 @@
+"""Idempotency keys: UUIDs of version 7, RFC 9562, which carry their mint time."""
+
+import hashlib
+from typing import NamedTuple, Protocol
+
+from ..errors import ContextError
+from ..protocol.messages import Call
+
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "ParsedKey",
+    "RandomBits",
+    "derive_key",
+    "fingerprint",
+    "mint_key",
+    "parse_key",
+]
+
+FINGERPRINT_BYTES = 16
+KEY_CHARACTERS = 36
+DASHES = (8, 13, 18, 23)
+RANDOM_BITS = 74
+LOW_BITS = 62
+VERSION = 7
+VARIANT = 0b10
+MILLISECONDS_MASK = (1 << 48) - 1
+HEXADECIMAL = frozenset("0123456789abcdef")
+
+
+class RandomBits(Protocol):
+    """The part of ``random.Random`` that minting needs."""
+
+    def getrandbits(self, k: int, /) -> int:
+        """Return ``k`` random bits."""
+
+
+class ParsedKey(NamedTuple):
+    """A key that has the right format.
+
+    Parameters
+    ----------
+    text : str
+        The key in lower case.
+    raw : bytes
+        Its 16 bytes.
+    minted : float
+        Seconds of the wall clock of whoever minted it.
+    """
+
+    text: str
+    raw: bytes
+    minted: float
+
+
+def mint_key(*, wall: float, rng: RandomBits) -> str:
+    """Return a new key that was minted at ``wall`` seconds."""
+    return _format(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
+
+
+def parse_key(text: str) -> ParsedKey:
+    """Return the parts of a key.
+
+    Raises
+    ------
+    ContextError
+        If ``text`` is not a UUID of version 7 in its canonical form.
+    """
+    lowered = text.lower()
+    if not _is_canonical(lowered):
+        raise ContextError(
+            subject="idempotency key",
+            found=repr(text[:KEY_CHARACTERS]),
+            expected="a UUID of version 7, RFC 9562",
+        )
+    raw = bytes.fromhex(lowered.replace("-", ""))
+    minted = int.from_bytes(raw[:6], "big") / 1000
+    return ParsedKey(text=lowered, raw=raw, minted=minted)
+
+
+def derive_key(parent: str, service: str, ordinal: int, roll: int = 0) -> str:
+    """Return the key of a call that work under ``parent`` makes.
+
+    Parameters
+    ----------
+    parent : str
+        Key of the work that makes the call.
+    service : str
+        Service that is called.
+    ordinal : int
+        Number of the call among those of this work.
+    roll : int
+        Tells apart the candidates of one call, see ``ownership.derive_owned``.
+
+    Returns
+    -------
+    str
+        The same key for the same arguments, with the mint time of ``parent``.
+
+    Raises
+    ------
+    ContextError
+        If ``parent`` is not a key.
+    """
+    parsed = parse_key(parent)
+    seed = f"{service}\0{ordinal}\0{roll}".encode()
+    digest = hashlib.blake2b(seed, digest_size=16, key=parsed.raw).digest()
+    bits = int.from_bytes(digest, "big") & ((1 << RANDOM_BITS) - 1)
+    return _format(int.from_bytes(parsed.raw[:6], "big"), bits)
+
+
+def fingerprint(call: Call) -> bytes:
+    """Return a digest of what a call asks for and on whose authority.
+
+    The credentials belong to it, so that a key which another client guessed or
+    copied does not bring that client an answer which is not its own.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    credentials = [
+        value for name, value in call.headers if name in (b"authorization", b"cookie")
+    ]
+    for part in (call.method, call.path, call.body, *credentials):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _is_canonical(text: str) -> bool:
+    if len(text) != KEY_CHARACTERS:
+        return False
+    if any(text[place] != "-" for place in DASHES):
+        return False
+    digits = text.replace("-", "")
+    return (
+        len(digits) == KEY_CHARACTERS - len(DASHES)
+        and HEXADECIMAL.issuperset(digits)
+        and digits[12] == "7"
+        and digits[16] in "89ab"
+    )
+
+
+def _format(milliseconds: int, bits: int) -> str:
+    value = (milliseconds & MILLISECONDS_MASK) << 80
+    value |= VERSION << 76
+    value |= (bits >> LOW_BITS) << 64
+    value |= VARIANT << LOW_BITS
+    value |= bits & ((1 << LOW_BITS) - 1)
+    digits = f"{value:032x}"
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
