--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/idempotency.py
@@ -6,14 +6,13 @@
 See docs/design/idempotency.md for the argument.
 """
 
-import heapq
-import math
 from enum import Enum, auto
 from typing import NamedTuple, Protocol
 
 from ..errors import ContextError
 from ..protocol.messages import Answer
 from ..protocol.outcome import Outcome, Reason
+from ..state.table import BoundedTable
 from .keys import ParsedKey, parse_key
 
 __all__ = [
@@ -90,10 +89,9 @@
 class Entry:
     """One key that this incarnation has begun."""
 
-    __slots__ = ("answer", "fingerprint", "minted", "outcome", "phase")
+    __slots__ = ("answer", "fingerprint", "outcome", "phase")
 
-    def __init__(self, *, minted: float, fingerprint: bytes) -> None:
-        self.minted = minted
+    def __init__(self, *, fingerprint: bytes) -> None:
         self.fingerprint = fingerprint
         self.phase = Phase.RUNNING
         self.outcome = Outcome.UNKNOWN
@@ -158,7 +156,6 @@
         answer_bytes: int = ANSWER_BYTES,
         kept_bytes: int = KEPT_BYTES,
     ) -> None:
-        self.entries = entries
         self.lifetime = lifetime
         self.clock_bound = clock_bound
         self.gate = gate
@@ -166,9 +163,7 @@
         self.kept_bytes = kept_bytes
         self.barrier = barrier_after(started_wall, clock_bound)
         self.wall = started_wall
-        self.held: dict[str, Entry] = {}
-        self.expiring: dict[int, set[str]] = {}
-        self.expiry_seconds: list[int] = []
+        self.held: BoundedTable[str, Entry] = BoundedTable(entries=entries)
         self.answered: dict[str, int] = {}
         self.answered_bytes = 0
 
@@ -177,6 +172,14 @@
         self._advance(wall)
         self.barrier = max(self.barrier, barrier_after(self.wall, self.clock_bound))
 
+    def repeat(self, text: str, fingerprint: bytes) -> Begun | None:
+        """Say what a repeat of a key in the table gets; None for any other key.
+
+        A node that begins no new work, as one that drains, still answers repeats.
+        """
+        entry = self.held.get(text.lower())
+        return None if entry is None else _repeat(entry, fingerprint)
+
     def begin(self, now: float, wall: float, text: str, fingerprint: bytes) -> Begun:
         """Say what an exchange with the key ``text`` may do.
 
@@ -192,18 +195,18 @@
             Digest of what the call asks for, see ``keys.fingerprint``.
         """
         self._advance(wall)
+        repeat = self.repeat(text, fingerprint)
+        if repeat is not None:
+            return repeat
         try:
             key = parse_key(text)
         except ContextError:
             return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
-        entry = self.held.get(key.text)
-        if entry is not None:
-            return _repeat(entry, fingerprint)
         refused = self._check(key)
         if refused is not None:
             return refused
-        self.held[key.text] = Entry(minted=key.minted, fingerprint=fingerprint)
-        self._expire_later(key)
+        entry = Entry(fingerprint=fingerprint)
+        self.held.put(key.text, entry, expires=key.minted + self.lifetime)
         return Started(key.text)
 
     def finish(self, now: float, text: str, answer: Answer) -> None:
@@ -233,39 +236,24 @@
         if started:
             entry.phase = Phase.LOST
         else:
-            del self.held[text.lower()]
-            self.expiring[self._expiry_second(entry.minted)].discard(text.lower())
+            self.held.pop(text.lower())
 
     def _advance(self, wall: float) -> None:
         self.wall = max(self.wall, wall)
-        seconds = self.expiry_seconds
-        while seconds and seconds[0] < self.wall:
-            for text in self.expiring.pop(heapq.heappop(seconds)):
-                self._forget_answer(text)
-                del self.held[text]
-
-    def _expiry_second(self, minted: float) -> int:
-        return math.ceil(minted + self.lifetime)
-
-    def _expire_later(self, key: ParsedKey) -> None:
-        second = self._expiry_second(key.minted)
-        texts = self.expiring.get(second)
-        if texts is None:
-            texts = self.expiring[second] = set()
-            heapq.heappush(self.expiry_seconds, second)
-        texts.add(key.text)
+        for expired in self.held.expire(self.wall):
+            self._forget_answer(expired.key, expired.value)
 
     def _check(self, key: ParsedKey) -> Refused | None:
         if key.minted > self.wall + self.clock_bound:
             return Refused(Reason.KEY_INVALID, Outcome.UNKNOWN)
-        if key.minted + self.lifetime < self.wall:
+        if key.minted + self.lifetime <= self.wall:
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
         if key.minted <= self.barrier:
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
         refused = self.gate.check(key) if self.gate is not None else None
         if refused is not None:
             return refused
-        if len(self.held) >= self.entries:
+        if self.held.full:
             return Refused(Reason.KEY_TABLE_FULL, Outcome.NOT_RUN)
         return None
 
@@ -279,14 +267,13 @@
         self.answered[text] = size
         self.answered_bytes += size
         while self.answered_bytes > self.kept_bytes:
-            self._forget_answer(next(iter(self.answered)))
+            oldest = next(iter(self.answered))
+            self._forget_answer(oldest, self.held.get(oldest))
 
-    def _forget_answer(self, text: str) -> None:
-        size = self.answered.pop(text, None)
-        if size is None:
-            return
-        self.answered_bytes -= size
-        self.held[text].answer = None
+    def _forget_answer(self, text: str, entry: Entry | None) -> None:
+        self.answered_bytes -= self.answered.pop(text, 0)
+        if entry is not None:
+            entry.answer = None
 
 
 def _repeat(entry: Entry, fingerprint: bytes) -> Begun:
