--- /dev/null
+++ b/buckthornshed/coordination/handover.py
@@ -0,0 +1,234 @@
+"""When a target may act as an owner of keys, across restarts and set changes.
+
+An owner set changes when the operator adds a target or states that one is retired.
+A node whose view is older may go on as owner of keys that a newer view gives to
+another, so the other waits until every owner holds its view. No node is in charge;
+each asks for itself. See docs/design/idempotency.md for the argument.
+"""
+
+from typing import NamedTuple
+
+from ..protocol.outcome import Outcome, Reason
+from .idempotency import Refused, barrier_after
+from .keys import ParsedKey
+from .ownership import OwnerSet
+
+__all__ = ["MOVES", "Move", "OwnerQuery", "OwnerReply", "OwnershipGate"]
+
+MOVES = 32
+ANNOUNCEMENT = 0
+
+NOT_SETTLED = Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
+NOT_OWNER = Refused(Reason.STALE_VIEW, Outcome.UNKNOWN)
+MOVED = Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
+
+
+class OwnerQuery(NamedTuple):
+    """A node that wants to act as owner asks another owner what it holds.
+
+    Parameters
+    ----------
+    asker : str
+        Identity of the asking owner.
+    round : int
+        Number of the round of questions.
+    """
+
+    asker: str
+    round: int
+
+
+class OwnerReply(NamedTuple):
+    """What one owner holds at the moment of the reply.
+
+    Parameters
+    ----------
+    round : int
+        The round that it answers; 0 for an announcement.
+    owner : str
+        Identity of the answering owner.
+    incarnation : int
+        Its start time.
+    generation : int
+        Generation of its configuration.
+    digest : int
+        Digest of its owner set.
+    settled : bool
+        Whether it acts as owner.
+    members : tuple of str
+        The owners that it knows to have been settled at some time.
+    """
+
+    round: int
+    owner: str
+    incarnation: int
+    generation: int
+    digest: int
+    settled: bool
+    members: tuple[str, ...]
+
+
+class Move(NamedTuple):
+    """A set that was left behind, and the newest mint time that it may have run."""
+
+    owners: OwnerSet
+    barrier: float
+
+
+class OwnershipGate:
+    """Whether this incarnation of a node may begin keys as their owner.
+
+    Parameters
+    ----------
+    own : str
+        Identity of the target beside this node, see ``ownership.owner_id``.
+    incarnation : int
+        Start time of the node, nanoseconds of the wall clock.
+    clock_bound : float
+        Greatest offset in seconds of any two clocks of nodes at one time.
+    """
+
+    def __init__(self, *, own: str, incarnation: int, clock_bound: float) -> None:
+        self.own = own
+        self.incarnation = incarnation
+        self.clock_bound = clock_bound
+        self.owners = OwnerSet(owners=())
+        self.generation = 0
+        self.set_generation = 0
+        self.settled = False
+        self.members: set[str] = set()
+        self.moves: list[Move] = []
+        self.barrier = float("-inf")
+        self.round = ANNOUNCEMENT
+        self.heard_first: dict[str, int] = {}
+        self.heard_again: dict[str, int] | None = None
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """The other owners of the set in force."""
+        return tuple(owner for owner in self.owners.owners if owner != self.own)
+
+    def update(self, wall: float, generation: int, owners: OwnerSet) -> None:
+        """Take the owner set of a configuration; an older one is ignored."""
+        if generation < self.generation:
+            return
+        self.generation = generation
+        if owners.digest == self.owners.digest:
+            return
+        if self.settled:
+            self._record_move(wall)
+        self.owners = owners
+        self.set_generation = generation
+        self.members.intersection_update(owners.owners)
+        self.settled = self.settled and self.own in owners.owners
+        self._restart_rounds()
+        self._settle_if_heard(wall)
+
+    def query(self) -> OwnerQuery | None:
+        """Return the question for all ``peers``, to be repeated until settled."""
+        if self.settled or self.own not in self.owners.owners:
+            return None
+        return OwnerQuery(self.own, self.round)
+
+    def asked(self, query: OwnerQuery) -> OwnerReply:
+        """Return the reply to the question of another owner."""
+        return self._describe(query.round)
+
+    def announcement(self) -> OwnerReply:
+        """Return what a node tells ``peers`` once it has settled."""
+        return self._describe(ANNOUNCEMENT)
+
+    def heard(self, wall: float, reply: OwnerReply) -> bool:
+        """Take a reply or an announcement; return whether this node settled by it."""
+        if reply.owner not in self.peers:
+            return False
+        if reply.settled:
+            self.members.add(reply.owner)
+        if self.settled or reply.round != self.round:
+            return False
+        if self._is_behind(reply):
+            return False
+        if reply.settled and self.own in reply.members:
+            self._settle(wall, reply.members)
+            return True
+        if not self._is_held_by(reply):
+            return False
+        self.members.update(reply.members)
+        self._count(reply)
+        return self._settle_if_heard(wall)
+
+    def check(self, key: ParsedKey) -> Refused | None:
+        """Return why this node must not begin a key, or None."""
+        if not self.settled:
+            return NOT_SETTLED
+        if self.owners.owner_of(key.raw) != self.own:
+            return NOT_OWNER
+        if key.minted <= self.barrier:
+            return MOVED
+        for move in self.moves:
+            late = key.minted <= move.barrier
+            if late and move.owners.owner_of(key.raw) != self.own:
+                return MOVED
+        return None
+
+    def _describe(self, number: int) -> OwnerReply:
+        return OwnerReply(
+            round=number,
+            owner=self.own,
+            incarnation=self.incarnation,
+            generation=self.generation,
+            digest=self.owners.digest,
+            settled=self.settled,
+            members=tuple(sorted(self.members)),
+        )
+
+    def _is_behind(self, reply: OwnerReply) -> bool:
+        """Return whether the other owner holds a later set than this node."""
+        return reply.generation > self.generation and not self._same_set(reply)
+
+    def _is_held_by(self, reply: OwnerReply) -> bool:
+        return self._same_set(reply) or reply.generation >= self.set_generation
+
+    def _same_set(self, reply: OwnerReply) -> bool:
+        return reply.digest == self.owners.digest
+
+    def _restart_rounds(self) -> None:
+        self.round += 1
+        self.heard_first = {}
+        self.heard_again = None
+
+    def _count(self, reply: OwnerReply) -> None:
+        """Count a reply of the first round or, when that is whole, of the second.
+
+        The second round is asked after the first is answered, and by the same
+        incarnations: so at one moment between them all held the set.
+        """
+        known = self.heard_first.get(reply.owner, reply.incarnation)
+        if known != reply.incarnation:
+            self._restart_rounds()
+            return
+        heard = self.heard_first if self.heard_again is None else self.heard_again
+        heard[reply.owner] = reply.incarnation
+        if self.heard_again is None and len(self.heard_first) == len(self.peers):
+            self.round += 1
+            self.heard_again = {}
+
+    def _settle_if_heard(self, wall: float) -> bool:
+        if self.settled or self.own not in self.owners.owners:
+            return False
+        second = self.heard_again if self.peers else {}
+        if second is None or len(second) != len(self.peers):
+            return False
+        self._settle(wall, self.members or self.owners.owners)
+        return True
+
+    def _settle(self, wall: float, members: tuple[str, ...] | set[str]) -> None:
+        self.members = {self.own, *members}.intersection(self.owners.owners)
+        self.barrier = max(self.barrier, barrier_after(wall, self.clock_bound))
+        self.settled = True
+
+    def _record_move(self, wall: float) -> None:
+        barrier = barrier_after(wall, self.clock_bound)
+        self.moves.append(Move(self.owners, barrier))
+        if len(self.moves) > MOVES:
+            self.barrier = max(self.barrier, self.moves.pop(0).barrier)
