--- a/buckthornshed/coordination/integrity.py
+++ b/buckthornshed/coordination/integrity.py
@@ -22,6 +22,7 @@
     "Exchanges",
     "Flaw",
     "HopEvent",
+    "KeySource",
     "Progress",
     "Resend",
     "Sends",
@@ -133,6 +134,18 @@
 UNPROVEN_REASONS = frozenset({Reason.KEY_UNPROVEN, Reason.STALE_VIEW})
 
 
+class KeySource(Enum):
+    """Where the key of a call comes from, and so who may have sent it before.
+
+    ``MINTED`` was chosen by this node and told to nobody; ``BROUGHT`` came with the
+    call, so an earlier attempt elsewhere may have run; ``NONE`` is a call without.
+    """
+
+    NONE = auto()
+    MINTED = auto()
+    BROUGHT = auto()
+
+
 class Sends:
     """All sends that one node makes for one call.
 
@@ -140,24 +153,50 @@
     ----------
     repeatable : bool
         Whether the work may run more than once.
-    sole_sender : bool
-        Whether this node chose the key and no other node or client knows it.
+    key : KeySource
+        Where its key comes from.
     """
 
-    def __init__(self, *, repeatable: bool, sole_sender: bool) -> None:
+    def __init__(self, *, repeatable: bool, key: KeySource) -> None:
         self.repeatable = repeatable
-        self.sole_sender = sole_sender
+        self.key = key
         self.outcome = Outcome.NOT_RUN
+        self.denied = False
 
-    def ended(self, outcome: Outcome, reason: Reason | None = None) -> Outcome:
-        """Add the end of one send and return the outcome of all of them.
+    def ended(
+        self, outcome: Outcome, reason: Reason | None = None, *, by_owner: bool = False
+    ) -> Outcome:
+        """Add the end of one send and return ``told``.
 
         An owner that cannot prove that a key is new says ``UNKNOWN``. Where this
         node alone knows the key, and the owner did not begin it, nobody did.
+
+        Parameters
+        ----------
+        outcome : Outcome
+            What became of the send.
+        reason : Reason or None
+            Why a node refused it.
+        by_owner : bool
+            Whether the owner of the key says so, from its table of keys.
         """
-        if self.sole_sender and reason in UNPROVEN_REASONS:
+        if self.key is KeySource.MINTED and reason in UNPROVEN_REASONS:
             outcome = Outcome.NOT_RUN
+        if outcome is Outcome.NOT_RUN:
+            self.denied = self.denied or by_owner
         self.outcome = COMBINED.get((self.outcome, outcome), self.outcome)
+        return self.told
+
+    @property
+    def told(self) -> Outcome:
+        """What may be told to the caller when no further send is made.
+
+        That a brought key did not run is for its owner to say: an attempt that
+        another node sent may have run.
+        """
+        proven = self.key is not KeySource.BROUGHT or self.denied
+        if self.outcome is Outcome.NOT_RUN and not proven:
+            return Outcome.UNKNOWN
         return self.outcome
 
     @property
--- a/buckthornshed/tests/properties/test_at_most_once_machine.py
+++ b/buckthornshed/tests/properties/test_at_most_once_machine.py
@@ -20,7 +20,7 @@
     barrier_after,
     check_new_key,
 )
-from buckthornshed.coordination.integrity import Resend, Sends
+from buckthornshed.coordination.integrity import KeySource, Resend, Sends
 from buckthornshed.coordination.keys import parse_key
 from buckthornshed.coordination.ownership import OwnerSet, mint_owned
 from buckthornshed.protocol.messages import Answer
@@ -65,7 +65,7 @@
     def __init__(self, *, key, edge):
         self.key = key
         self.edge = edge
-        self.sends = Sends(repeatable=False, sole_sender=False)
+        self.sends = Sends(repeatable=False, key=KeySource.BROUGHT)
         self.exchanges: set[int] = set()
         self.told: Outcome | None = None
 
@@ -187,7 +187,7 @@
         if request and not request.told:
             if any(call[1] is request for call in self.calls):
                 request.sends.ended(Outcome.UNKNOWN)
-            self.tell(request, request.sends.outcome)
+            self.tell(request, request.sends.told)
 
     @precondition(lambda self: self.calls)
     @rule(which=INDEX, lost=SELDOM)
@@ -210,15 +210,14 @@
         elif isinstance(begun, Refused):
             if begun.outcome is Outcome.NOT_RUN:
                 assert request.key not in self.runs, "an owner denied a run"
-            request.sends.ended(begun.outcome, begun.reason)
+            request.sends.ended(begun.outcome, begun.reason, by_owner=True)
         else:
             request.sends.ended(Outcome.UNKNOWN)
 
     def tell(self, request, outcome):
         request.told = outcome
         if outcome is Outcome.NOT_RUN:
-            ran = request.exchanges & set(self.runs.values())
-            assert not ran, "not run was stated of work that ran"
+            assert request.key not in self.runs, "not run was stated of work that ran"
 
     @precondition(lambda self: any(n.handing for n in self.awake()))
     @rule(which=INDEX, unsent=SELDOM)
--- a/buckthornshed/tests/test_integrity.py
+++ b/buckthornshed/tests/test_integrity.py
@@ -11,6 +11,7 @@
     Exchanges,
     Flaw,
     HopEvent,
+    KeySource,
     Progress,
     Resend,
     Sends,
@@ -113,27 +114,41 @@
 
 
 @pytest.mark.parametrize(
-    ("repeatable", "sole", "ends", "outcome", "resend"),
+    ("key", "ends", "told", "resend"),
     [
-        (False, False, [(NOT_RUN, Reason.OVERLOAD)], NOT_RUN, Resend.ANYWHERE),
-        (False, False, [(UNKNOWN, None)], UNKNOWN, Resend.SAME_OWNER),
-        (False, False, [(UNKNOWN, None), (NOT_RUN, None)], UNKNOWN, Resend.SAME_OWNER),
-        (False, False, [(UNKNOWN, None), (COMPLETE, None)], COMPLETE, Resend.NOWHERE),
-        (False, False, [(FAILED, None)], FAILED, Resend.NOWHERE),
-        (False, False, [(UNKNOWN, Reason.KEY_UNPROVEN)], UNKNOWN, Resend.SAME_OWNER),
-        (False, True, [(UNKNOWN, Reason.KEY_UNPROVEN)], NOT_RUN, Resend.ANYWHERE),
+        ("MINTED", [(NOT_RUN, Reason.OVERLOAD)], NOT_RUN, Resend.ANYWHERE),
+        ("MINTED", [(UNKNOWN, None)], UNKNOWN, Resend.SAME_OWNER),
+        ("MINTED", [(UNKNOWN, None), (NOT_RUN, None)], UNKNOWN, Resend.SAME_OWNER),
+        ("MINTED", [(UNKNOWN, None), (COMPLETE, None)], COMPLETE, Resend.NOWHERE),
+        ("MINTED", [(FAILED, None)], FAILED, Resend.NOWHERE),
+        ("MINTED", [(UNKNOWN, Reason.KEY_UNPROVEN)], NOT_RUN, Resend.ANYWHERE),
         (
-            False,
-            True,
+            "MINTED",
             [(UNKNOWN, None), (UNKNOWN, Reason.KEY_UNPROVEN)],
             UNKNOWN,
             Resend.SAME_OWNER,
         ),
-        (True, False, [(FAILED, None)], FAILED, Resend.ANYWHERE),
+        ("BROUGHT", [(UNKNOWN, Reason.KEY_UNPROVEN)], UNKNOWN, Resend.SAME_OWNER),
+        ("BROUGHT", [], UNKNOWN, Resend.ANYWHERE),
+        ("BROUGHT", [(NOT_RUN, Reason.NO_TARGET)], UNKNOWN, Resend.ANYWHERE),
     ],
 )
-def test_sends(repeatable, sole, ends, outcome, resend):
-    sends = Sends(repeatable=repeatable, sole_sender=sole)
+def test_sends_of_work_with_a_key(key, ends, told, resend):
+    sends = Sends(repeatable=False, key=KeySource[key])
     for each, reason in ends:
         sends.ended(each, reason)
-    assert (sends.outcome, sends.resend) == (outcome, resend)
+    assert (sends.told, sends.resend) == (told, resend)
+
+
+def test_only_the_owner_denies_that_a_brought_key_has_run():
+    sends = Sends(repeatable=False, key=KeySource.BROUGHT)
+    assert sends.ended(NOT_RUN) is UNKNOWN
+    assert sends.ended(NOT_RUN, Reason.KEY_TABLE_FULL, by_owner=True) is NOT_RUN
+    assert sends.ended(UNKNOWN) is UNKNOWN
+
+
+def test_sends_of_work_that_may_be_repeated():
+    sends = Sends(repeatable=True, key=KeySource.NONE)
+    assert sends.told is NOT_RUN
+    assert sends.ended(FAILED) is FAILED
+    assert sends.resend is Resend.ANYWHERE
