Define the messages between nodes, their codec and who talks to whom

Cause: every node reading the platform breaks its limit at 7,100 nodes. Ruled out: an elected reader (an election needs agreement), a tree (the loss of one node cuts off a branch), gossip to random nodes (a new connection for each message).

--- /dev/null
+++ b/buckthornshed/coordination/platform_watch.py
@@ -0,0 +1,157 @@
+"""When a node reads the platform, and which values."""
+
+from ..protocol.peer_messages import NO_VERSION, Version
+from .fleet_actions import ReadValue, Rng
+
+__all__ = ["HEAD", "SET", "PlatformWatch", "delta_key"]
+
+HEAD = "head"
+SET = "set"
+
+WATCH_S = 20.0
+"""How long a watch of the head waits at the platform."""
+
+WATCH_SPACING_S = (0.4, 0.6)
+"""Pause between two watches, which bounds the reads of a burst."""
+
+FAILURE_PAUSE_S = (1.0, 4.0)
+"""Pause of a reader after a read that failed."""
+
+FETCH_DELAY_S = (0.2, 0.6)
+"""How long a reader other than the primary waits for peers before it fetches."""
+
+MAX_DELTAS_FETCHED = 16
+"""Beyond this many deltas the whole set is read instead."""
+
+SILENCE_S = 30.0
+"""Age of the last word from the platform after which other nodes try to read."""
+
+ATTEMPT_SPACING_S = 1.0
+"""Mean time between attempts of all the other nodes of a silent domain."""
+
+STAND_IN_S = 60.0
+"""How long a node that broke the silence goes on reading."""
+
+
+def delta_key(generation: int) -> str:
+    """Return the key of the delta that leads to a generation."""
+    return f"delta/{generation}"
+
+
+class PlatformWatch:
+    """Decide on reads of the platform; at most one watch and one fetch at a time.
+
+    Parameters
+    ----------
+    rng : Rng
+        Source of jitter.
+    """
+
+    def __init__(self, *, rng: Rng) -> None:
+        self.rng = rng
+        self.head = NO_VERSION
+        self.after = 0
+        self.heard_at = 0.0
+        self.watching = False
+        self.fetching: set[str] = set()
+        self.fetch_whole = False
+        self.next_watch_at = 0.0
+        self.fetch_at = 0.0
+        self.attempt_at: float | None = None
+        self.reads_until = 0.0
+
+    def start(self, now: float) -> None:
+        """Begin, with no word from the platform yet."""
+        self.heard_at = now
+        self.next_watch_at = now
+
+    def heard(self, now: float, age: float) -> None:
+        """Note that a node of the domain heard from the platform ``age`` seconds ago."""
+        self.heard_at = max(self.heard_at, now - age)
+
+    def reads(self, now: float, *, reader: bool, domain_size: int) -> list[ReadValue]:
+        """Return the watch to begin now, if any."""
+        if self.watching or now < self.next_watch_at:
+            return []
+        wanted = reader or now < self.reads_until
+        if not wanted and not self.attempt_due(now, domain_size):
+            return []
+        self.watching = True
+        wait = WATCH_S if wanted else 0.0
+        return [ReadValue(HEAD, after=self.after, wait=wait)]
+
+    def attempt_due(self, now: float, domain_size: int) -> bool:
+        """Return whether this node tries to read for a silent domain.
+
+        Each node draws a time within a span as many seconds long as the domain has
+        nodes, so that the domain makes about one attempt a second.
+        """
+        if now - self.heard_at < SILENCE_S:
+            self.attempt_at = None
+            return False
+        if self.attempt_at is None:
+            span = max(1, domain_size) * ATTEMPT_SPACING_S
+            self.attempt_at = now + self.rng.uniform(0.0, span)
+        if now < self.attempt_at:
+            return False
+        self.attempt_at = None
+        return True
+
+    def answered(self, now: float, version: int) -> None:
+        """Take note that the watch ended with an answer of the platform."""
+        if now - self.heard_at >= SILENCE_S:
+            self.reads_until = now + STAND_IN_S
+        self.heard_at = now
+        self.after = version
+        self.watching = False
+        self.next_watch_at = now + self.rng.uniform(*WATCH_SPACING_S)
+
+    def failed(self, now: float, key: str) -> None:
+        """Take note of a read that got no answer."""
+        if key == HEAD:
+            self.watching = False
+            self.next_watch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
+            return
+        self.fetched(key)
+        self.fetch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
+
+    def learned(self, now: float, head: Version, *, primary: bool) -> None:
+        """Take note of a head that is newer than what is in force."""
+        if head == self.head:
+            return
+        self.head = head
+        self.fetch_whole = False
+        self.fetch_at = now if primary else now + self.rng.uniform(*FETCH_DELAY_S)
+
+    def fetches(self, now: float, in_force: Version) -> list[ReadValue]:
+        """Return the reads that lead from what is in force to the head."""
+        missing = self.head.generation - in_force.generation
+        if missing <= 0 or self.fetching or now < self.fetch_at:
+            return []
+        whole = self.fetch_whole or missing > MAX_DELTAS_FETCHED
+        generations = range(in_force.generation + 1, self.head.generation + 1)
+        keys = [SET] if whole else [delta_key(number) for number in generations]
+        # If these do not lead to the head, the next fetch reads the whole set.
+        self.fetch_whole = True
+        self.fetch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
+        self.fetching = set(keys)
+        return [ReadValue(key) for key in keys]
+
+    def fetched(self, key: str) -> bool:
+        """Take note of a value; returns whether no other one is awaited."""
+        self.fetching.discard(key)
+        return not self.fetching
+
+    def due(self, in_force: Version, *, reader: bool) -> float:
+        """Return the next time at which there may be something to read."""
+        times = []
+        if not self.watching:
+            times.append(self.next_watch_at if reader else self.silent_due())
+        if self.head.generation > in_force.generation and not self.fetching:
+            times.append(self.fetch_at)
+        return min(times, default=float("inf"))
+
+    def silent_due(self) -> float:
+        """Return when a node that is no reader may have to try."""
+        due = self.heard_at + SILENCE_S if self.attempt_at is None else self.attempt_at
+        return max(due, self.next_watch_at)
--- /dev/null
+++ b/buckthornshed/protocol/peer_codec.py
@@ -0,0 +1,320 @@
+"""Encoding of messages between nodes: protobuf, bounded, versioned and signed."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from google.protobuf.message import DecodeError
+
+from ..errors import PeerError
+from .authentication import Authenticator
+from .peer_messages import (
+    MAX_DELTAS,
+    MAX_MESSAGE_BYTES,
+    MAX_NAME_CHARS,
+    MAX_NODE_STATES,
+    NO_VERSION,
+    Busy,
+    Changes,
+    Delta,
+    Digest,
+    Envelope,
+    Leaving,
+    NodeState,
+    PeerMessage,
+    PeerState,
+    Pull,
+    Version,
+    WholeSet,
+)
+from .wire import peer_pb2 as wire
+
+__all__ = ["MAJOR", "MINOR", "PeerCodec", "ReplayWindow"]
+
+MAJOR = 1
+"""Major version of the messages; another one is refused."""
+
+MINOR = 0
+"""Minor version; newer ones may add fields, which are ignored."""
+
+REPLAY_SPAN = 1_024
+"""How far a message may arrive behind a later one of the same sender."""
+
+REPLAY_SENDERS = 4_096
+"""Senders that are remembered."""
+
+ENCODERS: dict[type, tuple[str, Callable[[Any], Any]]] = {}
+DECODERS: dict[str, Callable[[Any], PeerMessage]] = {}
+
+
+def encodes(message_type: type, field: str) -> Callable[[Any], Any]:
+    """Register the encoder of a message type under its field of the envelope."""
+
+    def register(function: Callable[[Any], Any]) -> Callable[[Any], Any]:
+        ENCODERS[message_type] = (field, function)
+        return function
+
+    return register
+
+
+def decodes(field: str) -> Callable[[Any], Any]:
+    """Register the decoder of a field of the envelope."""
+
+    def register(function: Callable[[Any], PeerMessage]) -> Any:
+        DECODERS[field] = function
+        return function
+
+    return register
+
+
+class PeerCodec:
+    """Encode and decode envelopes under the keys of the fleet.
+
+    Parameters
+    ----------
+    authenticator : Authenticator
+        The keys of the fleet.
+    """
+
+    def __init__(self, *, authenticator: Authenticator) -> None:
+        self.authenticator = authenticator
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return a signed message.
+
+        Raises
+        ------
+        PeerError
+            If the message is larger than ``MAX_MESSAGE_BYTES``.
+        """
+        field, encoder = ENCODERS[type(envelope.message)]
+        content = wire.Envelope(
+            major=MAJOR,
+            minor=MINOR,
+            sender=envelope.sender,
+            address=envelope.address,
+            incarnation=envelope.incarnation,
+            recipient=envelope.recipient,
+            sequence=envelope.sequence,
+            **{field: encoder(envelope.message)},
+        ).SerializeToString()
+        if len(content) > MAX_MESSAGE_BYTES:
+            raise too_large(len(content))
+        code = self.authenticator.sign(content)
+        return wire.Signed(envelope=content, code=code).SerializeToString()
+
+    def decode(self, signed: bytes) -> Envelope:
+        """Return the envelope of a signed message.
+
+        Raises
+        ------
+        PeerError
+            If the message is too large, malformed, of another major version, or not
+            signed with a valid key.
+        """
+        if len(signed) > MAX_MESSAGE_BYTES + MAX_NAME_CHARS:
+            raise too_large(len(signed))
+        try:
+            outer = wire.Signed.FromString(signed)
+            if not self.authenticator.verify(outer.envelope, outer.code):
+                raise malformed("a code of no valid key", "a signed message")
+            content = wire.Envelope.FromString(outer.envelope)
+        except DecodeError as error:
+            raise malformed("bytes that do not decode", "protobuf") from error
+        return decode_envelope(content)
+
+
+def decode_envelope(content: wire.Envelope) -> Envelope:
+    """Check the bounds of an authenticated envelope and return it typed."""
+    if content.major != MAJOR:
+        raise malformed(f"major version {content.major}", f"{MAJOR}")
+    names = (content.sender, content.address, content.recipient)
+    if max(map(len, names)) > MAX_NAME_CHARS:
+        raise malformed("a long name", f"at most {MAX_NAME_CHARS} characters")
+    decoder = DECODERS.get(content.WhichOneof("body") or "")
+    if decoder is None:
+        raise malformed("a message of an unknown kind", f"one of {sorted(DECODERS)}")
+    return Envelope(
+        sender=content.sender,
+        address=content.address,
+        incarnation=content.incarnation,
+        recipient=content.recipient,
+        sequence=content.sequence,
+        message=decoder(getattr(content, content.WhichOneof("body") or "")),
+    )
+
+
+def too_large(size: int) -> PeerError:
+    """Return the error of a message that is too large."""
+    return malformed(f"{size} bytes", f"at most {MAX_MESSAGE_BYTES}")
+
+
+def malformed(found: str, expected: str) -> PeerError:
+    """Return the error of a message that cannot be taken."""
+    return PeerError(subject="peer message", found=found, expected=expected)
+
+
+def encode_version(version: Version) -> wire.Version:
+    """Return a version in wire form."""
+    return wire.Version(generation=version.generation, digest=version.digest)
+
+
+def decode_version(message: wire.Version) -> Version:
+    """Return the typed version."""
+    if not message.generation:
+        return NO_VERSION
+    return Version(message.generation, message.digest)
+
+
+def encode_delta(delta: Delta) -> wire.Delta:
+    """Return a delta in wire form."""
+    return wire.Delta(
+        base_generation=delta.base_generation,
+        generation=delta.generation,
+        digest=delta.digest,
+        changed=delta.changed,
+        removed=delta.removed,
+    )
+
+
+def decode_delta(message: wire.Delta) -> Delta:
+    """Return the typed delta."""
+    return Delta(
+        base_generation=message.base_generation,
+        generation=message.generation,
+        digest=message.digest,
+        changed=dict(message.changed),
+        removed=tuple(message.removed),
+    )
+
+
+@encodes(Digest, "digest")
+def encode_digest(message: Digest) -> wire.Digest:
+    """Return a digest in wire form."""
+    nodes = [
+        wire.NodeState(
+            name=node.name, incarnation=node.incarnation, state=int(node.state)
+        )
+        for node in message.nodes
+    ]
+    rival = encode_version(message.rival) if message.rival else None
+    return wire.Digest(
+        version=encode_version(message.version),
+        source_age=message.source_age,
+        rival=rival,
+        reply=message.reply,
+        nodes=nodes,
+    )
+
+
+@decodes("digest")
+def decode_digest(message: wire.Digest) -> Digest:
+    """Return the typed digest; states of nodes that are not known are left out."""
+    if len(message.nodes) > MAX_NODE_STATES:
+        raise malformed(f"{len(message.nodes)} nodes", f"at most {MAX_NODE_STATES}")
+    nodes = tuple(
+        NodeState(node.name, node.incarnation, PeerState(node.state))
+        for node in message.nodes
+        if node.state <= max(PeerState) and len(node.name) <= MAX_NAME_CHARS
+    )
+    rival = decode_version(message.rival) if message.HasField("rival") else None
+    # A NaN compares false with everything, so it becomes the greatest age.
+    age = message.source_age if message.source_age >= 0 else float("inf")
+    return Digest(decode_version(message.version), age, rival, message.reply, nodes)
+
+
+@encodes(Changes, "changes")
+def encode_changes(message: Changes) -> wire.Changes:
+    """Return a chain in wire form."""
+    return wire.Changes(deltas=[encode_delta(delta) for delta in message.deltas])
+
+
+@decodes("changes")
+def decode_changes(message: wire.Changes) -> Changes:
+    """Return the typed chain."""
+    if len(message.deltas) > MAX_DELTAS:
+        raise malformed(f"{len(message.deltas)} deltas", f"at most {MAX_DELTAS}")
+    return Changes(tuple(decode_delta(delta) for delta in message.deltas))
+
+
+@encodes(Pull, "pull")
+def encode_pull(message: Pull) -> wire.Pull:
+    """Return a pull in wire form."""
+    return wire.Pull(version=encode_version(message.version))
+
+
+@decodes("pull")
+def decode_pull(message: wire.Pull) -> Pull:
+    """Return the typed pull."""
+    return Pull(decode_version(message.version))
+
+
+@encodes(WholeSet, "whole_set")
+def encode_whole_set(message: WholeSet) -> wire.WholeSet:
+    """Return a whole set in wire form."""
+    return wire.WholeSet(version=encode_version(message.version), body=message.body)
+
+
+@decodes("whole_set")
+def decode_whole_set(message: wire.WholeSet) -> WholeSet:
+    """Return the typed whole set."""
+    return WholeSet(decode_version(message.version), message.body)
+
+
+@encodes(Busy, "busy")
+def encode_busy(message: Busy) -> wire.Busy:
+    """Return a refused pull in wire form."""
+    return wire.Busy(retry_after=message.retry_after)
+
+
+@decodes("busy")
+def decode_busy(message: wire.Busy) -> Busy:
+    """Return the typed refusal of a pull."""
+    return Busy(message.retry_after if message.retry_after >= 0 else 0.0)
+
+
+@encodes(Leaving, "leaving")
+def encode_leaving(message: Leaving) -> wire.Leaving:
+    """Return a notice of leaving in wire form."""
+    return wire.Leaving(incarnation=message.incarnation)
+
+
+@decodes("leaving")
+def decode_leaving(message: wire.Leaving) -> Leaving:
+    """Return the typed notice of leaving."""
+    return Leaving(message.incarnation)
+
+
+class ReplayWindow:
+    """Recognize messages that were taken before.
+
+    For each sender the highest sequence number and a bit for each of the
+    ``REPLAY_SPAN`` numbers below it are kept.
+    """
+
+    def __init__(self) -> None:
+        self.senders: OrderedDict[str, tuple[int, int, int]] = OrderedDict()
+
+    def accept(self, envelope: Envelope) -> bool:
+        """Return whether the envelope is new, and remember it."""
+        incarnation, highest, seen = self.senders.get(envelope.sender, (0, -1, 0))
+        if envelope.incarnation < incarnation:
+            return False
+        if envelope.incarnation > incarnation:
+            highest, seen = -1, 0
+        step = envelope.sequence - highest
+        if step <= -REPLAY_SPAN:
+            return False
+        if step <= 0 and seen >> -step & 1:
+            return False
+        if step > 0:
+            # A step beyond the span forgets all bits; the shift stays bounded.
+            seen = (seen << min(step, REPLAY_SPAN)) & ((1 << REPLAY_SPAN) - 1)
+            highest = envelope.sequence
+            step = 0
+        seen |= 1 << -step
+        self.senders[envelope.sender] = (envelope.incarnation, highest, seen)
+        self.senders.move_to_end(envelope.sender)
+        if len(self.senders) > REPLAY_SENDERS:
+            self.senders.popitem(last=False)
+        return True
--- /dev/null
+++ b/buckthornshed/protocol/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf messages and service stubs; see ``scripts/generate``."""
