Spread configuration from a few readers to all nodes by deltas and digests

Cause: each node reading the platform for itself breaks its limit, and a stale or rolled-back platform must not bring back an older set. Before/after: nothing / 19 tests of dissemination pass, of which four remove the question to peers, the check, the rising generation and the refresh, and show the failure.

--- /dev/null
+++ b/buckthornshed/coordination/dissemination.py
@@ -0,0 +1,492 @@
+"""Configuration from the platform, through readers, to every node.
+
+The generation in force on a node only rises. A set is put in force after its digest
+was verified over the whole set and the check accepted it; until then, and when
+either fails, the last one stays.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum, auto
+from typing import Any
+
+from ..errors import BuckthornshedError
+from ..protocol.peer_messages import (
+    NO_VERSION,
+    Busy,
+    Changes,
+    Delta,
+    Digest,
+    PeerMessage,
+    Pull,
+    Version,
+    WholeSet,
+)
+from .acceptance import Acceptance, Accepted, Rejected
+from .fleet_actions import (
+    Action,
+    Activate,
+    Formats,
+    Priority,
+    Report,
+    Rng,
+    Send,
+)
+from .joining import Candidate, Joining, Step
+from .platform_watch import HEAD, SET, PlatformWatch
+from .readers import Live, Topology
+from .repair import PUSH_BYTES, Repair, chain_size
+from .survey import Survey
+
+__all__ = ["Dissemination", "Phase"]
+
+DIGEST_INTERVAL_S = (0.8, 1.2)
+"""Pause between two digests, each to the next neighbour in turn."""
+
+WAKE_GAP_S = 2.0
+"""A longer gap between two ticks means that the process was paused."""
+
+LEAST_TICK_S = 0.005
+"""Least time between two ticks."""
+
+REFRESH_LIMIT_S = 3.0
+"""A woken node that cannot refresh in this time goes on with what it has."""
+
+STRANGERS_ASKED = 8
+"""Readers of other domains that a starting node asks besides its neighbours."""
+
+
+class Phase(Enum):
+    """How far the configuration of a node can be relied on."""
+
+    JOINING = auto()
+    CURRENT = auto()
+    REFRESHING = auto()
+
+
+class Dissemination:
+    """Decide what configuration is in force on a node.
+
+    Each event method takes ``now``, seconds of a monotonic clock, and returns the
+    actions to carry out. ``tick`` is due at ``due``.
+
+    Parameters
+    ----------
+    name, domain, address : str
+        This node: its target's name, failure domain, and address for other nodes.
+    seeds : tuple of str
+        Addresses of nodes to ask at the start.
+    formats : Formats
+        How published values are read and judged.
+    live : callable
+        Whether a node is believed to be live, by name.
+    rng : Rng
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        address: str,
+        seeds: tuple[str, ...],
+        formats: Formats,
+        live: Live,
+        rng: Rng,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.formats = formats
+        self.rng = rng
+        self.phase = Phase.JOINING
+        self.acceptance = Acceptance(formats=formats)
+        self.topology = Topology(name=name, domain=domain, live=live)
+        self.watch = PlatformWatch(rng=rng)
+        self.joining = Joining(seeds=seeds, rng=rng)
+        self.repair = Repair(formats=formats, log=self.acceptance.log, rng=rng)
+        self.survey = Survey()
+        self.peer_keys: dict[str, str] = {}
+        self.known: dict[str, int] = {}
+        self.neighbours: list[str] = []
+        self.turn = 0
+        self.last_tick = 0.0
+        self.digest_at = 0.0
+        self.refresh_by = 0.0
+        self.platform_failing = False
+        self.due = 0.0
+
+    @property
+    def version(self) -> Version:
+        """The version in force, ``NO_VERSION`` for none."""
+        return self.acceptance.version
+
+    @property
+    def objects(self) -> Mapping[str, bytes]:
+        """The objects in force."""
+        return self.acceptance.log.objects
+
+    @property
+    def fresh(self) -> bool:
+        """Whether a set is in force and was refreshed since the last pause."""
+        return self.phase is Phase.CURRENT
+
+    def start(self, now: float) -> list[Action]:
+        """Begin to look for a set."""
+        self.last_tick = now
+        self.watch.start(now)
+        return self.then(now, self.joining.start(now))
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due."""
+        woken = now - self.last_tick > WAKE_GAP_S
+        self.last_tick = now
+        return self.then(now, self.wake(now) if woken else [])
+
+    def receive(self, now: float, address: str, message: PeerMessage) -> list[Action]:
+        """Take a message of the node at an address."""
+        handler = HANDLERS.get(type(message))
+        if handler is None or address == self.address:
+            return []
+        return self.then(now, handler(self, now, address, message))
+
+    def unreachable(self, now: float, address: str) -> list[Action]:
+        """Take note that a message to an address could not be delivered."""
+        self.joining.unreachable(now, address)
+        self.survey.drop(address)
+        self.repair.unreachable(now, address)
+        self.known.pop(address, None)
+        return self.then(now, [])
+
+    def value(self, now: float, key: str, version: int, body: bytes) -> list[Action]:
+        """Take a value of the platform, with the platform's version of it."""
+        self.platform_failing = False
+        try:
+            actions = VALUES.get(key, Dissemination.take_delta)(self, now, body)
+        except BuckthornshedError as error:
+            self.watch.failed(now, key)
+            actions = [Report("unreadable_value", self.version, f"{key}: {error}")]
+        if key == HEAD:
+            self.watch.answered(now, version)
+        else:
+            self.watch.fetched(key)
+        return self.then(now, actions)
+
+    def unchanged(self, now: float) -> list[Action]:
+        """Take note that a watch of the head ended without another version."""
+        self.platform_failing = False
+        self.watch.answered(now, self.watch.after)
+        return self.then(now, [])
+
+    def read_failed(self, now: float, key: str, detail: str) -> list[Action]:
+        """Take note of a value that is absent or a platform that is out of reach."""
+        actions: list[Action] = []
+        if not self.platform_failing:
+            detail = f"{key}: {detail}"
+            actions.append(Report("platform_failed", self.version, detail))
+        self.platform_failing = True
+        self.watch.failed(now, key)
+        if self.joining.step is Step.READING:
+            actions += self.joining.read_failed(now)
+        return self.then(now, actions)
+
+    # What follows each event.
+
+    def then(self, now: float, actions: list[Action]) -> list[Action]:
+        """Add what has become due, and set the time of the next tick."""
+        actions = actions + PHASES[self.phase](self, now)
+        self.due = max(self.next_due(now), now + LEAST_TICK_S)
+        return actions
+
+    def next_due(self, now: float) -> float:
+        """Return when the next tick has something to do."""
+        if self.phase is Phase.JOINING:
+            return min(self.joining.due, self.last_tick + WAKE_GAP_S / 2)
+        reader = self.topology.is_reader()
+        times = [self.digest_at, self.watch.due(self.goal(), reader=reader)]
+        if self.acceptance.ready():
+            times.append(self.acceptance.apply_at)
+        if self.phase is Phase.REFRESHING:
+            surveying = now < self.survey.deadline
+            times.append(self.survey.deadline if surveying else self.refresh_by)
+        return min(times)
+
+    def goal(self) -> Version:
+        """Return the version that needs no read: in force, or refused before."""
+        head = self.watch.head
+        return head if head in self.acceptance.refused else self.version
+
+    def join(self, now: float) -> list[Action]:
+        """Go on joining; put the candidate in force once it is the highest."""
+        actions = self.joining.tick(now)
+        if self.joining.step is not Step.DONE:
+            return actions
+        self.phase = Phase.CURRENT
+        candidate = self.joining.candidate
+        self.acceptance.start(candidate)
+        self.digest_at = now
+        changed = frozenset(candidate.objects)
+        actions.append(Activate(candidate.version, candidate.objects, changed))
+        actions.append(Report("in_force", candidate.version))
+        return actions + self.run(now)
+
+    def refresh(self, now: float) -> list[Action]:
+        """Return to normal work once nothing newer is known, or time is up."""
+        behind = self.survey.best().generation > self.version.generation
+        done = self.survey.complete(now) and not behind
+        if not done and now < self.refresh_by:
+            return self.run(now)
+        self.phase = Phase.CURRENT
+        actions = self.run(now)
+        if not self.survey.versions:
+            actions.append(Report("cut_off", self.version, "no neighbour answered"))
+        return actions
+
+    def run(self, now: float) -> list[Action]:
+        """Apply what waits, exchange a digest and read, each when it is due."""
+        actions = self.apply(now)
+        if now >= self.digest_at:
+            actions += self.send_digest(now)
+        reader = self.topology.is_reader()
+        size = self.topology.size()
+        actions += self.watch.reads(now, reader=reader, domain_size=size)
+        return actions + self.watch.fetches(now, self.goal())
+
+    def wake(self, now: float) -> list[Action]:
+        """Ask all neighbours what they have in force before acting again."""
+        actions: list[Action] = [Report("woken", self.version)]
+        if self.phase is Phase.JOINING:
+            return actions
+        self.phase = Phase.REFRESHING
+        self.refresh_by = now + REFRESH_LIMIT_S
+        self.repair.pull_until = now
+        self.watch.next_watch_at = min(self.watch.next_watch_at, now)
+        self.find_neighbours()
+        self.survey = Survey()
+        asked = self.survey.begin(now, self.neighbours)
+        message = self.digest(now, reply=True)
+        return actions + [Send(each, message, Priority.DIGEST) for each in asked]
+
+    # Digests.
+
+    def digest(self, now: float, *, reply: bool = False) -> Digest:
+        """Return what this node has in force."""
+        age = now - self.watch.heard_at
+        return Digest(self.version, age, self.acceptance.rival, reply)
+
+    def send_digest(self, now: float) -> list[Action]:
+        """Send a digest to the next neighbour in turn."""
+        self.digest_at = now + self.rng.uniform(*DIGEST_INTERVAL_S)
+        self.find_neighbours()
+        if not self.neighbours:
+            return []
+        self.turn = (self.turn + 1) % len(self.neighbours)
+        address = self.neighbours[self.turn]
+        return [Send(address, self.digest(now), Priority.DIGEST)]
+
+    def find_neighbours(self) -> None:
+        """Work out the neighbours anew and forget what others are known to have."""
+        self.neighbours = self.topology.addresses(self.topology.neighbours())
+        kept = self.known.keys() & set(self.neighbours)
+        self.known = {address: self.known[address] for address in kept}
+
+    def take_digest(self, now: float, address: str, message: Digest) -> list[Action]:
+        """Compare what another node has in force with what this one has."""
+        theirs = message.version
+        self.known[address] = theirs.generation
+        self.joining.survey.answer(address, theirs)
+        self.survey.answer(address, theirs)
+        actions: list[Action] = []
+        if message.reply:
+            actions.append(Send(address, self.digest(now), Priority.DIGEST))
+        if self.phase is Phase.JOINING:
+            return actions
+        if address in self.topology.own_addresses:
+            self.watch.heard(now, message.source_age)
+        for version in (theirs, message.rival):
+            actions += self.acceptance.compare(version or NO_VERSION)
+        if theirs.generation > self.version.generation:
+            actions += self.repair.pull(now, address, self.version)
+        elif 0 < theirs.generation < self.version.generation:
+            actions += self.offer(now, address, theirs)
+        return actions
+
+    def offer(self, now: float, address: str, version: Version) -> list[Action]:
+        """Send a node that is behind the short chain it lacks, or a digest."""
+        chain = self.acceptance.log.since(version)
+        if chain is None or chain_size(chain) > PUSH_BYTES:
+            return [Send(address, self.digest(now), Priority.DIGEST)]
+        self.known[address] = self.version.generation
+        return [Send(address, Changes(chain), Priority.CONFIGURATION)]
+
+    def take_pull(self, now: float, address: str, message: Pull) -> list[Action]:
+        """Answer with a chain of deltas or the whole set."""
+        self.known[address] = message.version.generation
+        if message.version.generation >= self.version.generation:
+            return [Send(address, self.digest(now), Priority.DIGEST)]
+        return self.repair.reply(now, address, message.version)
+
+    def take_busy(self, now: float, address: str, message: Busy) -> list[Action]:
+        """Pull again later, from whichever neighbour shows up first."""
+        self.joining.busy(now, address, message.retry_after)
+        self.repair.busy(now, message.retry_after)
+        return []
+
+    # Sets and deltas.
+
+    def take_changes(self, now: float, address: str, message: Changes) -> list[Action]:
+        """Keep the deltas of another node until they can be applied."""
+        if self.phase is Phase.JOINING or not message.deltas:
+            return []
+        newest = message.deltas[-1].generation
+        self.known[address] = max(newest, self.known.get(address, 0))
+        self.repair.answered(now, address)
+        actions: list[Action] = [*self.acceptance.keep(message.deltas, address)]
+        if not self.acceptance.leads_to(newest):
+            actions += self.repair.pull(now, address, self.version)
+        return actions
+
+    def take_whole_set(
+        self, now: float, address: str, message: WholeSet
+    ) -> list[Action]:
+        """Put the whole set of another node in force if it is higher."""
+        self.repair.answered(now, address)
+        actions: list[Action] = [*self.acceptance.compare(message.version)]
+        if message.version.generation <= self.version.generation:
+            return actions
+        try:
+            return actions + self.take_set(now, message.body, address)
+        except BuckthornshedError as error:
+            detail = f"from {address}: {error}"
+            actions.append(Report("unreadable_value", message.version, detail))
+            return actions
+
+    def take_set(self, now: float, body: bytes, source: str = "") -> list[Action]:
+        """Take a whole set from the platform or another node.
+
+        Raises
+        ------
+        BuckthornshedError
+            If the set cannot be in force.
+        """
+        candidate = self.acceptance.decode(body)
+        if self.phase is Phase.JOINING:
+            return self.found(now, candidate)
+        reports: list[Action] = [*self.acceptance.compare(candidate.version)]
+        chain = self.acceptance.replace(candidate)
+        return reports + (self.in_force(now, chain, source) if chain else [])
+
+    def found(self, now: float, candidate: Candidate) -> list[Action]:
+        """Ask the nodes that the first set names whether they have a higher one."""
+        self.configure(candidate.objects, [*self.peer_keys, *candidate.objects])
+        strangers = self.topology.strangers()
+        count = min(STRANGERS_ASKED, len(strangers))
+        names = self.topology.neighbours() + self.rng.sample(strangers, count)
+        addresses = self.topology.addresses(names)
+        return self.joining.found(now, candidate, addresses)
+
+    def take_head(self, now: float, body: bytes) -> list[Action]:
+        """Compare the head of the platform with what is in force.
+
+        Raises
+        ------
+        BuckthornshedError
+            If the value cannot be read.
+        """
+        head = self.formats.decode_head(body)
+        actions: list[Action] = [*self.acceptance.compare(head)]
+        if head.generation > self.version.generation:
+            primary = self.topology.primary(head.generation) == self.name
+            self.watch.learned(now, head, primary=primary)
+        elif head.generation < self.version.generation:
+            detail = f"the platform has generation {head.generation}"
+            actions.append(Report("platform_behind", self.version, detail))
+        return actions
+
+    def take_delta(self, now: float, body: bytes) -> list[Action]:
+        """Keep a delta of the platform until it can be applied.
+
+        Raises
+        ------
+        BuckthornshedError
+            If the value cannot be read.
+        """
+        return [*self.acceptance.keep([self.formats.decode_delta(body)], "")]
+
+    def apply(self, now: float) -> list[Action]:
+        """Put in force what the waiting deltas lead to."""
+        result = self.acceptance.apply(now)
+        if isinstance(result, Accepted):
+            return self.in_force(now, result.chain, result.source)
+        if isinstance(result, Rejected):
+            return [result.report, *self.rejected(now, result)]
+        return []
+
+    def rejected(self, now: float, result: Rejected) -> list[Action]:
+        """Get the whole set in place of deltas that start from another one."""
+        if result.report.notice != "digest_mismatch":
+            return []
+        if result.source:
+            return self.repair.pull(now, result.source, NO_VERSION)
+        self.watch.mismatched(now)
+        return []
+
+    def in_force(
+        self, now: float, chain: tuple[Delta, ...], source: str
+    ) -> list[Action]:
+        """Announce the set that is now in force and pass it on."""
+        changed: set[str] = set()
+        for delta in chain:
+            changed.update(delta.changed, delta.removed)
+        self.configure(self.objects, changed)
+        actions: list[Action] = [
+            Activate(self.version, self.objects, frozenset(changed)),
+            Report("in_force", self.version),
+        ]
+        return actions + self.push(now, chain, source)
+
+    def push(self, now: float, chain: tuple[Delta, ...], source: str) -> list[Action]:
+        """Pass a chain on to the neighbours that may lack it."""
+        message: PeerMessage = self.digest(now)
+        if chain_size(chain) <= PUSH_BYTES:
+            message = Changes(chain)
+        generation = self.version.generation
+        actions: list[Action] = []
+        for address in self.neighbours:
+            if address != source and self.known.get(address, 0) < generation:
+                self.known[address] = generation
+                actions.append(Send(address, message, Priority.CONFIGURATION))
+        return actions
+
+    def configure(self, objects: Mapping[str, bytes], changed: Iterable[str]) -> None:
+        """Take over the nodes among the changed objects."""
+        peers = []
+        removed = []
+        for key in changed:
+            value = objects.get(key)
+            peer = None if value is None else self.formats.peer(key, value)
+            if peer is not None:
+                peers.append(peer)
+                self.peer_keys[key] = peer.name
+            elif key in self.peer_keys:
+                removed.append(self.peer_keys.pop(key))
+        self.topology.update(peers, removed)
+
+
+HANDLERS: dict[type, Callable[[Dissemination, float, str, Any], list[Action]]] = {
+    Digest: Dissemination.take_digest,
+    Changes: Dissemination.take_changes,
+    Pull: Dissemination.take_pull,
+    WholeSet: Dissemination.take_whole_set,
+    Busy: Dissemination.take_busy,
+}
+
+VALUES: dict[str, Callable[[Dissemination, float, bytes], list[Action]]] = {
+    HEAD: Dissemination.take_head,
+    SET: Dissemination.take_set,
+}
+
+PHASES: dict[Phase, Callable[[Dissemination, float], list[Action]]] = {
+    Phase.JOINING: Dissemination.join,
+    Phase.CURRENT: Dissemination.run,
+    Phase.REFRESHING: Dissemination.refresh,
+}
--- /dev/null
+++ b/buckthornshed/coordination/joining.py
@@ -0,0 +1,173 @@
+"""How a node that starts finds its first set.
+
+It asks nodes that its settings name, reads the platform if they have nothing, asks
+the neighbours that the set it found names, and only then puts the highest of all in
+force. So a stale platform does not bring back an older set while a node with a
+newer one can be reached.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum, auto
+from typing import NamedTuple
+
+from ..protocol.peer_messages import NO_VERSION, Digest, Pull, Version
+from .fleet_actions import Action, Priority, ReadValue, Report, Rng, Send
+from .platform_watch import SET
+from .survey import Survey
+
+__all__ = ["Candidate", "Joining", "Step"]
+
+SEEDS_ASKED = 8
+"""Nodes of the settings that are asked at a time."""
+
+COLD_START_SPREAD_S = 10.0
+"""Time over which nodes read the platform when the nodes they ask have no set."""
+
+ALONE_SPREAD_S = 1.0
+"""The same when no other node answers."""
+
+READ_TIMEOUT_S = 5.0
+"""How long the platform's set is awaited."""
+
+READ_RETRY_S = (1.0, 4.0)
+"""Pause after a read of the platform that gave no set."""
+
+PULL_TIMEOUT_S = 3.0
+"""How long a set of another node is awaited."""
+
+ASK_PAUSE_S = 1.0
+"""Pause between two surveys of nodes that have no set."""
+
+
+class Step(Enum):
+    """What a node without a set waits for."""
+
+    ASKING = auto()
+    PULLING = auto()
+    PAUSED = auto()
+    WAITING = auto()
+    READING = auto()
+    DONE = auto()
+
+
+class Candidate(NamedTuple):
+    """A set that was verified and checked, and is not in force yet."""
+
+    version: Version
+    objects: Mapping[str, bytes]
+
+
+class Joining:
+    """Lead from no set to the first one in force.
+
+    Parameters
+    ----------
+    seeds : tuple of str
+        Addresses of other nodes, from the settings.
+    rng : Rng
+        Source of jitter.
+    """
+
+    def __init__(self, *, seeds: tuple[str, ...], rng: Rng) -> None:
+        self.seeds = list(seeds)
+        self.rng = rng
+        self.step = Step.ASKING
+        self.survey = Survey()
+        self.candidate = Candidate(NO_VERSION, {})
+        self.due = 0.0
+        self.holder = ""
+        self.read_at: float | None = None
+
+    def start(self, now: float) -> list[Action]:
+        """Ask some of the seeds."""
+        count = min(SEEDS_ASKED, len(self.seeds))
+        return self.ask(now, self.rng.sample(self.seeds, count))
+
+    def ask(self, now: float, addresses: Iterable[str]) -> list[Action]:
+        """Ask nodes for their versions."""
+        self.step = Step.ASKING
+        asked = self.survey.begin(now, addresses)
+        self.due = self.survey.deadline
+        message = Digest(NO_VERSION, float("inf"), reply=True)
+        return [Send(address, message, Priority.DIGEST) for address in asked]
+
+    def tick(self, now: float) -> list[Action]:
+        """Take the next step if its time has come."""
+        if self.step is Step.ASKING and self.survey.complete(now):
+            self.due = now
+        if self.step is Step.DONE or now < self.due:
+            return []
+        return STEPS[self.step](self, now)
+
+    def decide(self, now: float) -> list[Action]:
+        """Go on with what the asked nodes have in force."""
+        best = self.survey.best()
+        if best.generation > self.candidate.version.generation:
+            return self.pull(now, best)
+        if self.candidate.version != NO_VERSION:
+            self.step = Step.DONE
+            return []
+        if self.read_at is None:
+            answered = bool(self.survey.versions)
+            spread = COLD_START_SPREAD_S if answered else ALONE_SPREAD_S
+            self.read_at = now + self.rng.uniform(0.0, spread)
+        self.step = Step.WAITING
+        self.due = min(self.read_at, now + ASK_PAUSE_S)
+        return []
+
+    def pull(self, now: float, version: Version) -> list[Action]:
+        """Ask one holder of a version for its whole set."""
+        self.step = Step.PULLING
+        self.holder = self.rng.sample(self.survey.holders(version), 1)[0]
+        self.due = now + PULL_TIMEOUT_S
+        return [Send(self.holder, Pull(NO_VERSION), Priority.CONFIGURATION)]
+
+    def pull_failed(self, now: float) -> list[Action]:
+        """Go on without a node that did not give its set."""
+        self.survey.drop(self.holder)
+        return self.decide(now)
+
+    def busy(self, now: float, address: str, retry_after: float) -> None:
+        """Pause before the next pull."""
+        if self.step is Step.PULLING and address == self.holder:
+            self.step = Step.PAUSED
+            self.due = now + min(retry_after, PULL_TIMEOUT_S)
+
+    def unreachable(self, now: float, address: str) -> None:
+        """Go on without a node that cannot be reached."""
+        self.survey.drop(address)
+        if self.step is Step.PULLING and address == self.holder:
+            self.due = now
+
+    def waited(self, now: float) -> list[Action]:
+        """Read the platform, or ask the seeds again before the time for it."""
+        if self.read_at is None or now < self.read_at:
+            return self.start(now)
+        self.step = Step.READING
+        self.due = now + READ_TIMEOUT_S
+        return [ReadValue(SET)]
+
+    def read_failed(self, now: float) -> list[Action]:
+        """Report that there is no set, and try everything again."""
+        self.read_at = now + self.rng.uniform(*READ_RETRY_S)
+        self.step = Step.WAITING
+        self.due = now
+        detail = "neither another node nor the platform gave a set"
+        return [Report("no_source", NO_VERSION, detail)]
+
+    def found(
+        self, now: float, candidate: Candidate, peers: Iterable[str]
+    ) -> list[Action]:
+        """Ask the nodes that a found set names whether they have a higher one."""
+        if candidate.version.generation > self.candidate.version.generation:
+            self.candidate = candidate
+        return self.ask(now, peers)
+
+
+STEPS: dict[Step, Callable[[Joining, float], list[Action]]] = {
+    Step.ASKING: Joining.decide,
+    Step.PULLING: Joining.pull_failed,
+    Step.PAUSED: Joining.decide,
+    Step.WAITING: Joining.waited,
+    Step.READING: Joining.read_failed,
+}
--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/platform_watch.py
@@ -66,7 +66,7 @@
         self.next_watch_at = now
 
     def heard(self, now: float, age: float) -> None:
-        """Note that a node of the domain heard from the platform ``age`` seconds ago."""
+        """Note that a node of the domain heard from the platform ``age`` ago."""
         self.heard_at = max(self.heard_at, now - age)
 
     def reads(self, now: float, *, reader: bool, domain_size: int) -> list[ReadValue]:
@@ -137,6 +137,11 @@
         self.fetching = set(keys)
         return [ReadValue(key) for key in keys]
 
+    def mismatched(self, now: float) -> None:
+        """Take note that the deltas did not lead to a sound set."""
+        self.fetch_whole = True
+        self.fetch_at = now + self.rng.uniform(*FETCH_DELAY_S)
+
     def fetched(self, key: str) -> bool:
         """Take note of a value; returns whether no other one is awaited."""
         self.fetching.discard(key)
--- a/buckthornshed/coordination/readers.py
+++ b/buckthornshed/coordination/readers.py
@@ -59,6 +59,7 @@
         self.domain = domain
         self.live = live
         self.peers: dict[str, Peer] = {}
+        self.own_addresses: set[str] = set()
         self.ranked: dict[str, list[str]] = {}
         self.rings: list[list[str]] = [[name]]
         self.domain_rings: list[list[str]] = []
@@ -70,9 +71,14 @@
             old = self.peers.pop(name, None)
             if old is not None:
                 touched.add(old.domain)
+                self.own_addresses.discard(old.address)
         for peer in peers:
             old = self.peers.get(peer.name)
             self.peers[peer.name] = peer
+            if old is not None:
+                self.own_addresses.discard(old.address)
+            if peer.domain == self.domain:
+                self.own_addresses.add(peer.address)
             if old is None or old.domain != peer.domain:
                 touched.add(peer.domain)
                 touched.add(old.domain if old else peer.domain)
@@ -174,3 +180,7 @@
             if domain != self.domain
             for name in self.readers(domain)
         ]
+
+    def addresses(self, names: Iterable[str]) -> list[str]:
+        """Return where configured nodes take messages."""
+        return [self.peers[name].address for name in names if name in self.peers]
--- /dev/null
+++ b/buckthornshed/tests/exchange.py
@@ -0,0 +1,360 @@
+"""Hands actions of decision objects from one to the other in order of time.
+
+The platform, the links and the clock are the least that tests and benchmarks need.
+"""
+
+import hashlib
+import heapq
+import itertools
+import random
+import zlib
+from collections import Counter
+from collections.abc import Callable, Mapping
+from functools import lru_cache
+
+import msgspec
+
+from ..coordination.config_log import difference
+from ..coordination.dissemination import Dissemination
+from ..coordination.fleet_actions import (
+    Action,
+    Activate,
+    Formats,
+    ReadValue,
+    Report,
+    Send,
+)
+from ..coordination.platform_watch import HEAD, SET, delta_key
+from ..errors import ConfigurationError
+from ..protocol.authentication import Authenticator
+from ..protocol.peer_codec import PeerCodec
+from ..protocol.peer_messages import NO_VERSION, Envelope, Peer, PeerMessage, Version
+from ..protocol.published_values import (
+    decode_delta_value,
+    decode_head_value,
+    encode_delta_value,
+    encode_head_value,
+)
+
+Objects = Mapping[str, bytes]
+KEY = b"k" * 32
+FRAME_BYTES = 60
+"""HTTP/2 frames and headers of one message and its receipt, about."""
+
+
+@lru_cache(maxsize=100_000)
+def object_digest(value: bytes) -> bytes:
+    return hashlib.sha256(value).digest()
+
+
+def set_digest(objects: Objects) -> bytes:
+    parts = [
+        key.encode() + b"\0" + object_digest(objects[key]) for key in sorted(objects)
+    ]
+    return hashlib.sha256(b"".join(parts)).digest()
+
+
+def check(objects: Objects) -> None:
+    if objects.get("priority/broken"):
+        raise ConfigurationError(
+            subject="priority/broken", found="it", expected="no such object"
+        )
+
+
+def peer_of(key: str, value: bytes) -> Peer | None:
+    kind, _, name = key.partition("/")
+    if kind != "target":
+        return None
+    domain, address = value.decode().split("|")
+    return Peer(name, domain, address)
+
+
+def encode_set(version: Version, objects: Objects) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode((version, objects)), 1)
+
+
+def decode_set(body: bytes) -> tuple[Version, Objects]:
+    try:
+        return msgspec.msgpack.decode(
+            zlib.decompress(body), type=tuple[Version, dict[str, bytes]]
+        )
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise ConfigurationError(
+            subject="set", found=str(error), expected="a set"
+        ) from error
+
+
+FORMATS = Formats(
+    digest=set_digest,
+    check=check,
+    peer=peer_of,
+    encode_set=encode_set,
+    decode_set=decode_set,
+    decode_head=decode_head_value,
+    decode_delta=decode_delta_value,
+)
+
+
+class FakePlatform:
+    """Values with versions; reads are counted, watches wait."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[int, bytes]] = {}
+        self.down = False
+        self.reads = 0
+        self.version = 0
+        self.latest = NO_VERSION
+        self.objects: Objects = {}
+        self.watches: list[Callable[[], None]] = []
+
+    def publish(self, objects: Objects, generation: int | None = None) -> Version:
+        """Publish a set; returns its version."""
+        generation = generation or self.latest.generation + 1
+        version = Version(generation, set_digest(objects))
+        step = difference(self.objects, objects, self.latest, version)
+        self.put(delta_key(generation), encode_delta_value(step))
+        self.put(SET, encode_set(version, objects))
+        self.put(HEAD, encode_head_value(version))
+        self.latest, self.objects = version, dict(objects)
+        watches, self.watches = self.watches, []
+        for wake in watches:
+            wake()
+        return version
+
+    def put(self, key: str, body: bytes) -> None:
+        self.version += 1
+        self.values[key] = (self.version, body)
+
+
+class Node:
+    """One node's decisions in the exchange."""
+
+    def __init__(self, peer: Peer, decisions: Dissemination, number: int) -> None:
+        self.peer = peer
+        self.decisions = decisions
+        self.number = number
+        self.history: list[Version] = []
+        self.reports: Counter[str] = Counter()
+        self.frozen = False
+        self.sent = 0
+        self.received = 0
+        self.scheduled = float("inf")
+
+
+class Exchange:
+    """Nodes, one platform and a queue of events in order of time."""
+
+    def __init__(self, seed: int = 0, *, one_way_s: float = 0.001) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.counter = itertools.count()
+        self.nodes: dict[str, Node] = {}
+        self.by_name: dict[str, Node] = {}
+        self.platform = FakePlatform()
+        self.one_way_s = one_way_s
+        self.loss = 0.0
+        self.jitter_s = 0.0
+        self.cut: Callable[[Peer, Peer], bool] = lambda one, other: False
+        self.platform_cut: Callable[[Peer], bool] = lambda peer: False
+        self.on_active: Callable[[Node, Version], None] = lambda node, version: None
+        self.codec = PeerCodec(authenticator=Authenticator(keys=(KEY,)))
+        self.encoded_sizes: dict[int, int] = {}
+        self.messages: Counter[str] = Counter()
+        self.incarnations = itertools.count(1)
+
+    def at(self, time: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (time, next(self.counter), event))
+
+    def run(self, until: float) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, event = heapq.heappop(self.queue)
+            event()
+        self.now = until
+
+    def start(self, peer: Peer, seeds: tuple[str, ...] = ()) -> Node:
+        """Start a node, or a new incarnation of one."""
+        decisions = Dissemination(
+            name=peer.name,
+            domain=peer.domain,
+            address=peer.address,
+            seeds=seeds,
+            formats=FORMATS,
+            live=self.is_live,
+            rng=self.rng,
+        )
+        node = Node(peer, decisions, next(self.incarnations))
+        self.nodes[peer.address] = self.by_name[peer.name] = node
+        self.carry_out(node, decisions.start(self.now))
+        return node
+
+    def stop(self, node: Node) -> None:
+        del self.nodes[node.peer.address]
+        del self.by_name[node.peer.name]
+
+    def is_live(self, name: str) -> bool:
+        """Stand for the platform's instance list: a frozen or cut node is on it."""
+        return name in self.by_name
+
+    def present(self, node: Node) -> bool:
+        return self.nodes.get(node.peer.address) is node
+
+    def when(self, node: Node, event: Callable[[], list[Action]]) -> None:
+        """Let a node take an event now, or when it thaws."""
+        if not self.present(node):
+            return
+        if node.frozen:
+            self.at(self.now + 0.1, lambda: self.when(node, event))
+            return
+        self.carry_out(node, event())
+
+    def carry_out(self, node: Node, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(node, action)
+            elif isinstance(action, ReadValue):
+                self.read(node, action)
+            elif isinstance(action, Activate):
+                node.history.append(action.version)
+                self.on_active(node, action.version)
+            elif isinstance(action, Report):
+                node.reports[action.notice] += 1
+        self.schedule(node)
+
+    def schedule(self, node: Node) -> None:
+        due = max(node.decisions.due, self.now)
+        if due < node.scheduled:
+            node.scheduled = due
+            self.at(due, lambda: self.tick(node, due))
+
+    def tick(self, node: Node, due: float) -> None:
+        if node.scheduled != due:
+            return
+        node.scheduled = float("inf")
+        self.when(node, lambda: node.decisions.tick(self.now))
+
+    def size(self, node: Node, action: Send) -> int:
+        """Return the encoded size; the same large message is encoded once."""
+        key = id(action.message)
+        envelope = Envelope(
+            node.peer.name, node.peer.address, 1, action.address, 1, action.message
+        )
+        if key not in self.encoded_sizes:
+            self.encoded_sizes[key] = len(self.codec.encode(envelope))
+            self.at(self.now, lambda: self.forget(key, action.message))
+        return self.encoded_sizes[key] + FRAME_BYTES
+
+    def forget(self, key: int, message: PeerMessage) -> None:
+        """Drop a size; the argument keeps the message, and so its id, until now."""
+        del self.encoded_sizes[key]
+
+    def send(self, node: Node, action: Send) -> None:
+        size = self.size(node, action)
+        node.sent += size
+        self.messages[type(action.message).__name__] += 1
+        target = self.nodes.get(action.address)
+        delay = self.one_way_s + self.rng.uniform(0.0, self.jitter_s)
+        if target is None or self.cut(node.peer, target.peer):
+            self.at(
+                self.now + delay,
+                lambda: self.when(
+                    node, lambda: node.decisions.unreachable(self.now, action.address)
+                ),
+            )
+            return
+        if self.rng.random() < self.loss:
+            return
+        self.at(self.now + delay, lambda: self.deliver(node, target, action, size))
+
+    def deliver(self, node: Node, target: Node, action: Send, size: int) -> None:
+        target.received += size
+        address = node.peer.address
+        self.when(
+            target,
+            lambda: target.decisions.receive(self.now, address, action.message),
+        )
+
+    def read(self, node: Node, action: ReadValue) -> None:
+        """Answer a read now, or at the next publication or end of the wait."""
+        self.platform.reads += 1
+        if self.platform.down or self.platform_cut(node.peer):
+            self.at(self.now + 0.01, lambda: self.fail(node, action, "out of reach"))
+            return
+        value = self.platform.values.get(action.key)
+        if action.wait and value is not None and value[0] == action.after:
+            self.wait(node, action)
+            return
+        self.at(self.now + 0.005, lambda: self.answer(node, action))
+
+    def wait(self, node: Node, action: ReadValue) -> None:
+        waiting = [True]
+
+        def end(*, changed: bool) -> None:
+            if waiting.pop() if waiting else False:
+                if self.platform.down or self.platform_cut(node.peer):
+                    self.fail(node, action, "out of reach")
+                elif changed:
+                    self.at(self.now + 0.005, lambda: self.answer(node, action))
+                else:
+                    self.when(node, lambda: node.decisions.unchanged(self.now))
+
+        self.platform.watches.append(lambda: end(changed=True))
+        self.at(self.now + action.wait, lambda: end(changed=False))
+
+    def answer(self, node: Node, action: ReadValue) -> None:
+        value = self.platform.values.get(action.key)
+        if value is None:
+            self.fail(node, action, "absent")
+            return
+        version, body = value
+        self.when(
+            node, lambda: node.decisions.value(self.now, action.key, version, body)
+        )
+
+    def fail(self, node: Node, action: ReadValue, detail: str) -> None:
+        self.when(
+            node, lambda: node.decisions.read_failed(self.now, action.key, detail)
+        )
+
+    def versions(self) -> set[Version]:
+        """Return the versions in force on all nodes that run."""
+        return {node.decisions.version for node in self.nodes.values()}
+
+
+def make_peers(per_domain: int, domains: int) -> list[Peer]:
+    return [
+        Peer(
+            f"n{domain}-{index}",
+            f"d{domain}",
+            f"10.{domain}.{index // 256}.{index % 256}:1",
+        )
+        for domain in range(domains)
+        for index in range(per_domain)
+    ]
+
+
+def objects_of(peers: list[Peer], **more: bytes) -> dict[str, bytes]:
+    objects = {
+        f"target/{peer.name}": f"{peer.domain}|{peer.address}".encode()
+        for peer in peers
+    }
+    objects.update({f"priority/{name}": value for name, value in more.items()})
+    return objects
+
+
+def seeds_for(peer: Peer, peers: list[Peer], rng: random.Random) -> tuple[str, ...]:
+    """Return some nodes of the same domain and of others."""
+    own = [p.address for p in peers if p.domain == peer.domain and p != peer]
+    others = [p.address for p in peers if p.domain != peer.domain]
+    chosen = rng.sample(own, min(4, len(own))) + rng.sample(others, min(2, len(others)))
+    return tuple(chosen)
+
+
+def fleet(per_domain: int, domains: int, seed: int = 0) -> tuple[Exchange, list[Peer]]:
+    """Return an exchange with a published set and all nodes started."""
+    peers = make_peers(per_domain, domains)
+    exchange = Exchange(seed)
+    exchange.platform.publish(objects_of(peers))
+    for peer in peers:
+        exchange.start(peer, seeds_for(peer, peers, exchange.rng))
+    return exchange, peers
--- /dev/null
+++ b/buckthornshed/tests/test_dissemination.py
@@ -0,0 +1,272 @@
+"""Configuration between nodes; companions remove a mechanism and show the failure."""
+
+import pytest
+
+from ..coordination import acceptance, dissemination
+from ..coordination.acceptance import Acceptance
+from ..coordination.config_log import ConfigLog
+from ..coordination.dissemination import Phase
+from ..coordination.joining import Joining, Step
+from ..protocol.peer_messages import NO_VERSION, Changes, Delta, Version, WholeSet
+from .exchange import (
+    Exchange,
+    encode_set,
+    fleet,
+    make_peers,
+    objects_of,
+    seeds_for,
+    set_digest,
+)
+
+
+@pytest.fixture
+def small():
+    exchange, peers = fleet(6, 3)
+    exchange.run(25)
+    assert len(exchange.versions()) == 1
+    return exchange, peers
+
+
+def publish(exchange, peers, **more):
+    return exchange.platform.publish(objects_of(peers, **more))
+
+
+def test_a_change_is_in_force_everywhere_within_seconds(small):
+    exchange, peers = small
+    version = publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 2)
+    assert exchange.versions() == {version}
+    assert all(node.history[-1] == version for node in exchange.nodes.values())
+
+
+def test_a_burst_is_checked_in_batches(small, monkeypatch):
+    exchange, peers = small
+    for number in range(50):
+        exchange.at(
+            exchange.now + number * 0.01,
+            lambda number=number: publish(exchange, peers, a=b"%d" % number),
+        )
+    before = {address: len(node.history) for address, node in exchange.nodes.items()}
+    exchange.run(exchange.now + 3)
+    assert exchange.versions() == {exchange.platform.latest}
+    for address, node in exchange.nodes.items():
+        assert (
+            len(node.history) - before[address] <= 0.5 / acceptance.APPLY_SPACING_S + 3
+        )
+
+
+def test_reads_follow_the_domains_and_not_the_nodes():
+    reads = {}
+    for size in (6, 24):
+        exchange, peers = fleet(size, 3)
+        exchange.run(25)
+        before = exchange.platform.reads
+        exchange.run(85)
+        publish(exchange, peers, a=b"1")
+        exchange.run(90)
+        reads[size] = exchange.platform.reads - before
+    assert reads[24] <= reads[6] * 1.5
+
+
+def test_a_refused_set_never_is_in_force_and_the_next_one_is(small):
+    exchange, peers = small
+    before = exchange.versions()
+    refused = publish(exchange, peers, broken=b"1")
+    exchange.run(exchange.now + 5)
+    assert exchange.versions() == before
+    assert any(node.reports["refused"] for node in exchange.nodes.values())
+    version = publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 5)
+    assert exchange.versions() == {version}
+    assert all(refused not in node.history for node in exchange.nodes.values())
+
+
+def test_without_the_check_a_refused_set_is_in_force(small, monkeypatch):
+    exchange, peers = small
+    monkeypatch.setattr(Acceptance, "judge", lambda self, version, objects: None)
+    refused = publish(exchange, peers, broken=b"1")
+    exchange.run(exchange.now + 5)
+    assert exchange.versions() == {refused}
+
+
+def test_a_sound_delta_before_a_refused_one_is_in_force(small):
+    exchange, peers = small
+    sound = publish(exchange, peers, a=b"1")
+    publish(exchange, peers, broken=b"1")
+    exchange.run(exchange.now + 5)
+    assert exchange.versions() == {sound}
+
+
+def test_two_sets_of_one_generation_are_reported_by_all_and_replaced(small):
+    exchange, peers = small
+    exchange.cut = lambda one, other: (one.domain == "d0") != (other.domain == "d0")
+    exchange.platform_cut = lambda peer: peer.domain == "d0"
+    first = publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 3)
+    exchange.platform_cut = lambda peer: peer.domain != "d0"
+    second = exchange.platform.publish(objects_of(peers, a=b"2"), first.generation)
+    exchange.run(exchange.now + 30)
+    assert exchange.versions() == {first, second}
+    exchange.cut = lambda one, other: False
+    exchange.platform_cut = lambda peer: False
+    exchange.run(exchange.now + 30)
+    assert exchange.versions() == {first, second}
+    assert all(node.reports["conflict"] for node in exchange.nodes.values())
+    third = publish(exchange, peers, a=b"3")
+    exchange.run(exchange.now + 10)
+    assert exchange.versions() == {third}
+
+
+def roll_back(exchange, peers):
+    """Publish twice, then restore the platform to the first publication."""
+    publish(exchange, peers, a=b"1")
+    kept = dict(exchange.platform.values)
+    version = publish(exchange, peers, a=b"2")
+    exchange.run(exchange.now + 3)
+    assert exchange.versions() == {version}
+    exchange.platform.values = kept
+    return version
+
+
+def restart(exchange, peers, peer):
+    exchange.stop(exchange.nodes[peer.address])
+    return exchange.start(peer, seeds_for(peer, peers, exchange.rng))
+
+
+def test_a_rolled_back_platform_changes_nothing_and_is_reported(small):
+    exchange, peers = small
+    version = roll_back(exchange, peers)
+    for peer in peers:
+        restart(exchange, peers, peer)
+        exchange.run(exchange.now + 3)
+    exchange.run(exchange.now + 30)
+    assert exchange.versions() == {version}
+    assert any(node.reports["platform_behind"] for node in exchange.nodes.values())
+
+
+def test_without_the_question_to_peers_a_restart_brings_back_the_older_set(
+    small, monkeypatch
+):
+    exchange, peers = small
+    version = roll_back(exchange, peers)
+    monkeypatch.setattr(Joining, "ask", lambda self, now, addresses: self.decide(now))
+    node = restart(exchange, peers, peers[0])
+    exchange.run(exchange.now + 10)
+    assert node.history[0].generation < version.generation
+
+
+def test_without_the_rising_generation_an_older_set_comes_back(small, monkeypatch):
+    exchange, peers = small
+    version = roll_back(exchange, peers)
+    node = exchange.nodes[peers[0].address]
+    older = Version(version.generation - 1, set_digest(objects_of(peers, a=b"1")))
+    message = WholeSet(older, encode_set(older, objects_of(peers, a=b"1")))
+    node.decisions.receive(exchange.now, peers[1].address, message)
+    assert node.decisions.version == version
+    log = node.decisions.acceptance.log
+    monkeypatch.setattr(type(log), "version", NO_VERSION, raising=False)
+    log.version = NO_VERSION
+    node.decisions.receive(exchange.now, peers[1].address, message)
+    assert node.decisions.version == older
+
+
+def test_a_node_without_platform_learns_from_its_peers(small):
+    exchange, peers = small
+    exchange.platform.down = True
+    node = restart(exchange, peers, peers[4])
+    exchange.run(exchange.now + 3)
+    assert node.decisions.fresh
+
+
+def test_a_node_with_neither_says_so_and_has_nothing_in_force():
+    exchange = Exchange()
+    exchange.platform.down = True
+    peer, other = make_peers(2, 1)
+    node = exchange.start(peer, (other.address,))
+    exchange.run(30)
+    assert node.decisions.version == NO_VERSION
+    assert not node.decisions.fresh
+    assert node.reports["no_source"] >= 2
+
+
+def test_all_nodes_start_at_once_with_few_reads():
+    exchange, peers = fleet(40, 3)
+    exchange.run(20)
+    assert exchange.versions() == {exchange.platform.latest}
+    assert exchange.platform.reads < len(peers)
+
+
+def test_a_woken_node_refreshes_before_it_is_fresh(small):
+    exchange, peers = small
+    node = exchange.nodes[peers[7].address]
+    node.frozen = True
+    exchange.run(exchange.now + 10)
+    version = publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 10)
+    seen: list[Version] = []
+    node.frozen = False
+    while exchange.now < 60 and not seen:
+        exchange.run(exchange.now + 0.001)
+        if node.reports["woken"] and node.decisions.fresh:
+            seen.append(node.decisions.version)
+    assert seen == [version]
+
+
+def test_without_the_refresh_a_woken_node_acts_on_the_old_set(small, monkeypatch):
+    exchange, peers = small
+    node = exchange.nodes[peers[7].address]
+    old = node.decisions.version
+    monkeypatch.setattr(dissemination, "WAKE_GAP_S", float("inf"))
+    node.frozen = True
+    publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 10)
+    # The first event after the pause is a tick, as at any event loop.
+    node.frozen = False
+    node.decisions.tick(exchange.now)
+    assert node.decisions.fresh
+    assert node.decisions.version == old
+
+
+def test_a_domain_whose_readers_fail_at_once_finds_others(small):
+    exchange, peers = small
+    readers = exchange.nodes[peers[0].address].decisions.topology.readers("d0")
+    # They stay on the instance list, which lags.
+    exchange.is_live = lambda name: True
+    for node in list(exchange.nodes.values()):
+        node.decisions.topology.live = exchange.is_live
+        if node.peer.name in readers:
+            exchange.stop(node)
+    exchange.cut = lambda one, other: one.domain != other.domain
+    exchange.run(exchange.now + 45)
+    version = publish(exchange, peers, a=b"1")
+    exchange.run(exchange.now + 45)
+    assert exchange.versions() == {version}
+
+
+def test_a_chain_from_another_set_is_replaced_by_the_whole(small):
+    exchange, peers = small
+    node = exchange.nodes[peers[0].address].decisions
+    generation = node.version.generation
+    stray = Delta(generation, generation + 1, b"d" * 32, {"priority/a": b"9"}, ())
+    actions = node.receive(exchange.now, peers[1].address, Changes((stray,)))
+    kinds = [type(getattr(action, "message", action)).__name__ for action in actions]
+    assert "Pull" in kinds
+    assert node.version.generation == generation
+
+
+def test_a_large_change_is_announced_and_pulled_once(small):
+    exchange, peers = small
+    exchange.messages.clear()
+    publish(exchange, peers, a=b"x" * dissemination.PUSH_BYTES)
+    exchange.run(exchange.now + 3)
+    assert len(exchange.versions()) == 1
+    assert exchange.messages["Changes"] <= len(peers) * 1.5
+
+
+def test_phases_start_with_joining():
+    exchange, _ = fleet(1, 1)
+    (node,) = exchange.nodes.values()
+    assert node.decisions.phase is Phase.JOINING
+    exchange.run(20)
+    assert node.decisions.joining.step is Step.DONE
+    assert isinstance(node.decisions.acceptance.log, ConfigLog)
