Run the fleet part of a node: links, platform reader, membership, budget

Cause: the decisions about configuration need a process that carries them out, a picture of which nodes can be reached, and a limit on what they send. Ruled out: one connection for each message (a handshake each); letting the gRPC library read a message before its size is known (an outsider could fill the memory); one bucket in which a whole set holds digests back for minutes (the overdraft is bounded to five seconds). Conclusion: Fleet can be wired into the node process.

--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/dissemination.py
@@ -300,7 +300,7 @@
             actions.append(Send(address, self.digest(now), Priority.DIGEST))
         if self.phase is Phase.JOINING:
             return actions
-        if address in self.topology.own_addresses:
+        if self.topology.in_own_domain(address):
             self.watch.heard(now, message.source_age)
         for version in (theirs, message.rival):
             actions += self.acceptance.compare(version or NO_VERSION)
--- a/buckthornshed/coordination/readers.py
+++ b/buckthornshed/coordination/readers.py
@@ -59,7 +59,7 @@
         self.domain = domain
         self.live = live
         self.peers: dict[str, Peer] = {}
-        self.own_addresses: set[str] = set()
+        self.names: dict[str, str] = {}
         self.ranked: dict[str, list[str]] = {}
         self.rings: list[list[str]] = [[name]]
         self.domain_rings: list[list[str]] = []
@@ -71,14 +71,13 @@
             old = self.peers.pop(name, None)
             if old is not None:
                 touched.add(old.domain)
-                self.own_addresses.discard(old.address)
+                self.names.pop(old.address, None)
         for peer in peers:
             old = self.peers.get(peer.name)
             self.peers[peer.name] = peer
             if old is not None:
-                self.own_addresses.discard(old.address)
-            if peer.domain == self.domain:
-                self.own_addresses.add(peer.address)
+                self.names.pop(old.address, None)
+            self.names[peer.address] = peer.name
             if old is None or old.domain != peer.domain:
                 touched.add(peer.domain)
                 touched.add(old.domain if old else peer.domain)
@@ -181,6 +180,11 @@
             for name in self.readers(domain)
         ]
 
+    def in_own_domain(self, address: str) -> bool:
+        """Return whether the node at an address is of this node's domain."""
+        name = self.names.get(address)
+        return name is not None and self.peers[name].domain == self.domain
+
     def addresses(self, names: Iterable[str]) -> list[str]:
         """Return where configured nodes take messages."""
         return [self.peers[name].address for name in names if name in self.peers]
--- a/buckthornshed/protocol/peer_codec.py
+++ b/buckthornshed/protocol/peer_codec.py
@@ -29,7 +29,7 @@
 )
 from .wire import peer_pb2 as wire
 
-__all__ = ["MAJOR", "MINOR", "PeerCodec", "ReplayWindow"]
+__all__ = ["MAJOR", "MAX_SIGNED_BYTES", "MINOR", "PeerCodec", "ReplayWindow"]
 
 MAJOR = 1
 """Major version of the messages; another one is refused."""
@@ -37,6 +37,9 @@
 MINOR = 0
 """Minor version; newer ones may add fields, which are ignored."""
 
+MAX_SIGNED_BYTES = MAX_MESSAGE_BYTES + 100
+"""Largest signed message."""
+
 REPLAY_SPAN = 1_024
 """How far a message may arrive behind a later one of the same sender."""
 
@@ -80,6 +83,19 @@
         self.authenticator = authenticator
 
     def encode(self, envelope: Envelope) -> bytes:
+        """Return a signed message as bytes; see ``seal`` for the errors."""
+        return self.seal(envelope).SerializeToString()
+
+    def decode(self, signed: bytes) -> Envelope:
+        """Return the envelope of a signed message; see ``open`` for the errors."""
+        if len(signed) > MAX_SIGNED_BYTES:
+            raise too_large(len(signed))
+        try:
+            return self.open(wire.Signed.FromString(signed))
+        except DecodeError as error:
+            raise malformed("bytes that do not decode", "protobuf") from error
+
+    def seal(self, envelope: Envelope) -> wire.Signed:
         """Return a signed message.
 
         Raises
@@ -100,10 +116,9 @@
         ).SerializeToString()
         if len(content) > MAX_MESSAGE_BYTES:
             raise too_large(len(content))
-        code = self.authenticator.sign(content)
-        return wire.Signed(envelope=content, code=code).SerializeToString()
+        return wire.Signed(envelope=content, code=self.authenticator.sign(content))
 
-    def decode(self, signed: bytes) -> Envelope:
+    def open(self, signed: wire.Signed) -> Envelope:
         """Return the envelope of a signed message.
 
         Raises
@@ -112,13 +127,12 @@
             If the message is too large, malformed, of another major version, or not
             signed with a valid key.
         """
-        if len(signed) > MAX_MESSAGE_BYTES + MAX_NAME_CHARS:
-            raise too_large(len(signed))
+        if len(signed.envelope) > MAX_MESSAGE_BYTES:
+            raise too_large(len(signed.envelope))
+        if not self.authenticator.verify(signed.envelope, signed.code):
+            raise malformed("a code of no valid key", "a signed message")
         try:
-            outer = wire.Signed.FromString(signed)
-            if not self.authenticator.verify(outer.envelope, outer.code):
-                raise malformed("a code of no valid key", "a signed message")
-            content = wire.Envelope.FromString(outer.envelope)
+            content = wire.Envelope.FromString(signed.envelope)
         except DecodeError as error:
             raise malformed("bytes that do not decode", "protobuf") from error
         return decode_envelope(content)
--- /dev/null
+++ b/buckthornshed/tests/test_fleet.py
@@ -0,0 +1,190 @@
+"""Nodes of the fleet over loopback, against a platform in the same process."""
+
+import random
+import socket
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+import pytest
+
+from ..coordination.fleet_actions import Activate
+from ..coordination.membership import Evidence
+from ..protocol.authentication import Authenticator
+from ..protocol.peer_codec import PeerCodec
+from ..protocol.peer_messages import Changes, Delta, Envelope, Peer, PeerState
+from ..protocol.wire.peer_pb2 import Signed
+from ..transport.fleet import Fleet, FleetSettings
+from ..transport.peers import PeerLinks, PeerServer
+from .exchange import FORMATS, KEY, FakePlatform, objects_of
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def free_ports():
+    sockets = [socket.socket() for _ in range(4)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Answers(httpx.AsyncBaseTransport):
+    """The platform's HTTP interface without a socket."""
+
+    def __init__(self, platform):
+        self.platform = platform
+
+    async def handle_async_request(self, request):
+        if self.platform.down:
+            raise httpx.ConnectError("down")
+        if request.url.path == "/v1/instances":
+            return httpx.Response(200, content=b"[]")
+        key = request.url.path.removeprefix("/v1/values/")
+        after = int(request.url.params.get("after", 0))
+        with anyio.move_on_after(float(request.url.params.get("wait", 0))):
+            while after and self.platform.values.get(key, (0, b""))[0] == after:
+                changed = anyio.Event()
+                self.platform.watches.append(changed.set)
+                await changed.wait()
+        if key not in self.platform.values:
+            return httpx.Response(404)
+        version, body = self.platform.values[key]
+        if version == after:
+            return httpx.Response(304)
+        return httpx.Response(200, headers={"X-Version": str(version)}, content=body)
+
+
+class Taken(list[object]):
+    """A sink that keeps what it is given."""
+
+    def __call__(self, event):
+        self.append(event)
+        return True
+
+
+class Watched:
+    """A fleet part whose activations can be awaited."""
+
+    def __init__(self, peer, seeds, platform, keys=(KEY,)):
+        self.send, self.receive = anyio.create_memory_object_stream[Activate](1_000)
+        self.fleet = Fleet(
+            settings=FleetSettings(
+                peer.name, peer.domain, peer.address, seeds, "http://platform", keys, 7
+            ),
+            formats=FORMATS,
+            rng=random.Random(1),
+            on_active=self.send.send_nowait,
+            on_report=lambda report: None,
+        )
+        self.fleet.reader.client = httpx.AsyncClient(
+            base_url="http://platform", transport=Answers(platform)
+        )
+
+    async def until(self, version):
+        with anyio.fail_after(20):
+            while (await self.receive.receive()).version != version:
+                pass
+
+
+@asynccontextmanager
+async def running(*nodes):
+    async with anyio.create_task_group() as tasks:
+        for node in nodes:
+            tasks.start_soon(node.fleet.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+def peers_at(ports):
+    return [Peer(f"n{i}", "d0", f"127.0.0.1:{port}") for i, port in enumerate(ports)]
+
+
+@pytest.mark.anyio
+async def test_nodes_share_a_configuration_and_survive_the_platform(free_ports):
+    peers = peers_at(free_ports)
+    addresses = tuple(peer.address for peer in peers)
+    platform = FakePlatform()
+    first = platform.publish(objects_of(peers))
+    nodes = [Watched(peer, addresses, platform) for peer in peers[:3]]
+    async with running(*nodes):
+        for node in nodes:
+            await node.until(first)
+        second = platform.publish(objects_of(peers, a=b"1"))
+        for node in nodes:
+            await node.until(second)
+        platform.down = True
+        late = Watched(peers[3], addresses, platform)
+        async with running(late):
+            await late.until(second)
+            assert late.fleet.fresh
+            assert late.fleet.dump()["generation"] == 2
+
+
+@pytest.mark.anyio
+async def test_evidence_and_leaving_reach_other_nodes(free_ports):
+    peers = peers_at(free_ports[:2])
+    platform = FakePlatform()
+    version = platform.publish(objects_of(peers))
+    one, other = (Watched(p, (), platform) for p in peers)
+    async with running(one, other):
+        await one.until(version)
+        await other.until(version)
+        with anyio.fail_after(20):
+            while other.fleet.state("n0") is not PeerState.LEAVING:
+                one.fleet.leave()
+                await anyio.sleep(0.01)
+            one.fleet.observe("n9", Evidence.FAILED)
+            while one.fleet.state("n9") is not PeerState.SUSPECT:
+                await anyio.sleep(0.01)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("key", [KEY, b"x" * 32])
+async def test_only_a_message_with_the_key_reaches_the_decisions(free_ports, key):
+    address = f"127.0.0.1:{free_ports[0]}"
+    taken = Taken()
+    codec = PeerCodec(authenticator=Authenticator(keys=(KEY,)))
+    server = PeerServer(address=address, codec=codec, sink=taken)
+    links = PeerLinks(sink=lambda event: True)
+    delta = Delta(1, 2, b"d", {"priority/a": b"1"}, ())
+    message = Envelope("n1", "127.0.0.1:1", 7, address, 1, Changes((delta,)))
+    signed = PeerCodec(authenticator=Authenticator(keys=(key,))).seal(message)
+    async with anyio.create_task_group() as tasks:
+        started = anyio.Event()
+        tasks.start_soon(server.serve, started.set)
+        await started.wait()
+        for _ in range(2):
+            links.send(tasks, address, signed)
+        with anyio.fail_after(20):
+            while links.sent < 2:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    # The second one is a replay.
+    assert len(taken) == (1 if key == KEY else 0)
+    assert server.refused == (1 if key == KEY else 2)
+
+
+@pytest.mark.anyio
+async def test_a_message_that_announces_too_much_is_refused(free_ports):
+    address = f"127.0.0.1:{free_ports[0]}"
+    codec = PeerCodec(authenticator=Authenticator(keys=(KEY,)))
+    server = PeerServer(address=address, codec=codec, sink=lambda event: True)
+    lost = Taken()
+    links = PeerLinks(sink=lost)
+    async with anyio.create_task_group() as tasks:
+        started = anyio.Event()
+        tasks.start_soon(server.serve, started.set)
+        await started.wait()
+        links.send(tasks, address, Signed(envelope=b"x" * 2_000_000))
+        with anyio.fail_after(20):
+            while not lost:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert "RESOURCE_EXHAUSTED" in str(lost[0])
--- /dev/null
+++ b/buckthornshed/transport/peers.py
@@ -0,0 +1,253 @@
+"""Messages between nodes over gRPC: one server, and one task for each link.
+
+A link is a persistent connection to one node. Its task owns the connection; others
+hand it messages through a bounded stream.
+"""
+
+import struct
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+
+from ..errors import PeerError
+from ..protocol.peer_codec import MAX_SIGNED_BYTES, PeerCodec, ReplayWindow
+from ..protocol.peer_messages import Envelope
+from ..protocol.wire.peer_grpc import PeerBase, PeerStub
+from ..protocol.wire.peer_pb2 import Receipt, Signed
+
+__all__ = ["Delivered", "Lost", "PeerLinks", "PeerServer", "split_address"]
+
+DELIVERY_TIMEOUT_S = 2.0
+"""How long the receipt of a message is awaited."""
+
+IDLE_S = 60.0
+"""A link that sent nothing for this time is closed."""
+
+MAX_LINKS = 64
+"""Links at a time; the least recently used one is closed for another."""
+
+MAX_QUEUED = 64
+"""Messages that wait for one link."""
+
+PREFIX_BYTES = 5
+"""Length of the flag and size before a gRPC message."""
+
+
+class Delivered(NamedTuple):
+    """A message of another node that is authentic and new."""
+
+    envelope: Envelope
+
+
+class Lost(NamedTuple):
+    """A message could not be delivered to an address."""
+
+    address: str
+    detail: str
+
+
+Sink = Callable[[Delivered | Lost], bool]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    Raises
+    ------
+    PeerError
+        If there is no port.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise PeerError(subject="address", found=address, expected="host:port")
+    return host, int(port)
+
+
+class PeerServer(PeerBase):
+    """Take messages of other nodes.
+
+    Parameters
+    ----------
+    address : str
+        Where to listen; messages for other addresses are refused.
+    codec : PeerCodec
+        Codec with the keys of the fleet.
+    sink : callable
+        Takes each authentic message; returns whether there was room for it.
+    """
+
+    def __init__(self, *, address: str, codec: PeerCodec, sink: Sink) -> None:
+        self.address = address
+        self.codec = codec
+        self.sink = sink
+        self.window = ReplayWindow()
+        self.accepted = 0
+        self.refused = 0
+
+    async def Deliver(self, stream: Any) -> None:  # noqa: N802
+        """Handle one call of the service."""
+        with anyio.fail_after(DELIVERY_TIMEOUT_S):
+            signed = await receive_bounded(stream)
+        taken = signed is not None and self.take(signed)
+        self.accepted += taken
+        self.refused += not taken
+        await stream.send_message(Receipt(accepted=taken))
+
+    def take(self, signed: Signed) -> bool:
+        """Pass on a message that is authentic, meant for this node and new."""
+        try:
+            envelope = self.codec.open(signed)
+        except PeerError:
+            return False
+        if envelope.recipient != self.address or not self.window.accept(envelope):
+            return False
+        return self.sink(Delivered(envelope))
+
+    async def serve(self, started: Callable[[], None]) -> None:
+        """Listen until cancelled; ``started`` is called when it listens."""
+        host, port = split_address(self.address)
+        server = Server([self])
+        await server.start(host, port)
+        started()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                await server.wait_closed()
+
+
+async def receive_bounded(stream: Any) -> Signed | None:
+    """Read one message whose size is checked before its content is read.
+
+    The library reads a message of any announced size into memory, so the prefix and the
+    content are read from the HTTP/2 stream below it.
+
+    Raises
+    ------
+    GRPCError
+        If the message is larger than ``MAX_SIGNED_BYTES``.
+    """
+    prefix = await stream._stream.recv_data(PREFIX_BYTES)
+    if len(prefix) < PREFIX_BYTES:
+        return None
+    _, size = struct.unpack(">?I", prefix)
+    if size > MAX_SIGNED_BYTES:
+        raise GRPCError(Status.RESOURCE_EXHAUSTED, f"at most {MAX_SIGNED_BYTES} bytes")
+    content = await stream._stream.recv_data(size)
+    return stream._codec.decode(content, Signed)  # type: ignore[no-any-return]
+
+
+class Link(NamedTuple):
+    """The stream to the task of a link."""
+
+    messages: MemoryObjectSendStream[Signed]
+    scope: anyio.CancelScope
+
+
+class PeerLinks:
+    """Send messages to other nodes.
+
+    Parameters
+    ----------
+    sink : callable
+        Takes note of each message that could not be delivered.
+    """
+
+    def __init__(self, *, sink: Sink) -> None:
+        self.sink = sink
+        self.links: OrderedDict[str, Link] = OrderedDict()
+        self.sent = 0
+        self.sent_bytes = 0
+        self.lost = 0
+
+    def send(self, tasks: TaskGroup, address: str, signed: Signed) -> None:
+        """Hand a message to the link of an address, which is opened if need be."""
+        link = self.links.get(address) or self.open(tasks, address)
+        self.links.move_to_end(address)
+        try:
+            link.messages.send_nowait(signed)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            self.lose(address, "its link is full")
+
+    def open(self, tasks: TaskGroup, address: str) -> Link:
+        """Start the task of a link."""
+        if len(self.links) >= MAX_LINKS:
+            _, oldest = self.links.popitem(last=False)
+            oldest.messages.close()
+        send, receive = anyio.create_memory_object_stream[Signed](MAX_QUEUED)
+        link = Link(send, anyio.CancelScope())
+        self.links[address] = link
+
+        async def run() -> None:
+            try:
+                with link.scope:
+                    await self.run(address, receive.receive)
+            finally:
+                receive.close()
+                send.close()
+                if self.links.get(address) is link:
+                    del self.links[address]
+
+        tasks.start_soon(run, name=f"link {address}")
+        return link
+
+    async def run(self, address: str, receive: Callable[[], Awaitable[Signed]]) -> None:
+        """Deliver messages over one connection until it fails or is idle."""
+        host, port = split_address(address)
+        channel = Channel(host, port)
+        stub = PeerStub(channel)
+        try:
+            while True:
+                with anyio.fail_after(IDLE_S):
+                    signed = await receive()
+                await self.deliver(stub, signed)
+        except (TimeoutError, anyio.EndOfStream):
+            return
+        except DeliveryError as error:
+            self.lose(address, str(error))
+        finally:
+            channel.close()
+
+    async def deliver(self, stub: PeerStub, signed: Signed) -> None:
+        """Deliver one message and await its receipt.
+
+        Raises
+        ------
+        DeliveryError
+            If the node cannot be reached or does not answer in time.
+        """
+        try:
+            with anyio.fail_after(DELIVERY_TIMEOUT_S):
+                await stub.Deliver(signed)
+        except (
+            OSError,
+            TimeoutError,
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+        ) as error:
+            raise DeliveryError(
+                subject="delivery",
+                found=f"{type(error).__name__}: {error}",
+                expected="a receipt",
+            ) from error
+        self.sent += 1
+        self.sent_bytes += signed.ByteSize()
+
+    def lose(self, address: str, detail: str) -> None:
+        """Count and report a message that was not delivered."""
+        self.lost += 1
+        self.sink(Lost(address, detail))
+
+
+class DeliveryError(PeerError):
+    """A message could not be delivered."""
--- /dev/null
+++ b/buckthornshed/transport/platform_reader.py
@@ -0,0 +1,127 @@
+"""Reads of the platform over HTTP, each of them counted."""
+
+from typing import NamedTuple
+
+import httpx
+import msgspec
+
+from ..errors import PlatformError
+from ..protocol.peer_messages import MAX_SET_BYTES, NodeState, PeerState
+
+__all__ = ["PlatformReader", "Unchanged", "Value"]
+
+TIMEOUT_S = 5.0
+"""How long an answer is awaited, beyond the wait that was asked for."""
+
+MAX_LIST_BYTES = 4_000_000
+"""Largest list of instances."""
+
+STATES = {"live": PeerState.LIVE, "leaving": PeerState.LEAVING}
+
+
+class Value(NamedTuple):
+    """A value, and the platform's count of its changes."""
+
+    version: int
+    body: bytes
+
+
+class Unchanged(NamedTuple):
+    """A watch that ended without a change."""
+
+
+class Instance(msgspec.Struct):
+    """One entry of the list of instances."""
+
+    name: str
+    incarnation: int
+    state: str
+
+
+LIST_DECODER = msgspec.json.Decoder(list[Instance])
+
+
+class PlatformReader:
+    """Read and watch values.
+
+    Parameters
+    ----------
+    url : str
+        Base address of the platform, such as ``http://127.0.0.1:8000``.
+    """
+
+    def __init__(self, *, url: str) -> None:
+        self.client = httpx.AsyncClient(base_url=url, timeout=TIMEOUT_S)
+        self.reads = 0
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.client.aclose()
+
+    async def read(
+        self, key: str, *, after: int = 0, wait: float = 0.0
+    ) -> Value | Unchanged:
+        """Read a value; with ``wait``, once it has another version than ``after``.
+
+        Raises
+        ------
+        PlatformError
+            If the platform is out of reach, the value is absent, or the answer cannot
+            be used.
+        """
+        parameters = {"after": str(after), "wait": f"{wait:g}"} if wait else {}
+        status, headers, body = await self.get(
+            f"/v1/values/{key}", parameters, MAX_SET_BYTES, wait
+        )
+        if status == httpx.codes.NOT_MODIFIED:
+            return Unchanged()
+        version = headers.get("X-Version", "")
+        if not version.isdecimal():
+            raise unusable(key, f"version {version!r}", "a number")
+        return Value(int(version), body)
+
+    async def instances(self) -> tuple[NodeState, ...]:
+        """Read the list of instances, which lags.
+
+        Raises
+        ------
+        PlatformError
+            If the platform is out of reach or the list cannot be used.
+        """
+        path = "/v1/instances"
+        _, _, body = await self.get(path, {}, MAX_LIST_BYTES, 0.0)
+        try:
+            entries = LIST_DECODER.decode(body)
+        except msgspec.DecodeError as error:
+            raise unusable(path, str(error), "a list of instances") from error
+        return tuple(
+            NodeState(entry.name, entry.incarnation, STATES[entry.state])
+            for entry in entries
+            if entry.state in STATES
+        )
+
+    async def get(
+        self, path: str, parameters: dict[str, str], limit: int, wait: float
+    ) -> tuple[int, httpx.Headers, bytes]:
+        """Make one request and read at most ``limit`` bytes of the answer."""
+        self.reads += 1
+        timeout = httpx.Timeout(TIMEOUT_S, read=TIMEOUT_S + wait)
+        request = self.client.stream("GET", path, params=parameters, timeout=timeout)
+        body = bytearray()
+        try:
+            async with request as response:
+                async for chunk in response.aiter_bytes():
+                    body += chunk
+                    if len(body) > limit:
+                        raise unusable(path, "a longer value", f"{limit} bytes")
+        except httpx.HTTPError as error:
+            found = f"{type(error).__name__}: {error}"
+            raise unusable(path, found, "an answer") from error
+        if response.status_code not in (httpx.codes.OK, httpx.codes.NOT_MODIFIED):
+            raise unusable(path, f"status {response.status_code}", "200")
+        return response.status_code, response.headers, bytes(body)
+
+
+def unusable(subject: str, found: str, expected: str) -> PlatformError:
+    """Return the error of an answer that cannot be used."""
+    return PlatformError(subject=subject, found=found, expected=expected)
