--- a/buckthornshed/tests/exchange.py
+++ b/buckthornshed/tests/exchange.py
@@ -134,6 +134,7 @@
         self.decisions = decisions
         self.number = number
         self.history: list[Version] = []
+        self.since: list[tuple[Version, float]] = []
         self.reports: Counter[str] = Counter()
         self.frozen = False
         self.sent = 0
@@ -151,6 +152,7 @@
         self.counter = itertools.count()
         self.nodes: dict[str, Node] = {}
         self.by_name: dict[str, Node] = {}
+        self.started: dict[int, float] = {}
         self.platform = FakePlatform()
         self.one_way_s = one_way_s
         self.loss = 0.0
@@ -184,6 +186,7 @@
             rng=self.rng,
         )
         node = Node(peer, decisions, next(self.incarnations))
+        self.started[node.number] = self.now
         self.nodes[peer.address] = self.by_name[peer.name] = node
         self.carry_out(node, decisions.start(self.now))
         return node
@@ -216,6 +219,7 @@
                 self.read(node, action)
             elif isinstance(action, Activate):
                 node.history.append(action.version)
+                node.since.append((action.version, self.now))
                 self.on_active(node, action.version)
             elif isinstance(action, Report):
                 node.reports[action.notice] += 1
