Put the decisions together in the node

Cause: the thin path started each call at once and answered without allowance, admission, keys, drain or a pause rule. Ruled out: refusing keyed work before its key was looked up; a repeat whose first attempt ran would then be told that it had not run. Conclusion: NodeCore is what the transport and the scenarios drive alike.

--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -1,30 +1,78 @@
 """Calls to services: where each one goes, and the one answer that comes back."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..protocol.http import first
 from ..protocol.messages import Answer, Call, Fault, refusal
-from ..protocol.outcome import Outcome, Reason
+from ..protocol.outcome import REASONS, Outcome, Reason
 from .actions import CancelPeer, Reply, SendPeer
-from .view import View
+from .allowance import AllowanceAccount
+from .integrity import (
+    HopEvent,
+    KeySource,
+    Progress,
+    Resend,
+    Sends,
+    hop_outcome,
+)
+from .keys import parse_key
+from .ownership import mint_owned
+from .routing import Router
+from .shift import provider_of
+from .thresholds import DownstreamThresholds, level
+from .view import RoutePolicies, View
 
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["Egress", "EgressAction", "PendingCall"]
+__all__ = ["ACCOUNT_HEADER", "Egress", "EgressAction", "PendingCall"]
 
 EXCHANGE_BITS = 63
+THRESHOLD_ENTRIES = 4_096
+ACCOUNT_HEADER = b"buckthornshed-account"
+
+RESENDABLE = frozenset(
+    {
+        None,
+        Reason.DRAINING,
+        Reason.STALE_VIEW,
+        Reason.NO_CONFIGURATION,
+        Reason.NO_TARGET,
+        Reason.QUEUE_FULL,
+        Reason.KEY_TABLE_FULL,
+        Reason.KEY_UNPROVEN,
+        Reason.ANSWER_LOST,
+        Reason.ANSWER_INVALID,
+    }
+)
+"""Reasons after which another send can end differently.
+
+A refusal for overload is not among them: one request meets one decision.
+"""
 
 EgressAction = SendPeer | CancelPeer | Reply
 
 
 @dataclass(slots=True, kw_only=True)
 class PendingCall:
-    """A call that has not been answered yet."""
+    """A call that has not been answered yet.
+
+    ``exchange`` is None between two sends; the next one is then due at
+    ``resend_at``.
+    """
 
     token: int
     call: Call
-    target: str
+    policies: RoutePolicies
+    account: AllowanceAccount
+    sends: Sends
+    provider: str | None
+    tried: list[str] = field(default_factory=list)
+    target: str = ""
+    exchange: int | None = None
+    sent_at: float = 0.0
+    resend_at: float = 0.0
 
 
 class Egress:
@@ -32,55 +80,292 @@
 
     Parameters
     ----------
+    name : str
+        Name of the target beside the node.
+    domain : str
+        Failure domain of the node.
     rng : random.Random
-        Source of exchange numbers.
+        Source of exchange numbers, keys and choices.
     """
 
-    def __init__(self, *, rng: "Random") -> None:
+    def __init__(self, *, name: str, domain: str, rng: "Random") -> None:
+        self.name = name
+        self.domain = domain
         self.rng = rng
+        self.view: View | None = None
+        self.leaving = False
+        self.routers: dict[str, Router] = {}
+        self.thresholds = DownstreamThresholds(entries=THRESHOLD_ENTRIES)
         self.pending: dict[int, PendingCall] = {}
-        self.exchanges: dict[int, int] = {}
+        self.exchanges: dict[int, PendingCall] = {}
+        self.resends = 0
+
+    def configure(self, now: float, view: View) -> None:
+        """Bring a view into force; calls in flight go on."""
+        self.view = view
+        for service, router in self.routers.items():
+            router.update(now, view.targets_of(service))
+
+    def mark_leaving(self, now: float, target: str) -> None:
+        """Send no new work to a target that drains."""
+        for router in self.routers.values():
+            router.mark_leaving(now, target)
 
     def send(
-        self, now: float, token: int, call: Call, view: View
+        self,
+        now: float,
+        wall: float,
+        token: int,
+        call: Call,
+        *,
+        policies: RoutePolicies,
+        account: AllowanceAccount,
+        key_source: KeySource,
     ) -> list[EgressAction]:
         """Send a call under the driver's token."""
-        targets = sorted(view.targets_of(call.service))
-        if not targets:
-            return [Reply(token, _refuse(call, Reason.NO_TARGET))]
-        target = self.rng.choice(targets)
-        exchange = self.rng.getrandbits(EXCHANGE_BITS)
-        sent = call._replace(context=call.context._replace(exchange=exchange))
-        self.pending[exchange] = PendingCall(token=token, call=sent, target=target)
-        self.exchanges[token] = exchange
-        return [SendPeer(exchange, target, sent)]
+        pending = PendingCall(
+            token=token,
+            call=call,
+            policies=policies,
+            account=account,
+            sends=Sends(repeatable=policies.repeatable, key=key_source),
+            provider=self._provider(call),
+        )
+        if key_source is not KeySource.BROUGHT and self._is_doomed(now, call):
+            return [self._reply(pending, Reason.OVERLOAD)]
+        self.pending[token] = pending
+        return self._dispatch(now, wall, pending)
 
-    def answered(self, now: float, answer: Answer) -> list[EgressAction]:
+    def answered(self, now: float, wall: float, answer: Answer) -> list[EgressAction]:
         """Take the answer of an exchange."""
-        pending = self.pending.pop(answer.exchange, None)
+        pending = self.exchanges.pop(answer.exchange, None)
         if pending is None:
             return []
-        self.exchanges.pop(pending.token, None)
-        return [Reply(pending.token, answer)]
+        pending.exchange = None
+        pending.account.settle(answer.exchange, answer.unspent)
+        self._learn(now, pending, answer)
+        by_owner = not pending.policies.repeatable
+        told = pending.sends.ended(answer.outcome, answer.reason, by_owner=by_owner)
+        if answer.outcome is Outcome.COMPLETE or not self._may_resend(
+            now, pending, answer.reason
+        ):
+            del self.pending[pending.token]
+            unspent = pending.account.available
+            return [
+                Reply(pending.token, answer._replace(outcome=told, unspent=unspent))
+            ]
+        return self._resend(now, wall, pending)
 
-    def failed(self, now: float, fault: Fault) -> list[EgressAction]:
+    def failed(self, now: float, wall: float, fault: Fault) -> list[EgressAction]:
         """Take the fault of an exchange."""
-        pending = self.pending.pop(fault.exchange, None)
+        pending = self.exchanges.pop(fault.exchange, None)
         if pending is None:
             return []
-        self.exchanges.pop(pending.token, None)
-        outcome = Outcome.UNKNOWN if fault.started else Outcome.NOT_RUN
+        pending.exchange = None
+        pending.account.settle(fault.exchange, None)
+        self._router(now, pending.call.service).failed(now, pending.target, fault)
+        progress = Progress.STARTED if fault.started else Progress.HELD
+        event = HopEvent.FAULT_SENT if fault.started else HopEvent.FAULT_UNSENT
         reason = Reason.ANSWER_LOST if fault.started else Reason.NO_TARGET
-        return [Reply(pending.token, _refuse(pending.call, reason, outcome))]
+        pending.sends.ended(hop_outcome(progress, event), reason)
+        if not self._may_resend(now, pending, reason):
+            del self.pending[pending.token]
+            return [self._reply(pending, reason)]
+        return self._resend(now, wall, pending)
 
     def abandoned(self, now: float, token: int) -> list[EgressAction]:
         """Take the news that the caller behind a token went away."""
-        exchange = self.exchanges.pop(token, None)
+        pending = self.pending.pop(token, None)
+        return [] if pending is None else self._cancel(now, pending)
+
+    def tick(self, now: float, wall: float) -> list[EgressAction]:
+        """Give up what has passed its deadline; send again what is due."""
+        actions: list[EgressAction] = []
+        for token, pending in list(self.pending.items()):
+            if pending.call.context.deadline <= now:
+                del self.pending[token]
+                actions += self._expire(now, pending)
+            elif pending.exchange is None and pending.resend_at <= now:
+                actions += self._dispatch(now, wall, pending)
+        return actions
+
+    def _provider(self, call: Call) -> str | None:
+        assert self.view is not None
+        shift = self.view.shift_of(call.service)
+        if shift is None:
+            return None
+        account = (first(call.headers, ACCOUNT_HEADER) or b"").decode("latin-1")
+        request_id = call.context.request_id
+        return provider_of(shift, request_id=request_id, account=account).provider
+
+    def _is_doomed(self, now: float, call: Call) -> bool:
+        """Whether all known targets of the service would refuse the call."""
+        context = call.context
+        importance = level(context.priority, context.request_id)
+        return importance < self.thresholds.of_service(now, call.service)
+
+    def _dispatch(
+        self, now: float, wall: float, pending: PendingCall
+    ) -> list[EgressAction]:
+        self._renew_key(now, wall, pending)
+        target = self._choose(now, pending)
+        if target is None:
+            del self.pending[pending.token]
+            return [self._reply(pending, Reason.NO_TARGET)]
+        exchange = self.rng.getrandbits(EXCHANGE_BITS)
+        allowance = pending.account.lend(exchange, pending.account.share())
+        context = pending.call.context._replace(exchange=exchange, allowance=allowance)
+        pending.exchange = exchange
+        pending.target = target
+        pending.sent_at = now
+        if target not in pending.tried:
+            pending.tried.append(target)
+        self.exchanges[exchange] = pending
+        self._router(now, pending.call.service).sent(now, target)
+        return [SendPeer(exchange, target, pending.call._replace(context=context))]
+
+    def _renew_key(self, now: float, wall: float, pending: PendingCall) -> None:
+        """Mint the key of unrepeatable work that came without one.
+
+        Whoever mints a key chooses its owner with it: a target that the router
+        would choose. After a refusal as not run nobody else knows the former key.
+        """
+        if pending.sends.key is not KeySource.MINTED:
+            return
+        if pending.sends.outcome is not Outcome.NOT_RUN:
+            return
+        assert self.view is not None
+        wanted = self._routed(now, pending, fallback=True)
+        owners = self.view.owners_of(pending.call.service)
+        names = [owner for owner in owners.owners if _target_of(owner) == wanted]
+        key = mint_owned(wall=wall, rng=self.rng, owners=owners, wanted=names)
+        context = pending.call.context._replace(key=key)
+        pending.call = pending.call._replace(context=context)
+
+    def _choose(self, now: float, pending: PendingCall) -> str | None:
+        if pending.policies.repeatable:
+            return self._routed(now, pending, fallback=True)
+        assert self.view is not None
+        key = pending.call.context.key
+        if key is None:
+            return None
+        owners = self.view.owners_of(pending.call.service)
+        owner = owners.owner_of(parse_key(key).raw)
+        return None if owner is None else _target_of(owner)
+
+    def _routed(
+        self, now: float, pending: PendingCall, *, fallback: bool
+    ) -> str | None:
+        context = pending.call.context
+        importance = level(context.priority, context.request_id)
+        excluded = [*pending.tried, self.name] if self.leaving else pending.tried
+        router = self._router(now, pending.call.service)
+        target = router.choose(
+            now, exclude=excluded, provider=pending.provider, level=importance
+        )
+        if target is None and fallback and pending.tried:
+            return pending.tried[-1]
+        return target
+
+    def _router(self, now: float, service: str) -> Router:
+        router = self.routers.get(service)
+        if router is None:
+            assert self.view is not None
+            router = Router(
+                service=service,
+                local_domain=self.domain,
+                region_of=self._region_of,
+                rng=self.rng,
+            )
+            router.update(now, self.view.targets_of(service))
+            self.routers[service] = router
+        return router
+
+    def _region_of(self, domain: str) -> str | None:
+        return None if self.view is None else self.view.region_of(domain)
+
+    def _learn(self, now: float, pending: PendingCall, answer: Answer) -> None:
+        service, target = pending.call.service, pending.target
+        router = self._router(now, service)
+        complete = answer.outcome is Outcome.COMPLETE
+        latency = now - pending.sent_at if complete else None
+        router.answered(now, target, answer.signal, latency)
+        if answer.signal.draining:
+            router.mark_leaving(now, target)
+        self.thresholds.learn(now, service, target, answer.signal.threshold)
+
+    def _may_resend(
+        self, now: float, pending: PendingCall, reason: Reason | None
+    ) -> bool:
+        """Whether the call is sent again; takes one from the allowance if so."""
+        sends, policies = pending.sends, pending.policies
+        if reason not in RESENDABLE or sends.resend is Resend.NOWHERE:
+            return False
+        if reason is Reason.KEY_UNPROVEN and sends.key is not KeySource.MINTED:
+            return False
+        after_failure = policies.retry.get("after", "failure") == "failure"
+        harmless = sends.outcome is Outcome.NOT_RUN or not policies.repeatable
+        if not (harmless or after_failure):
+            return False
+        if pending.call.context.deadline <= now:
+            return False
+        return pending.account.spend()
+
+    def _resend(
+        self, now: float, wall: float, pending: PendingCall
+    ) -> list[EgressAction]:
+        self.resends += 1
+        if self._has_other(now, pending):
+            return self._dispatch(now, wall, pending)
+        backoff = pending.policies.retry["backoff_ms"] / 1e3
+        pending.resend_at = now + backoff * (0.5 + self.rng.random())
+        return []
+
+    def _has_other(self, now: float, pending: PendingCall) -> bool:
+        """Whether a target is left that this call has not tried."""
+        minted = pending.sends.key is KeySource.MINTED
+        if not pending.policies.repeatable and not (
+            minted and pending.sends.outcome is Outcome.NOT_RUN
+        ):
+            return False
+        return self._routed(now, pending, fallback=False) is not None
+
+    def _cancel(self, now: float, pending: PendingCall) -> list[EgressAction]:
+        exchange = pending.exchange
         if exchange is None:
             return []
-        self.pending.pop(exchange, None)
+        self.exchanges.pop(exchange, None)
+        pending.account.settle(exchange, None)
+        self._router(now, pending.call.service).cancelled(now, pending.target)
         return [CancelPeer(exchange)]
 
+    def _expire(self, now: float, pending: PendingCall) -> list[EgressAction]:
+        held = pending.exchange is None
+        progress = Progress.HELD if held else Progress.STARTED
+        outcome = hop_outcome(progress, HopEvent.EXPIRED)
+        pending.sends.ended(outcome, Reason.DEADLINE)
+        cancelled = self._cancel(now, pending)
+        return [*cancelled, self._reply(pending, Reason.DEADLINE)]
+
+    def _reply(self, pending: PendingCall, reason: Reason) -> Reply:
+        retry_after = None
+        if REASONS[reason].retry_later:
+            retry_after = self._retry_after(pending.call.service)
+        answer = refusal(
+            exchange=0,
+            outcome=pending.sends.told,
+            reason=reason,
+            unspent=pending.account.available,
+            retry_after=retry_after,
+        )
+        return Reply(pending.token, answer)
+
+    def _retry_after(self, service: str) -> float:
+        assert self.view is not None
+        policy = self.view.admission_of(service)
+        least, greatest = policy["retry_after_min_s"], policy["retry_after_max_s"]
+        return self.rng.uniform(least, max(least, greatest))
+
 
-def _refuse(call: Call, reason: Reason, outcome: Outcome = Outcome.NOT_RUN) -> Answer:
-    return refusal(exchange=call.context.exchange, outcome=outcome, reason=reason)
+def _target_of(owner: str) -> str:
+    return owner.partition("@")[0]
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -1,175 +1,401 @@
 """The decisions of one node: edge, egress and ingress put together."""
 
 from collections import deque
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from ..protocol.http import KEY_HEADER, Request, first, forwardable
-from ..protocol.messages import Answer, Call, CallContext, Fault, Pairs, refusal
+from ..protocol.http import Request, forwardable
+from ..protocol.messages import Answer, Call, Fault, Pairs, refusal
 from ..protocol.outcome import Outcome, Reason
-from .actions import Action, Reply, SendPeer
+from .actions import Action, CancelPeer, Reply, SendPeer
+from .deadlines import deadline_below
+from .drain import DrainState
+from .edge import Edge, key_of
 from .egress import Egress
-from .ingress import Ingress
-from .view import RouteMatch, View
+from .handover import OwnerQuery, OwnerReply, OwnershipGate
+from .idempotency import KeyTable, Refused
+from .ingress import Ingress, RunningCall
+from .integrity import KeySource
+from .keys import derive_key, fingerprint
+from .ownership import owner_id
+from .pause import PauseDetector
+from .view import RoutePolicies, View
 
 if TYPE_CHECKING:
     from random import Random
 
 __all__ = ["NodeCore"]
 
-REQUEST_ID_BYTES = 16
 DEPTH_MAX = 32
+ORDINAL_BYTES = 8
+STALE_RETRY_S = 1.0
+NANOSECONDS = 1e9
+
+SHED_REASONS = frozenset({Reason.OVERLOAD, Reason.QUEUE_FULL})
 
 
 class NodeCore:
     """Takes requests, answers and faults; returns actions.
 
+    Times are ``now``, seconds of the monotonic clock, and ``wall``, seconds of the
+    wall clock.
+
     Parameters
     ----------
     name : str
         Name of the target beside the node.
+    domain : str
+        Failure domain of the node.
     rng : random.Random
         Source of identifiers and choices.
+    now : float
+        Start of the node.
     incarnation : int
-        Start time of the node, nanoseconds of the wall clock.
+        Start of the node, nanoseconds of the wall clock.
+    drain_s : float
+        Greatest time that a drain may take, seconds.
     """
 
-    def __init__(self, *, name: str, rng: "Random", incarnation: int) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        rng: "Random",
+        now: float,
+        incarnation: int,
+        drain_s: float,
+    ) -> None:
         self.name = name
         self.rng = rng
         self.incarnation = incarnation
         self.view: View | None = None
-        self.egress = Egress(rng=rng)
-        self.ingress = Ingress(slots=1, queue=0, incarnation=incarnation)
+        self.drain = DrainState(deadline_s=drain_s)
+        self.pause = PauseDetector(now=now)
+        self.edge = Edge(rng=rng)
+        self.egress = Egress(name=name, domain=domain, rng=rng)
+        self.ingress = Ingress(incarnation=incarnation, drain=self.drain, rng=rng)
+        self.gate: OwnershipGate | None = None
+        self.keys: KeyTable | None = None
         self.peers: dict[int, int] = {}
         self.peer_exchanges: dict[int, int] = {}
+        self.parents: dict[int, RunningCall] = {}
+
+    # Configuration, ownership and life cycle.
 
-    def configure(self, now: float, view: View) -> None:
+    def configure(self, now: float, wall: float, view: View) -> None:
         """Bring a view into force."""
         self.view = view
-        if view.own is None:
-            return
-        self.ingress.slots = view.own["slots"]
-        self.ingress.queue = view.admission_of(view.own["service"])["queue"]
+        if view.own is not None:
+            self._configure_keys(wall, view, view.own["service"])
+        self.egress.configure(now, view)
+        self.ingress.configure(view, self.keys)
+
+    def owner_query(self) -> OwnerQuery | None:
+        """Return what to ask the other owners, until this node acts as one."""
+        return None if self.gate is None else self.gate.query()
+
+    def owner_asked(self, query: OwnerQuery) -> OwnerReply | None:
+        """Return the reply to another owner."""
+        return None if self.gate is None else self.gate.asked(query)
+
+    def owner_heard(self, wall: float, reply: OwnerReply) -> bool:
+        """Take a reply; return whether this node acts as an owner from now on."""
+        return self.gate is not None and self.gate.heard(wall, reply)
+
+    def owner_peers(self) -> list[str]:
+        """Return the names of the other targets that may own keys."""
+        peers = () if self.gate is None else self.gate.peers
+        return [peer.partition("@")[0] for peer in peers]
+
+    def stop(self, now: float) -> list[str]:
+        """Begin to drain; return the callers to tell."""
+        callers = self.drain.stop(now)
+        self.egress.leaving = True
+        return callers
+
+    def refreshed(self, asked: float) -> None:
+        """Note that the view was confirmed by answers to questions put at `asked`."""
+        self.pause.refreshed(asked)
+        self.ingress.fresh = self.pause.fresh
+
+    # Requests.
 
-    def client_request(self, now: float, token: int, request: Request) -> list[Action]:
+    def client_request(
+        self, now: float, wall: float, token: int, request: Request
+    ) -> list[Action]:
         """Take a request of an outside client for the service of this node."""
+        self._observe(now, wall)
         if self.view is None or self.view.own is None:
-            return [Reply(token, _refuse(Reason.NO_CONFIGURATION))]
+            return [_refused(token, Reason.NO_CONFIGURATION, STALE_RETRY_S)]
+        if not self.pause.fresh:
+            return [_refused(token, Reason.STALE_VIEW, STALE_RETRY_S)]
         service = self.view.own["service"]
-        match = self.view.match(service, request.method, request.path)
-        if match is None:
-            return [Reply(token, _refuse(Reason.NO_ROUTE))]
-        context = self._mint(now, request, match)
-        return self._send(now, token, _call(context, service, request))
+        policies = self.view.match(service, request.method, request.path)
+        if policies is None:
+            return [_refused(token, Reason.NO_ROUTE)]
+        minted = self.edge.mint(now, wall, token, request, policies)
+        if isinstance(minted, Refused):
+            answer = refusal(exchange=0, outcome=minted.outcome, reason=minted.reason)
+            return [Reply(token, answer)]
+        call = Call(
+            context=minted.context,
+            service=service,
+            method=request.method,
+            path=request.path,
+            headers=forwardable(request.headers),
+            body=request.body,
+        )
+        source = KeySource.NONE if policies.repeatable else minted.key_source
+        sent = self.egress.send(
+            now,
+            wall,
+            token,
+            call,
+            policies=policies,
+            account=minted.account,
+            key_source=source,
+        )
+        return self._run(now, wall, sent)
 
     def local_call(
-        self, now: float, token: int, parent: int, service: str, request: Request
+        self,
+        now: float,
+        wall: float,
+        token: int,
+        parent: int,
+        service: str,
+        request: Request,
     ) -> list[Action]:
-        """Take a call of the own target, made on behalf of exchange `parent`."""
-        running = self.ingress.running.get(parent)
-        if self.view is None or running is None:
-            return [Reply(token, _refuse(Reason.BAD_REQUEST))]
-        match = self.view.match(service, request.method, request.path)
-        if match is None:
-            return [Reply(token, _refuse(Reason.NO_ROUTE))]
-        above = running.call.context
-        context = above._replace(
-            deadline=min(above.deadline, now + match.route["deadline_ms"] / 1e3),
-            depth=above.depth + 1,
-            key=_key(request),
-            caller=self.name,
-            allowance=0,
+        """Take a call of the own target, made on behalf of exchange `parent`.
+
+        A call without a parent is refused: nothing would bound its retries.
+        """
+        self._observe(now, wall)
+        running = self.ingress.calls.get(parent)
+        if self.view is None or running is None or running.started_at is None:
+            return [_refused(token, Reason.BAD_REQUEST)]
+        if running.call.context.depth >= DEPTH_MAX:
+            return [_refused(token, Reason.BAD_REQUEST)]
+        policies = self.view.match(service, request.method, request.path)
+        if policies is None:
+            return [_refused(token, Reason.NO_ROUTE)]
+        call = self._call_below(now, running, service, request, policies)
+        running.below.add(token)
+        self.parents[token] = running
+        source = KeySource.NONE if policies.repeatable else KeySource.BROUGHT
+        sent = self.egress.send(
+            now,
+            wall,
+            token,
+            call,
+            policies=policies,
+            account=running.account,
+            key_source=source,
         )
-        return self._send(now, token, _call(context, service, request))
+        return self._run(now, wall, sent)
 
-    def peer_call(self, now: float, token: int, call: Call) -> list[Action]:
+    def peer_call(
+        self, now: float, wall: float, token: int, call: Call
+    ) -> list[Action]:
         """Take a call of another node for the own target."""
+        self._observe(now, wall)
         exchange = call.context.exchange
+        if exchange in self.peers:
+            return []
         self.peers[exchange] = token
         self.peer_exchanges[token] = exchange
-        return self._run(now, deque(self.ingress.arrive(now, call)))
+        if call.context.caller:
+            self.drain.called_by(now, call.context.caller)
+        return self._run(now, wall, self.ingress.arrive(now, wall, call))
+
+    def abandoned(self, now: float, wall: float, token: int) -> list[Action]:
+        """Take the news that the caller behind a token went away."""
+        self._observe(now, wall)
+        exchange = self.peer_exchanges.pop(token, None)
+        if exchange is not None:
+            self.peers.pop(exchange, None)
+            return self._abandon_call(now, wall, exchange)
+        self._forget(now, token)
+        return self._run(now, wall, self.egress.abandoned(now, token))
+
+    # Answers and faults.
 
     def target_answered(
-        self, now: float, exchange: int, status: int, headers: Pairs, body: bytes
+        self,
+        now: float,
+        wall: float,
+        exchange: int,
+        status: int,
+        headers: Pairs,
+        body: bytes,
     ) -> list[Action]:
         """Take the answer of the own target."""
+        self._observe(now, wall)
+        below = self._cancel_below(now, exchange)
         answered = self.ingress.answered(now, exchange, status, headers, body)
-        return self._run(now, deque(answered))
+        return self._run(now, wall, [*below, *answered])
 
-    def target_failed(self, now: float, fault: Fault) -> list[Action]:
+    def target_failed(self, now: float, wall: float, fault: Fault) -> list[Action]:
         """Take the fault of a call to the own target."""
-        return self._run(now, deque(self.ingress.failed(now, fault)))
+        self._observe(now, wall)
+        below = self._cancel_below(now, fault.exchange)
+        return self._run(now, wall, [*below, *self.ingress.failed(now, fault)])
 
-    def peer_answered(self, now: float, answer: Answer) -> list[Action]:
+    def peer_answered(self, now: float, wall: float, answer: Answer) -> list[Action]:
         """Take the answer of another node."""
-        return self._run(now, deque(self.egress.answered(now, answer)))
+        self._observe(now, wall)
+        return self._run(now, wall, self.egress.answered(now, wall, answer))
 
-    def peer_failed(self, now: float, fault: Fault) -> list[Action]:
+    def peer_failed(self, now: float, wall: float, fault: Fault) -> list[Action]:
         """Take the fault of a call to another node."""
-        return self._run(now, deque(self.egress.failed(now, fault)))
+        self._observe(now, wall)
+        return self._run(now, wall, self.egress.failed(now, wall, fault))
 
-    def abandoned(self, now: float, token: int) -> list[Action]:
-        """Take the news that the caller behind a token went away."""
-        exchange = self.peer_exchanges.pop(token, None)
-        if exchange is None:
-            return self._run(now, deque(self.egress.abandoned(now, token)))
-        self.peers.pop(exchange, None)
-        return self._run(now, deque(self.ingress.abandoned(now, exchange)))
-
-    def _mint(self, now: float, request: Request, match: RouteMatch) -> CallContext:
-        return CallContext(
-            request_id=self.rng.randbytes(REQUEST_ID_BYTES),
-            exchange=0,
-            priority=match.rank,
-            deadline=now + match.route["deadline_ms"] / 1e3,
-            allowance=match.retry["allowance"],
-            depth=0,
-            key=_key(request),
-            caller="",
+    def tick(self, now: float, wall: float) -> list[Action]:
+        """Do what the time makes due."""
+        self._observe(now, wall)
+        self.drain.poll(now)
+        due = [*self.ingress.tick(now), *self.egress.tick(now, wall)]
+        return self._run(now, wall, due)
+
+    # Inside.
+
+    def _observe(self, now: float, wall: float) -> None:
+        """Take note of a pause before anything else is decided."""
+        if self.pause.observe(now) is not None:
+            self.ingress.fresh = False
+            if self.keys is not None:
+                self.keys.woke(wall)
+
+    def _configure_keys(self, wall: float, view: View, service: str) -> None:
+        policies = view.unrepeatable(service)
+        if not policies:
+            return
+        clock_bound = max(policy["clock_bound_ms"] for policy in policies) / 1e3
+        lifetime = float(max(policy["lifetime_s"] for policy in policies))
+        if self.gate is None or self.keys is None:
+            assert view.own is not None
+            self.gate = OwnershipGate(
+                own=owner_id(self.name, view.own["address"]),
+                incarnation=self.incarnation,
+                clock_bound=clock_bound,
+            )
+            self.keys = KeyTable(
+                entries=max(policy["entries"] for policy in policies),
+                lifetime=lifetime,
+                clock_bound=clock_bound,
+                started_wall=self.incarnation / NANOSECONDS,
+                gate=self.gate,
+            )
+        self.keys.lifetime = max(self.keys.lifetime, lifetime)
+        self.gate.update(wall, view.generation, view.owners_of(service))
+
+    def _call_below(
+        self,
+        now: float,
+        running: RunningCall,
+        service: str,
+        request: Request,
+        policies: RoutePolicies,
+    ) -> Call:
+        above = running.call.context
+        latest = now + policies.route["deadline_ms"] / 1e3
+        call = Call(
+            context=above._replace(
+                deadline=min(deadline_below(now, above.deadline), latest),
+                depth=above.depth + 1,
+                caller=self.name,
+            ),
+            service=service,
+            method=request.method,
+            path=request.path,
+            headers=forwardable(request.headers),
+            body=request.body,
         )
+        key = key_of(request) or self._derived_key(call)
+        return call._replace(context=call.context._replace(key=key))
+
+    def _derived_key(self, call: Call) -> str | None:
+        """Return the key of a call below, the same for the same call.
+
+        A target that repeats a call by itself thereby repeats its key; two calls
+        that are alike but meant twice need keys of their own.
+        """
+        if call.context.key is None:
+            return None
+        ordinal = int.from_bytes(fingerprint(call)[:ORDINAL_BYTES], "big")
+        return derive_key(call.context.key, call.service, ordinal)
 
-    def _send(self, now: float, token: int, call: Call) -> list[Action]:
-        assert self.view is not None
-        if call.context.depth > DEPTH_MAX:
-            return [Reply(token, _refuse(Reason.BAD_REQUEST))]
-        return self._run(now, deque(self.egress.send(now, token, call, self.view)))
+    def _abandon_call(self, now: float, wall: float, exchange: int) -> list[Action]:
+        entry = self.ingress.calls.get(exchange)
+        below: list[Action] = []
+        if entry is not None and not entry.keyed:
+            below = self._cancel_below(now, exchange)
+        abandoned = self.ingress.abandoned(now, exchange)
+        return self._run(now, wall, [*below, *abandoned])
 
-    def _run(self, now: float, work: deque[Action | Answer]) -> list[Action]:
+    def _cancel_below(self, now: float, exchange: int) -> list[Action]:
+        """Cancel the calls that the target made for a call that is over."""
+        entry = self.ingress.calls.get(exchange)
+        if entry is None or not entry.below:
+            return []
+        actions: list[Action] = []
+        for token in tuple(entry.below):
+            self._forget(now, token)
+            actions += self.egress.abandoned(now, token)
+            actions.append(_refused(token, Reason.CANCELLED, outcome=Outcome.UNKNOWN))
+        return actions
+
+    def _forget(self, now: float, token: int) -> None:
+        parent = self.parents.pop(token, None)
+        if parent is not None:
+            parent.below.discard(token)
+        self.edge.ended(now, token)
+
+    def _run(
+        self, now: float, wall: float, begun: Iterable[Action | Answer]
+    ) -> list[Action]:
         """Carry out what stays inside the node; return what is left."""
+        work: deque[Action | Answer] = deque(begun)
         actions: list[Action] = []
         while work:
             step = work.popleft()
             if isinstance(step, Answer):
-                work.extend(self._ingress_answer(now, step))
+                work.extend(self._ingress_answer(now, wall, step))
             elif isinstance(step, SendPeer) and step.target == self.name:
-                work.extend(self.ingress.arrive(now, step.call))
+                work.extend(self.ingress.arrive(now, wall, step.call))
+            elif isinstance(step, CancelPeer) and step.exchange in self.ingress.calls:
+                work.extend(self._abandon_call(now, wall, step.exchange))
             else:
+                if isinstance(step, Reply):
+                    self._note_reply(now, step)
                 actions.append(step)
         return actions
 
-    def _ingress_answer(self, now: float, answer: Answer) -> list[Action]:
+    def _ingress_answer(self, now: float, wall: float, answer: Answer) -> list[Action]:
         token = self.peers.pop(answer.exchange, None)
         if token is None:
-            return list(self.egress.answered(now, answer))
+            return list(self.egress.answered(now, wall, answer))
         self.peer_exchanges.pop(token, None)
         return [Reply(token, answer)]
 
+    def _note_reply(self, now: float, reply: Reply) -> None:
+        parent = self.parents.get(reply.token)
+        answer = reply.answer
+        if parent is not None and answer.reason in SHED_REASONS:
+            parent.shed_below = answer.retry_after or STALE_RETRY_S
+        self._forget(now, reply.token)
 
-def _call(context: CallContext, service: str, request: Request) -> Call:
-    return Call(
-        context=context,
-        service=service,
-        method=request.method,
-        path=request.path,
-        headers=forwardable(request.headers),
-        body=request.body,
-    )
-
-
-def _key(request: Request) -> str | None:
-    value = first(request.headers, KEY_HEADER)
-    return None if value is None else value.decode("latin-1")
 
-
-def _refuse(reason: Reason) -> Answer:
-    return refusal(exchange=0, outcome=Outcome.NOT_RUN, reason=reason)
+def _refused(
+    token: int,
+    reason: Reason,
+    retry_after: float | None = None,
+    *,
+    outcome: Outcome = Outcome.NOT_RUN,
+) -> Reply:
+    answer = refusal(
+        exchange=0, outcome=outcome, reason=reason, retry_after=retry_after
+    )
+    return Reply(token, answer)
--- a/buckthornshed/coordination/view.py
+++ b/buckthornshed/coordination/view.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from ..protocol.route_table import RouteTable
 from ..state.objects import (
     Admission,
     ConfigurationSet,
@@ -11,11 +12,12 @@
     Shift,
     Target,
 )
+from .ownership import OwnerSet, owner_id
 
-__all__ = ["RouteMatch", "View"]
+__all__ = ["RoutePolicies", "View"]
 
 
-class RouteMatch(NamedTuple):
+class RoutePolicies(NamedTuple):
     """A route with the policies that it names.
 
     Parameters
@@ -38,6 +40,11 @@
     retry: Retry
     idempotency: Idempotency
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether the work may run more than once."""
+        return self.idempotency["repeatable"]
+
 
 class View:
     """Look-ups over one accepted set, made once when it comes into force.
@@ -61,7 +68,12 @@
         self.own = objects["target"].get(name)
         self.targets = _by_service(objects)
         self.shifts = {shift["service"]: shift for shift in objects["shift"].values()}
-        self._routes = _route_index(objects)
+        self.routes = RouteTable(objects=objects)
+        self.policies = {
+            name: _policies(objects, name, route)
+            for name, route in objects["route"].items()
+        }
+        self.owners: dict[str, OwnerSet] = {}
 
     def targets_of(self, service: str) -> dict[str, Target]:
         """Return the targets of a service by name; empty if there is none."""
@@ -75,12 +87,37 @@
         """Return the admission policy of a service."""
         return self.objects["admission"][self.objects["service"][service]["admission"]]
 
-    def match(self, service: str, method: bytes, path: bytes) -> RouteMatch | None:
+    def region_of(self, domain: str) -> str | None:
+        """Return the region of a failure domain, or None if it is not configured."""
+        found = self.objects["failure_domain"].get(domain)
+        return None if found is None else found["region"]
+
+    def owners_of(self, service: str) -> OwnerSet:
+        """Return the targets of a service that may own keys."""
+        owners = self.owners.get(service)
+        if owners is None:
+            owners = OwnerSet(
+                owners=(
+                    owner_id(name, target["address"])
+                    for name, target in self.targets_of(service).items()
+                    if not target.get("retired", False)
+                )
+            )
+            self.owners[service] = owners
+        return owners
+
+    def match(self, service: str, method: bytes, path: bytes) -> RoutePolicies | None:
         """Return the route with the longest path prefix that fits, if any."""
-        for prefix, route in self._routes.get((service, method), ()):
-            if path.startswith(prefix):
-                return route
-        return None
+        found = self.routes.match(service, method, path)
+        return None if found is None else self.policies[found.name]
+
+    def unrepeatable(self, service: str) -> list[Idempotency]:
+        """Return the idempotency policies of unrepeatable work of a service."""
+        return [
+            policies.idempotency
+            for policies in self.policies.values()
+            if policies.route["service"] == service and not policies.repeatable
+        ]
 
 
 def _by_service(objects: ConfigurationSet) -> dict[str, dict[str, Target]]:
@@ -90,21 +127,11 @@
     return services
 
 
-def _route_index(
-    objects: ConfigurationSet,
-) -> dict[tuple[str, bytes], list[tuple[bytes, RouteMatch]]]:
-    index: dict[tuple[str, bytes], list[tuple[bytes, RouteMatch]]] = {}
-    for name, route in objects["route"].items():
-        match = RouteMatch(
-            name=name,
-            route=route,
-            rank=objects["priority"][route["priority"]]["rank"],
-            retry=objects["retry"][route["retry"]],
-            idempotency=objects["idempotency"][route["idempotency"]],
-        )
-        for method in route["methods"]:
-            key = (route["service"], method.encode())
-            index.setdefault(key, []).append((route["path"].encode(), match))
-    for candidates in index.values():
-        candidates.sort(key=lambda candidate: len(candidate[0]), reverse=True)
-    return index
+def _policies(objects: ConfigurationSet, name: str, route: Route) -> RoutePolicies:
+    return RoutePolicies(
+        name=name,
+        route=route,
+        rank=objects["priority"][route["priority"]]["rank"],
+        retry=objects["retry"][route["retry"]],
+        idempotency=objects["idempotency"][route["idempotency"]],
+    )
--- a/buckthornshed/protocol/http.py
+++ b/buckthornshed/protocol/http.py
@@ -30,6 +30,7 @@
 OUTCOME_HEADER = b"buckthornshed-outcome"
 DEADLINE_HEADER = b"buckthornshed-deadline-ms"
 KEY_HEADER = b"idempotency-key"
+RETRY_HEADER = b"retry-after"
 
 HOP_BY_HOP = frozenset(
     {
@@ -127,17 +128,19 @@
 
 
 def problem(answer: Answer, detail: str = "") -> Answer:
-    """Return `answer` with the problem details of its reason, RFC 9457.
+    """Return `answer` with what tells a caller its reason and when to come back.
 
-    An answer that a target gave, which has no reason and a body of its own, is
-    returned as it is.
+    A node's own answer gets problem details, RFC 9457; one that a target gave
+    keeps its body.
     """
+    headers = answer.headers
+    if answer.retry_after is not None and first(headers, RETRY_HEADER) is None:
+        seconds = b"%d" % max(1, round(answer.retry_after))
+        headers = (*headers, (RETRY_HEADER, seconds))
     if answer.reason is None or answer.body:
-        return answer
+        return answer._replace(headers=headers)
     body = msgspec.json.encode(_details(answer, answer.reason, detail))
-    headers: Pairs = ((b"content-type", b"application/problem+json"),)
-    if answer.retry_after is not None:
-        headers += ((b"retry-after", b"%d" % max(1, round(answer.retry_after))),)
+    headers = (*headers, (b"content-type", b"application/problem+json"))
     return answer._replace(headers=headers, body=body)
 
 
--- a/buckthornshed/transport/data_path.py
+++ b/buckthornshed/transport/data_path.py
@@ -48,8 +48,8 @@
         Address of the target beside the node, ``ip:port``.
     body_bytes_max : int
         Greatest size of a body.
-    clock : callable
-        Returns seconds of the monotonic clock.
+    clock, wall : callable
+        Return seconds of the monotonic clock and of the wall clock.
     """
 
     def __init__(
@@ -60,11 +60,13 @@
         target_address: str,
         body_bytes_max: int,
         clock: Callable[[], float],
+        wall: Callable[[], float],
     ) -> None:
         self.core = core
         self.codec = codec
         self.target_address = target_address
         self.clock = clock
+        self.wall = wall
         self.replies: dict[int, tuple[ServerConnection, bool]] = {}
         self.next_token = 1
         self.pool = ConnectionPool(
@@ -88,6 +90,10 @@
         self.ingress.sweep()
         self.egress.sweep()
 
+    def tick(self) -> None:
+        """Let the decisions do what the time makes due."""
+        self.execute(self.core.tick(self.clock(), self.wall()))
+
     def execute(self, actions: list[Action]) -> None:
         """Carry out actions of the decisions."""
         for action in actions:
@@ -125,10 +131,10 @@
                     headers=forwardable(request.headers),
                     body=request.body,
                 )
-                self.execute(self.core.peer_call(now, token, call))
+                self.execute(self.core.peer_call(now, self.wall(), token, call))
                 return
         token = self._register(connection, from_node=False)
-        self.execute(self.core.client_request(now, token, request))
+        self.execute(self.core.client_request(now, self.wall(), token, request))
 
     def _egress_request(self, connection: ServerConnection, request: Request) -> None:
         token = self._register(connection, from_node=False)
@@ -136,7 +142,9 @@
         service = (first(request.headers, b"host") or b"").decode("latin-1")
         service = service.partition(":")[0]
         self.execute(
-            self.core.local_call(self.clock(), token, parent, service, request)
+            self.core.local_call(
+                self.clock(), self.wall(), token, parent, service, request
+            )
         )
 
     def _register(self, connection: ServerConnection, *, from_node: bool) -> int:
@@ -148,7 +156,9 @@
 
     def _abandoned(self, connection: ServerConnection) -> None:
         if self.replies.pop(connection.token, None) is not None:
-            self.execute(self.core.abandoned(self.clock(), connection.token))
+            self.execute(
+                self.core.abandoned(self.clock(), self.wall(), connection.token)
+            )
 
     def _rejected(self, detail: str) -> None:
         log_event("request_rejected", detail=detail)
@@ -222,13 +232,13 @@
         headers = forwardable(raw.headers)
         self.execute(
             self.core.target_answered(
-                self.clock(), exchange, raw.status, headers, raw.body
+                self.clock(), self.wall(), exchange, raw.status, headers, raw.body
             )
         )
 
     def _target_fault(self, fault: Fault) -> None:
         log_event("target_fault", exchange=fault.exchange, detail=fault.detail)
-        self.execute(self.core.target_failed(self.clock(), fault))
+        self.execute(self.core.target_failed(self.clock(), self.wall(), fault))
 
     def _peer_answer(self, exchange: int, raw: RawAnswer) -> None:
         answer = self._decoded(exchange, raw)
@@ -236,7 +246,7 @@
             fault = Fault(exchange=exchange, started=True, detail="not a node's answer")
             self._peer_fault(fault)
             return
-        self.execute(self.core.peer_answered(self.clock(), answer))
+        self.execute(self.core.peer_answered(self.clock(), self.wall(), answer))
 
     def _decoded(self, exchange: int, raw: RawAnswer) -> Answer | None:
         value = first(raw.headers, ANSWER_HEADER)
@@ -254,7 +264,7 @@
 
     def _peer_fault(self, fault: Fault) -> None:
         log_event("peer_fault", exchange=fault.exchange, detail=fault.detail)
-        self.execute(self.core.peer_failed(self.clock(), fault))
+        self.execute(self.core.peer_failed(self.clock(), self.wall(), fault))
 
 
 def _parent(value: bytes | None) -> int:
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -23,6 +23,7 @@
 TICK_S = 0.02
 SWEEP_TICKS = 50
 POLL_S = 0.5
+DRAIN_POLL_S = 0.05
 
 SETS: TypeAdapter[ConfigurationSet] = TypeAdapter(ConfigurationSet)
 
@@ -39,8 +40,14 @@
     def __init__(self, *, settings: NodeSettings) -> None:
         self.settings = settings
         self.clock = time.monotonic
+        self.wall = time.time
         self.core = NodeCore(
-            name=settings["name"], rng=SystemRandom(), incarnation=time.time_ns()
+            name=settings["name"],
+            domain=settings["failure_domain"],
+            rng=SystemRandom(),
+            now=self.clock(),
+            incarnation=time.time_ns(),
+            drain_s=settings.get("drain_s", DEFAULTS["drain_s"]),
         )
         keys = tuple(bytes.fromhex(key) for key in settings["keys"])
         self.data_path = DataPath(
@@ -49,6 +56,7 @@
             target_address=settings["target"],
             body_bytes_max=settings.get("body_bytes_max", DEFAULTS["body_bytes_max"]),
             clock=self.clock,
+            wall=self.wall,
         )
 
     async def run(self) -> None:
@@ -67,13 +75,29 @@
             async for number in signals:
                 log_event("drain_started", signal=signal.Signals(number).name)
                 break
-        self.data_path.ingress.stop_accepting()
+        await self._drain()
         tasks.cancel_scope.cancel()
 
+    async def _drain(self) -> None:
+        """Leave: tell the callers, finish what is in flight, then close."""
+        self.core.stop(self.clock())
+        while not self._is_drained():
+            await anyio.sleep(DRAIN_POLL_S)
+        self.data_path.ingress.stop_accepting()
+        self.data_path.egress.stop_accepting()
+
+    def _is_drained(self) -> bool:
+        drain = self.core.drain
+        if not drain.exits:
+            return False
+        elapsed = self.clock() - (drain.stopped_at or 0.0)
+        return not self.data_path.replies or elapsed >= drain.deadline_s
+
     async def _tick(self) -> None:
         ticks = 0
         while True:
             await anyio.sleep(TICK_S)
+            self.data_path.tick()
             ticks += 1
             if ticks % SWEEP_TICKS == 0:
                 self.data_path.sweep()
@@ -99,6 +123,8 @@
         objects = SETS.validate_json(response.content)
         name = self.settings["name"]
         self.core.configure(
-            self.clock(), View(name=name, generation=generation, objects=objects)
+            self.clock(),
+            self.wall(),
+            View(name=name, generation=generation, objects=objects),
         )
         log_event("configuration_in_force", generation=generation)
