--- a/buckthornshed/coordination/ranking.py
+++ b/buckthornshed/coordination/ranking.py
@@ -28,6 +28,8 @@
 
     Parameters
     ----------
+    name : str
+        Its name.
     target : Target
         Its object of the configuration.
     distance : int
@@ -42,6 +44,7 @@
         "incarnation",
         "latency",
         "leaving",
+        "name",
         "record",
         "reported",
         "reported_at",
@@ -51,7 +54,8 @@
         "threshold",
     )
 
-    def __init__(self, *, target: Target, distance: int) -> None:
+    def __init__(self, *, name: str, target: Target, distance: int) -> None:
+        self.name = name
         self.target = target
         self.slots = target["slots"]
         self.distance = distance
@@ -120,18 +124,24 @@
 
     def weight(self, now: float) -> float:
         """Return its part of the calls when costs are equal, in slots."""
+        if self.cold_since == -math.inf:
+            return self.slots
         warm = min(1.0, (now - self.cold_since) / COLD_S)
         return self.slots * max(COLD_WEIGHT, warm)
 
     def refuses(self, now: float, level: int) -> bool:
         """Return whether the target is known to refuse calls of ``level``."""
+        if not self.threshold:
+            return False
         age = now - self.reported_at
         kept = max(0.0, 1 - age / THRESHOLD_FADE_S)
         return level < self.threshold * kept
 
     def usable(self, now: float) -> bool:
         """Return whether the target may get a call."""
-        return not self.leaving and self.record.admits(now, self.in_flight)
+        if self.leaving:
+            return False
+        return not self.record.ejections or self.record.admits(now, self.in_flight)
 
     def _learn_latency(self, now: float, latency: float) -> None:
         known = self._recalled(now)
--- a/buckthornshed/coordination/routing.py
+++ b/buckthornshed/coordination/routing.py
@@ -17,7 +17,7 @@
 __all__ = ["DISTANCE_FACTORS", "Router", "TargetSnapshot"]
 
 DISTANCE_FACTORS = (1.0, 1.5, 3.0)
-DRAWS = 4
+DRAWS = 8
 TYPICAL_WEIGHT = 0.02
 TYPICAL_LATENCY_S = 0.01
 
@@ -34,6 +34,13 @@
     ejected: bool
 
 
+class Tier(NamedTuple):
+    """The targets at one distance, and the most slots that one of them has."""
+
+    views: list[TargetView]
+    most_slots: int
+
+
 class Router:
     """The targets of one service as one node sees them.
 
@@ -62,8 +69,7 @@
         self.region_of = region_of
         self.rng = rng
         self.views: dict[str, TargetView] = {}
-        self.tiers: dict[str | None, list[list[str]]] = {}
-        self.largest: dict[str | None, list[int]] = {}
+        self.tiers: dict[str | None, list[Tier]] = {}
         self.typical = TYPICAL_LATENCY_S
 
     def update(self, now: float, targets: Mapping[str, Target]) -> None:
@@ -101,18 +107,18 @@
         level : int or None
             Admission level of the call; targets known to refuse it come last.
         """
-        best, best_cost = None, float("inf")
+        best, best_cost = None, math.inf
         tiers = self.tiers.get(provider, [])
-        for distance, names in enumerate(tiers):
-            if not names:
-                continue
-            name = self._draw_two(now, names, provider, distance, exclude, level)
-            if name is None:
+        for distance, tier in enumerate(tiers):
+            factor = DISTANCE_FACTORS[distance]
+            if not tier.views or best_cost <= factor * self.typical:
                 continue
-            cost = self._cost(now, name) * DISTANCE_FACTORS[distance]
-            if cost < best_cost:
-                best, best_cost = name, cost
-        return best or self._fallback(now, tiers, exclude)
+            view, cost = self._draw_two(now, tier, exclude, level)
+            if view is not None and cost * factor < best_cost:
+                best, best_cost = view, cost * factor
+        if best is not None:
+            return best.name
+        return self._fallback(now, tiers, exclude)
 
     def sent(self, now: float, target: str) -> None:
         """Note that a call goes to ``target``."""
@@ -173,7 +179,7 @@
         known = self.views.get(name)
         if known is not None and known.target == target:
             return known
-        view = TargetView(target=target, distance=self._distance(target))
+        view = TargetView(name=name, target=target, distance=self._distance(target))
         view.cold_since = cold_since
         return view
 
@@ -188,77 +194,73 @@
         providers = {view.target["provider"] for view in self.views.values()}
         self.tiers = {provider: self._tiers_of(provider) for provider in providers}
         self.tiers[None] = self._tiers_of(None)
-        self.largest = {
-            provider: [
-                max((self.views[name].slots for name in names), default=1)
-                for names in tiers
-            ]
-            for provider, tiers in self.tiers.items()
-        }
 
-    def _tiers_of(self, provider: str | None) -> list[list[str]]:
-        tiers: list[list[str]] = [[] for _ in DISTANCE_FACTORS]
-        for name, view in self.views.items():
+    def _tiers_of(self, provider: str | None) -> list[Tier]:
+        tiers: list[list[TargetView]] = [[] for _ in DISTANCE_FACTORS]
+        for view in self.views.values():
             if provider in (None, view.target["provider"]):
-                tiers[view.distance].append(name)
-        return tiers
-
-    def _cost(self, now: float, name: str) -> float:
-        return self.views[name].cost(now, self.typical)
+                tiers[view.distance].append(view)
+        return [
+            Tier(views, max((view.slots for view in views), default=1))
+            for views in tiers
+        ]
 
     def _draw_two(
-        self,
-        now: float,
-        names: list[str],
-        provider: str | None,
-        distance: int,
-        exclude: Collection[str],
-        level: int | None,
-    ) -> str | None:
-        """Draw two usable targets by weight and return the cheaper one."""
-        largest = self.largest[provider][distance]
-        found: str | None = None
-        for _ in range(2 * DRAWS):
-            name = names[int(self.rng.random() * len(names))]
-            view = self.views[name]
-            if name == found or self.rng.random() * largest > view.weight(now):
-                continue
-            if not self._fits(now, name, exclude, level):
+        self, now: float, tier: Tier, exclude: Collection[str], level: int | None
+    ) -> tuple[TargetView | None, float]:
+        """Draw two usable targets by weight; return the cheaper one and its cost."""
+        if len(tier.views) == 1:
+            return self._scan(now, tier, exclude, level)
+        random = self.rng.random
+        found: TargetView | None = None
+        found_cost = math.inf
+        for _ in range(DRAWS):
+            view = tier.views[int(random() * len(tier.views))]
+            if view is found or random() * tier.most_slots > view.weight(now):
                 continue
-            if found is None:
-                found = name
+            if not _fits(now, view, exclude, level):
                 continue
-            return min(found, name, key=lambda each: self._cost(now, each))
-        return found or self._scan(now, names, exclude, level)
+            cost = view.cost(now, self.typical)
+            if found is not None:
+                return (view, cost) if cost < found_cost else (found, found_cost)
+            found, found_cost = view, cost
+        if found is not None:
+            return found, found_cost
+        return self._scan(now, tier, exclude, level)
 
     def _scan(
-        self, now: float, names: list[str], exclude: Collection[str], level: int | None
-    ) -> str | None:
-        fitting = [name for name in names if self._fits(now, name, exclude, level)]
-        return min(fitting, key=lambda each: self._cost(now, each), default=None)
-
-    def _fits(
-        self, now: float, name: str, exclude: Collection[str], level: int | None
-    ) -> bool:
-        view = self.views[name]
-        if name in exclude or not view.usable(now):
-            return False
-        return level is None or not view.refuses(now, level)
+        self, now: float, tier: Tier, exclude: Collection[str], level: int | None
+    ) -> tuple[TargetView | None, float]:
+        best, best_cost = None, math.inf
+        for view in tier.views:
+            if _fits(now, view, exclude, level):
+                cost = view.cost(now, self.typical)
+                if cost < best_cost:
+                    best, best_cost = view, cost
+        return best, best_cost
 
     def _fallback(
-        self, now: float, tiers: list[list[str]], exclude: Collection[str]
+        self, now: float, tiers: list[Tier], exclude: Collection[str]
     ) -> str | None:
         """Return a target though all are shedding or ejected; never a leaving one."""
-        names = [
-            name
-            for names in tiers
-            for name in names
-            if name not in exclude and not self.views[name].leaving
+        views = [
+            view
+            for tier in tiers
+            for view in tier.views
+            if view.name not in exclude and not view.leaving
         ]
-        return min(names, key=lambda each: self._last_resort(now, each), default=None)
+        best = min(views, key=lambda view: self._last_resort(now, view), default=None)
+        return None if best is None else best.name
 
-    def _last_resort(self, now: float, name: str) -> tuple[bool, float, float]:
-        view = self.views[name]
+    def _last_resort(self, now: float, view: TargetView) -> tuple[float, float]:
         ejected = not view.record.admits(now, view.in_flight)
         until = view.record.until if ejected else 0.0
-        return (ejected, until, self._cost(now, name))
+        return (until, view.cost(now, self.typical))
+
+
+def _fits(
+    now: float, view: TargetView, exclude: Collection[str], level: int | None
+) -> bool:
+    if view.name in exclude or not view.usable(now):
+        return False
+    return level is None or not view.refuses(now, level)
