Let the owner deny a key that it will not start

Cause: a node that refuses for load or because it drains has to know whether it may say not run of the key; only its table and gate can tell. Conclusion: KeyTable.deny gives the same verdicts as begin and starts nothing.

--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/idempotency.py
@@ -194,6 +194,30 @@
         fingerprint : bytes
             Digest of what the call asks for, see ``keys.fingerprint``.
         """
+        found = self._find(wall, text, fingerprint)
+        if not isinstance(found, ParsedKey):
+            return found
+        if self.held.full:
+            return Refused(Reason.KEY_TABLE_FULL, Outcome.NOT_RUN)
+        entry = Entry(fingerprint=fingerprint)
+        self.held.put(found.text, entry, expires=found.minted + self.lifetime)
+        return Started(found.text)
+
+    def deny(
+        self, now: float, wall: float, text: str, fingerprint: bytes, reason: Reason
+    ) -> Begun:
+        """Say what an exchange gets that this node will not start, for ``reason``.
+
+        The same as ``begin``, but that work which could start is refused: the word of
+        the owner that the key has not run.
+        """
+        found = self._find(wall, text, fingerprint)
+        if not isinstance(found, ParsedKey):
+            return found
+        return Refused(reason, Outcome.NOT_RUN)
+
+    def _find(self, wall: float, text: str, fingerprint: bytes) -> Begun | ParsedKey:
+        """Return what a key gets that cannot start, or its parts if it can."""
         self._advance(wall)
         repeat = self.repeat(text, fingerprint)
         if repeat is not None:
@@ -202,12 +226,7 @@
             key = parse_key(text)
         except ContextError:
             return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
-        refused = self._check(key)
-        if refused is not None:
-            return refused
-        entry = Entry(fingerprint=fingerprint)
-        self.held.put(key.text, entry, expires=key.minted + self.lifetime)
-        return Started(key.text)
+        return self._check(key) or key
 
     def finish(self, now: float, text: str, answer: Answer) -> None:
         """Record the answer of the work that ``begin`` let start.
@@ -250,12 +269,7 @@
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
         if key.minted <= self.barrier:
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
-        refused = self.gate.check(key) if self.gate is not None else None
-        if refused is not None:
-            return refused
-        if self.held.full:
-            return Refused(Reason.KEY_TABLE_FULL, Outcome.NOT_RUN)
-        return None
+        return self.gate.check(key) if self.gate is not None else None
 
     def _keep(self, text: str, entry: Entry, answer: Answer) -> None:
         size = len(answer.body) + sum(
--- a/buckthornshed/tests/test_idempotency.py
+++ b/buckthornshed/tests/test_idempotency.py
@@ -120,3 +120,18 @@
         table.finish(0.0, key, ANSWER)
     assert begin(table, first) == Refused(Reason.KEY_COMPLETED, Outcome.COMPLETE)
     assert begin(table, second) == Replay(ANSWER)
+
+
+def test_owner_denies_only_what_it_could_begin():
+    table, known, new = make_table(), key_of(START + 5), key_of(START + 5, seed=1)
+    begin(table, known)
+    denials = [
+        table.deny(0.0, START + 10, key, CONTENT, Reason.OVERLOAD)
+        for key in (known, new, key_of(START))
+    ]
+    assert denials == [
+        InProgress(),
+        Refused(Reason.OVERLOAD, Outcome.NOT_RUN),
+        Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN),
+    ]
+    assert begin(table, new) == Started(new)
