Prove the allowance by a state machine and show that it fails without it

Cause: the bound must hold whatever is lost, late, repeated or answered twice. Conclusion: a call that is delivered twice must find the same account, so the ingress has to know the exchanges that it has seen.

--- /dev/null
+++ b/buckthornshed/tests/properties/test_allowance_machine.py
@@ -0,0 +1,207 @@
+"""State machine of the retry allowance over several nodes.
+
+A scheduler delivers messages in any order and more than once, and lets callers give
+up. A message that it never delivers is lost, and a node for which it chooses no step
+stands still. Each call has one planned call below it.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from buckthornshed.coordination.allowance import (
+    AllowanceAccount,
+    ClientRepeats,
+    ClientTurn,
+)
+
+ALLOWANCE = 2
+DEPTH = 2
+
+
+@dataclass
+class Held:
+    """A call at a node."""
+
+    exchange: int
+    depth: int
+    account: AllowanceAccount
+    caller: "Held | None"
+    turn: ClientTurn | None = None
+    called: bool = False
+    open: bool = True
+    sent: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Message:
+    """A call on its way down, or an answer on its way up."""
+
+    exchange: int
+    amount: int
+    depth: int
+    caller: Held
+    answer: bool
+
+
+class AllowanceMachine(RuleBasedStateMachine):
+    account_type: type[AllowanceAccount] = AllowanceAccount
+
+    def __init__(self):
+        super().__init__()
+        self.repeats = ClientRepeats(entries=4, window=60.0)
+        self.calls: list[Held] = []
+        self.messages: list[Message] = []
+        self.seen: set[int] = set()
+        self.sends: Counter[int] = Counter()
+        self.additional = self.attempts = self.exchanges = 0
+
+    def send(self, call: Held, wanted: int) -> None:
+        self.exchanges += 1
+        lent = call.account.lend(self.exchanges, wanted)
+        call.sent.append(self.exchanges)
+        self.sends[call.depth + 1] += 1
+        self.messages.append(
+            Message(self.exchanges, lent, call.depth + 1, call, answer=False)
+        )
+
+    @initialize()
+    def client_sends(self):
+        self.client_repeats()
+
+    @precondition(lambda self: self.attempts < 3)
+    @rule()
+    def client_repeats(self):
+        self.attempts += 1
+        self.sends[0] += 1
+        turn = self.repeats.begin(0.0, "key", ALLOWANCE, deadline=1.0)
+        account = self.account_type(granted=turn.account.granted)
+        turn = turn._replace(account=account)
+        self.calls.append(Held(0, 0, account, None, turn))
+
+    @precondition(lambda self: self.calls)
+    @rule(data=st.data(), wanted=st.integers(0, ALLOWANCE + 1))
+    def node_sends(self, data, wanted):
+        call = data.draw(st.sampled_from(self.calls))
+        if not call.called and call.depth < DEPTH:
+            call.called = True
+            self.send(call, wanted)
+        elif call.called and call.account.spend():
+            self.additional += 1
+            self.send(call, wanted)
+
+    @precondition(lambda self: any(call.account.lent for call in self.calls))
+    @rule(data=st.data())
+    def node_gives_up_on_a_call(self, data):
+        call = data.draw(st.sampled_from([c for c in self.calls if c.account.lent]))
+        call.account.settle(data.draw(st.sampled_from(call.sent)), None)
+
+    @precondition(lambda self: any(call.open for call in self.calls))
+    @rule(data=st.data(), excess=st.integers(0, 2))
+    def node_answers(self, data, excess):
+        call = data.draw(st.sampled_from([c for c in self.calls if c.open]))
+        call.open = False
+        if call.turn is not None:
+            self.repeats.end(0.0, "key", call.turn)
+            return
+        unspent = call.account.close()
+        if unspent == call.account.granted:
+            unspent += excess
+        assert call.caller is not None
+        self.messages.append(
+            Message(call.exchange, unspent, call.depth, call.caller, answer=True)
+        )
+
+    @precondition(lambda self: self.messages)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver(self, data, again):
+        message = data.draw(st.sampled_from(self.messages))
+        if not again:
+            self.messages.remove(message)
+        if message.answer:
+            message.caller.account.settle(message.exchange, message.amount)
+        elif message.exchange not in self.seen:
+            self.seen.add(message.exchange)
+            account = self.account_type(granted=message.amount)
+            call = Held(message.exchange, message.depth, account, message.caller)
+            self.calls.append(call)
+
+    @invariant()
+    def additional_sends_are_bounded(self):
+        assert self.additional <= ALLOWANCE
+
+    @invariant()
+    def sends_at_each_depth_are_bounded(self):
+        bound = self.attempts + ALLOWANCE
+        assert all(count <= bound for count in self.sends.values())
+
+    @invariant()
+    def accounts_are_conserved(self):
+        if self.account_type is AllowanceAccount:
+            for call in self.calls:
+                account = call.account
+                held = account.available + account.spent + sum(account.lent.values())
+                assert min(account.available, account.spent) >= 0
+                assert held == account.granted or account.closed
+                assert held <= account.granted
+
+
+class PerHopAccount(AllowanceAccount):
+    """Each hop retries as often as the first one may."""
+
+    def lend(self, exchange: int, wanted: int) -> int:
+        return ALLOWANCE
+
+
+class ReopenedAccount(AllowanceAccount):
+    """A hop goes on spending what it gave back with its answer."""
+
+    def close(self) -> int:
+        return self.available
+
+
+class TrustingAccount(AllowanceAccount):
+    """Takes back whatever an answer says, and each time that it comes."""
+
+    def settle(self, exchange: int, unspent: int | None) -> None:
+        self.available += unspent or 0
+
+
+def machine_without(account: type[AllowanceAccount]):
+    class Weakened(AllowanceMachine):
+        account_type = account
+
+    return Weakened
+
+
+@pytest.mark.parametrize("account", [PerHopAccount, ReopenedAccount, TrustingAccount])
+def test_the_bound_breaks_without_the_mechanism(account):
+    searched = settings(
+        max_examples=2000,
+        stateful_step_count=30,
+        derandomize=True,
+        phases=[Phase.generate],
+    )
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine_without(account), settings=searched)
+
+
+def test_the_bound_breaks_if_a_call_that_comes_twice_opens_two_accounts():
+    lent = AllowanceAccount(granted=ALLOWANCE).lend(1, ALLOWANCE)
+    accounts = [AllowanceAccount(granted=lent) for _ in range(2)]
+    additional = sum(account.spend() for account in accounts * ALLOWANCE)
+    assert additional > ALLOWANCE
+
+
+TestAllowance = AllowanceMachine.TestCase
