Test the data path against raw bytes; end half-closed connections

Cause: a caller that closed its sending half kept its connection for good after the response, and an offer of another protocol left the connection open to a parser that reads no further. Ruled out: refusing such an offer; common client libraries make it by default. Conclusion: the connection ends with the response in both cases.

--- a/buckthornshed/coordination/edge.py
+++ b/buckthornshed/coordination/edge.py
@@ -7,7 +7,7 @@
 from .allowance import AllowanceAccount, ClientRepeats, ClientTurn
 from .idempotency import Refused, check_new_key
 from .integrity import KeySource
-from .keys import mint_key
+from .keys import mint_raw, parse_key
 from .view import RoutePolicies
 
 if TYPE_CHECKING:
@@ -15,7 +15,6 @@
 
 __all__ = ["Edge", "Minted", "key_of"]
 
-REQUEST_ID_BYTES = 16
 REPEAT_ENTRIES = 16_384
 REPEAT_WINDOW_S = 60.0
 CLOCK_BOUND_S = 1.0
@@ -64,13 +63,13 @@
         deadline = now + self._allowed(request, policies)
         granted = policies.retry["allowance"]
         context = CallContext(
-            request_id=self.rng.randbytes(REQUEST_ID_BYTES),
+            request_id=self._identity(wall, key),
             exchange=0,
             priority=policies.rank,
             deadline=deadline,
             allowance=granted,
             depth=0,
-            key=key or mint_key(wall=wall, rng=self.rng),
+            key=key,
             caller="",
         )
         account = self._account(now, token, key, granted, deadline)
@@ -82,6 +81,15 @@
         if turn is not None:
             self.repeats.end(now, *turn)
 
+    def _identity(self, wall: float, key: str | None) -> bytes:
+        """Return the identity of a request; a client's repeats share theirs.
+
+        So each repeat meets the same admission decision.
+        """
+        if key is not None:
+            return parse_key(key).raw
+        return mint_raw(wall=wall, rng=self.rng)
+
     def _account(
         self, now: float, token: int, key: str | None, granted: int, deadline: float
     ) -> AllowanceAccount:
--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -12,7 +12,9 @@
     "RandomBits",
     "derive_key",
     "fingerprint",
+    "key_text",
     "mint_key",
+    "mint_raw",
     "parse_key",
 ]
 
@@ -57,6 +59,17 @@
     return _format(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
 
 
+def mint_raw(*, wall: float, rng: RandomBits) -> bytes:
+    """Return the 16 bytes of a new key that was minted at ``wall`` seconds."""
+    return _value(int(wall * 1000), rng.getrandbits(RANDOM_BITS)).to_bytes(16, "big")
+
+
+def key_text(raw: bytes) -> str:
+    """Return the key with the 16 bytes ``raw``."""
+    digits = raw.hex()
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+
+
 def parse_key(text: str) -> ParsedKey:
     """Return the parts of a key.
 
@@ -139,10 +152,12 @@
 
 
 def _format(milliseconds: int, bits: int) -> str:
+    return key_text(_value(milliseconds, bits).to_bytes(16, "big"))
+
+
+def _value(milliseconds: int, bits: int) -> int:
     value = (milliseconds & MILLISECONDS_MASK) << 80
     value |= VERSION << 76
     value |= (bits >> LOW_BITS) << 64
     value |= VARIANT << LOW_BITS
-    value |= bits & ((1 << LOW_BITS) - 1)
-    digits = f"{value:032x}"
-    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+    return value | bits & ((1 << LOW_BITS) - 1)
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -16,7 +16,7 @@
 from .idempotency import KeyTable, Refused
 from .ingress import Ingress, RunningCall
 from .integrity import KeySource
-from .keys import derive_key, fingerprint
+from .keys import derive_key, fingerprint, key_text
 from .ownership import owner_id
 from .pause import PauseDetector
 from .view import RoutePolicies, View
@@ -313,19 +313,21 @@
             headers=forwardable(request.headers),
             body=request.body,
         )
-        key = key_of(request) or self._derived_key(call)
+        key = key_of(request)
+        if key is None and policies.repeatable:
+            return call._replace(context=call.context._replace(key=None))
+        key = key or self._derived_key(call)
         return call._replace(context=call.context._replace(key=key))
 
-    def _derived_key(self, call: Call) -> str | None:
+    def _derived_key(self, call: Call) -> str:
         """Return the key of a call below, the same for the same call.
 
         A target that repeats a call by itself thereby repeats its key; two calls
         that are alike but meant twice need keys of their own.
         """
-        if call.context.key is None:
-            return None
+        parent = call.context.key or key_text(call.context.request_id)
         ordinal = int.from_bytes(fingerprint(call)[:ORDINAL_BYTES], "big")
-        return derive_key(call.context.key, call.service, ordinal)
+        return derive_key(parent, call.service, ordinal)
 
     def _abandon_call(self, now: float, wall: float, exchange: int) -> list[Action]:
         entry = self.ingress.calls.get(exchange)
--- a/buckthornshed/coordination/thresholds.py
+++ b/buckthornshed/coordination/thresholds.py
@@ -71,8 +71,10 @@
 
     def learn(self, now: float, service: str, target: str, threshold: int) -> None:
         """Note the threshold that an answer of ``target`` carried."""
-        self._forget(now)
         name = (service, target)
+        if threshold <= 0 and name not in self.learned:
+            return
+        self._forget(now)
         if self.learned.full and name not in self.learned:
             self.refused_full += 1
             return
--- /dev/null
+++ b/buckthornshed/tests/test_http_client.py
@@ -0,0 +1,100 @@
+"""Tests of the client side of the data path against targets that misbehave."""
+
+import asyncio
+import time
+
+import pytest
+
+from buckthornshed.protocol.messages import Fault
+from buckthornshed.transport.http_client import ConnectionPool, ExchangeHandlers
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhuts"
+
+
+async def outcomes(answers, *, count=1, head_only=False):
+    """Return how exchanges end with a target that writes `answers` in turn."""
+    scripts = iter(answers)
+
+    async def serve(reader, writer):
+        for script in scripts:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(script)
+            await writer.drain()
+            if not script.startswith(b"HTTP/1.1 200 OK") or script != OK:
+                break
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = ConnectionPool(body_bytes_max=1_000, idle_max=2, clock=time.monotonic)
+    ended = []
+    for exchange in range(count):
+        done = asyncio.Event()
+
+        def on_end(*result, done=done):
+            ended.append(result)
+            done.set()
+
+        pool.send(
+            exchange=exchange,
+            address=f"127.0.0.1:{port}",
+            data=REQUEST,
+            head_only=head_only,
+            handlers=ExchangeHandlers(on_end, on_end),
+        )
+        await asyncio.wait_for(done.wait(), 10)
+    pool.close()
+    server.close()
+    return ended
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhuts",
+        b"HTTP/1.1 200 OK\r\n\r\nno length, so no end",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhu",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nhutss",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000,
+    ],
+)
+def test_unusable_answer_is_a_fault_that_may_have_run(answer):
+    [(fault,)] = asyncio.run(outcomes([answer]))
+    assert isinstance(fault, Fault)
+    assert fault.started
+
+
+def test_target_that_cannot_be_reached_did_not_run():
+    async def scenario():
+        pool = ConnectionPool(body_bytes_max=1_000, idle_max=2, clock=time.monotonic)
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        future = asyncio.get_running_loop().create_future()
+        pool.send(
+            exchange=5,
+            address=f"127.0.0.1:{port}",
+            data=REQUEST,
+            head_only=False,
+            handlers=ExchangeHandlers(lambda *_: None, future.set_result),
+        )
+        return await asyncio.wait_for(future, 10)
+
+    fault = asyncio.run(scenario())
+    assert (fault.exchange, fault.started) == (5, False)
+
+
+def test_bytes_after_an_answer_never_reach_the_next_exchange():
+    surplus = OK + b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother"
+    ended = asyncio.run(outcomes([surplus, OK], count=2))
+    assert [result[-1].body for result in ended] == [b"huts", b"huts"]
+
+
+def test_answer_to_head_has_no_body():
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n"
+    [(_, answer)] = asyncio.run(outcomes([head], head_only=True))
+    assert (answer.status, answer.body) == (200, b"")
--- a/buckthornshed/transport/http_server.py
+++ b/buckthornshed/transport/http_server.py
@@ -82,6 +82,7 @@
 
     def eof_received(self) -> bool:
         """Keep a half-closed connection until its response is written."""
+        self.closing = True
         return self.busy
 
     def data_received(self, data: bytes) -> None:
@@ -96,7 +97,9 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(Reason.BAD_REQUEST, "an upgrade was asked for")
+            # The offer of another protocol is ignored, RFC 9110 section 7.8; the
+            # parser reads no further, so the connection ends with this request.
+            self.close_when_idle()
         except ParserError as error:
             self._reject(Reason.BAD_REQUEST, str(error))
         else:
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from random import SystemRandom
+from random import Random, SystemRandom
 
 import anyio
 import httpx
@@ -22,6 +22,7 @@
 
 TICK_S = 0.02
 SWEEP_TICKS = 50
+SEED_BITS = 256
 POLL_S = 0.5
 DRAIN_POLL_S = 0.05
 
@@ -44,7 +45,7 @@
         self.core = NodeCore(
             name=settings["name"],
             domain=settings["failure_domain"],
-            rng=SystemRandom(),
+            rng=Random(SystemRandom().getrandbits(SEED_BITS)),
             now=self.clock(),
             incarnation=time.time_ns(),
             drain_s=settings.get("drain_s", DEFAULTS["drain_s"]),
