Eject a target whose node answers for it in vain

Cause: a node whose own target is down answers at once, and the router took each such answer for a sign of health, so an idle-looking dead target drew calls. A call below whose deadline had passed was sent all the same. Ruled out: ejection on any status of 500 and above; a slow service at the bottom would eject all targets above it. Conclusion: reasons that name a fault of the target count as failures of it. Tests of what is sent again, started and told come with it.

--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -51,6 +51,12 @@
 A refusal for overload is not among them: one request meets one decision.
 """
 
+TARGET_FAULTS = frozenset({Reason.NO_TARGET, Reason.ANSWER_LOST, Reason.ANSWER_INVALID})
+"""Reasons by which a node says that the target beside it is at fault.
+
+The node answers at once, so that such a target would look idle and draw all calls.
+"""
+
 EgressAction = SendPeer | CancelPeer | Reply
 
 
@@ -131,6 +137,8 @@
             sends=Sends(repeatable=policies.repeatable, key=key_source),
             provider=self._provider(call),
         )
+        if call.context.deadline <= now:
+            return [self._reply(pending, Reason.DEADLINE)]
         if key_source is not KeySource.BROUGHT and self._is_doomed(now, call):
             return [self._reply(pending, Reason.OVERLOAD)]
         self.pending[token] = pending
@@ -289,6 +297,11 @@
         router = self._router(now, service)
         complete = answer.outcome is Outcome.COMPLETE
         latency = now - pending.sent_at if complete else None
+        if answer.reason in TARGET_FAULTS:
+            started = answer.outcome is not Outcome.NOT_RUN
+            fault = Fault(answer.exchange, started, "a fault of its target")
+            router.failed(now, target, fault)
+            return
         router.answered(now, target, answer.signal, latency)
         if answer.signal.draining:
             router.mark_leaving(now, target)
--- /dev/null
+++ b/buckthornshed/tests/test_egress.py
@@ -0,0 +1,152 @@
+"""Tests of what a node sends again, where, and what it tells."""
+
+from buckthornshed.coordination.actions import CancelPeer, Reply, SendPeer, StartTarget
+from buckthornshed.protocol.messages import Answer, Fault
+from buckthornshed.protocol.outcome import Outcome, Reason
+
+from .node_parts import (
+    WALL,
+    advance,
+    browse,
+    call_to_stables,
+    node,
+    only,
+    refusal_of,
+    routed_set,
+)
+
+
+def booking_with_call_below(core, now=1.0, deadline=5.0):
+    """Start a booking at the own target; return its exchange."""
+    book = call_to_stables(exchange=9)._replace(
+        service="booking", method=b"POST", path=b"/bookings"
+    )
+    key = "0000000f-4240-7000-8000-000000000001"
+    book = book._replace(
+        context=book.context._replace(key=key, priority=0, deadline=deadline)
+    )
+    return only(core.peer_call(now, WALL + now, 1, book), StartTarget).exchange
+
+
+def repeatable_booking():
+    return node(
+        "booking-1", routed_set(book={"idempotency": "repeatable", "retry": "some"})
+    )
+
+
+def first_send(core, now=1.0):
+    parent = booking_with_call_below(core, now)
+    return only(core.local_call(now, WALL, 2, parent, "stables", browse()), SendPeer)
+
+
+def test_refusal_by_a_leaving_target_goes_to_another():
+    core = repeatable_booking()
+    send = first_send(core)
+    answer = refusal_of(send, Outcome.NOT_RUN, Reason.DRAINING, draining=True)
+    again = only(core.peer_answered(1.01, WALL, answer), SendPeer)
+    assert again.target != send.target
+    later = [
+        only(core.local_call(1.1, WALL, 10 + i, 9, "stables", browse()), SendPeer)
+        for i in range(30)
+    ]
+    assert send.target not in {each.target for each in later}
+
+
+def test_overload_is_final_and_says_when_to_come_back():
+    core = repeatable_booking()
+    send = first_send(core)
+    answer = refusal_of(send, Outcome.NOT_RUN, Reason.OVERLOAD)
+    reply = only(
+        core.peer_answered(1.01, WALL, answer._replace(retry_after=2.0)), Reply
+    )
+    assert (reply.answer.outcome, reply.answer.retry_after) == (Outcome.NOT_RUN, 2.0)
+
+
+def test_sends_stop_at_the_allowance():
+    core = repeatable_booking()
+    (send,) = [first_send(core)]
+    sends = 1
+    now = 1.0
+    while True:
+        now += 0.001
+        actions = core.peer_failed(now, WALL, Fault(send.exchange, True, "reset"))
+        while not actions:
+            now += 0.01
+            actions = core.tick(now, WALL)
+        (action,) = actions
+        if isinstance(action, Reply):
+            break
+        send = action
+        sends += 1
+    assert sends <= 1 + 2
+    assert action.answer.outcome is Outcome.UNKNOWN
+
+
+def test_failure_is_not_sent_again_after_not_run_only():
+    objects = routed_set(book={"idempotency": "repeatable", "retry": "some"})
+    objects["retry"]["some"]["after"] = "not_run"
+    core = node("booking-1", objects)
+    send = first_send(core)
+    fault = Fault(send.exchange, True, "reset")
+    reply = only(core.peer_failed(1.01, WALL, fault), Reply)
+    assert reply.answer.outcome is Outcome.UNKNOWN
+
+
+def test_deadline_cancels_below_and_tells_unknown():
+    core = repeatable_booking()
+    send = first_send(core)
+    actions = advance(core, 1.0, 2.5)
+    assert CancelPeer(send.exchange) in actions
+    replies = [each.answer for each in actions if isinstance(each, Reply)]
+    assert {each.outcome for each in replies} == {Outcome.UNKNOWN}
+
+
+def test_node_with_a_dead_target_draws_no_calls():
+    """A trial each second, then each two, four and eight: about 4 of 10 s of calls."""
+    core = node(
+        "booking-1",
+        routed_set(
+            book={"idempotency": "repeatable", "retry": "some", "deadline_ms": 60_000}
+        ),
+    )
+    parent = booking_with_call_below(core, deadline=60.0)
+    now, chosen = 1.0, []
+    for token in range(10, 60):
+        now += 0.2
+        send = only(
+            core.local_call(now, WALL, token, parent, "stables", browse()), SendPeer
+        )
+        chosen.append(send.target)
+        answer = Answer(send.exchange, Outcome.COMPLETE, 200, body=b"ok")
+        if send.target == "stables-1":
+            answer = refusal_of(send, Outcome.NOT_RUN, Reason.NO_TARGET)
+        took = 0.001 if send.target == "stables-1" else 0.1
+        actions = core.peer_answered(now + took, WALL, answer)
+        while isinstance(actions[0], SendPeer):
+            answer = Answer(actions[0].exchange, Outcome.COMPLETE, 200, body=b"ok")
+            actions = core.peer_answered(now + 0.19, WALL, answer)
+    assert chosen.count("stables-1") <= 10
+
+
+def test_call_below_past_its_deadline_is_not_sent():
+    core = repeatable_booking()
+    parent = booking_with_call_below(core)
+    reply = only(core.local_call(6.0, WALL, 2, parent, "stables", browse()), Reply)
+    assert (reply.answer.outcome, reply.answer.reason) == (
+        Outcome.NOT_RUN,
+        Reason.DEADLINE,
+    )
+
+
+def test_late_answer_to_an_abandoned_call_reaches_no_one():
+    core = repeatable_booking()
+    send = first_send(core)
+    assert core.abandoned(1.1, WALL, 2) == [CancelPeer(send.exchange)]
+    late = Answer(send.exchange, Outcome.COMPLETE, 200, body=b"late")
+    assert core.peer_answered(1.2, WALL, late) == []
+
+
+def test_call_of_the_target_without_its_context_is_refused():
+    core = repeatable_booking()
+    reply = only(core.local_call(1.0, WALL, 2, -1, "stables", browse()), Reply)
+    assert reply.answer.reason is Reason.BAD_REQUEST
