--- a/buckthornshed/coordination/thresholds.py
+++ b/buckthornshed/coordination/thresholds.py
@@ -29,6 +29,10 @@
 """Seconds after that in which it falls to 0."""
 
 
+REFRESH_S = 0.05
+"""Seconds for which the least threshold of a service is kept."""
+
+
 def level(priority: int, request_id: bytes) -> int:
     """Return the importance of a call, 0 to ``LEVELS - 1``, the same at each node.
 
@@ -49,6 +53,41 @@
     threshold: int
     learned: float
 
+    def at(self, now: float) -> int:
+        """Return what is left of the threshold at ``now``."""
+        age = now - self.learned
+        if age <= FRESH_S:
+            return self.threshold
+        return int(self.threshold * max(0.0, 1.0 - (age - FRESH_S) / FADE_S))
+
+
+class ServiceThresholds:
+    """The thresholds of the known targets of one service, and the least of them."""
+
+    def __init__(self) -> None:
+        self.targets: dict[str, LearnedThreshold] = {}
+        self.least = 0
+        self.computed = float("-inf")
+
+    def put(self, target: str, value: LearnedThreshold) -> None:
+        """Note the threshold of ``target``."""
+        self.targets[target] = value
+        if value.threshold < self.least:
+            self.least = value.threshold
+
+    def drop(self, target: str) -> None:
+        """Forget ``target``."""
+        self.targets.pop(target, None)
+        self.computed = float("-inf")
+
+    def least_at(self, now: float) -> int:
+        """Return the least threshold, computed anew at most once an interval."""
+        if not 0.0 <= now - self.computed < REFRESH_S:
+            values = self.targets.values()
+            self.least = min((value.at(now) for value in values), default=0)
+            self.computed = now
+        return self.least
+
 
 class DownstreamThresholds:
     """What the nodes of other services refuse, learned from their answers.
@@ -63,42 +102,38 @@
     """
 
     def __init__(self, *, entries: int) -> None:
-        self.learned: BoundedTable[tuple[str, str], LearnedThreshold] = BoundedTable(
-            entries=entries
-        )
-        self.targets: dict[str, set[str]] = {}
+        self.known: BoundedTable[tuple[str, str], None] = BoundedTable(entries=entries)
+        self.services: dict[str, ServiceThresholds] = {}
         self.refused_full = 0
 
     def learn(self, now: float, service: str, target: str, threshold: int) -> None:
         """Note the threshold that an answer of ``target`` carried."""
         self._forget(now)
         name = (service, target)
-        if self.learned.full and name not in self.learned:
+        if self.known.full and name not in self.known:
             self.refused_full += 1
             return
+        self.known.put(name, None, expires=now + FRESH_S + FADE_S)
+        if service not in self.services:
+            self.services[service] = ServiceThresholds()
         value = LearnedThreshold(min(max(threshold, 0), LEVELS - 1), now)
-        self.learned.put(name, value, expires=now + FRESH_S + FADE_S)
-        self.targets.setdefault(service, set()).add(target)
+        self.services[service].put(target, value)
 
     def of_target(self, now: float, service: str, target: str) -> int:
         """Return what ``target`` refuses, as far as is known."""
-        entry = self.learned.get((service, target))
-        if entry is None:
-            return 0
-        age = now - entry.learned
-        kept = min(1.0, max(0.0, 1.0 - (age - FRESH_S) / FADE_S))
-        return int(entry.threshold * kept)
+        learned = self.services.get(service)
+        value = None if learned is None else learned.targets.get(target)
+        return 0 if value is None else value.at(now)
 
     def of_service(self, now: float, service: str) -> int:
         """Return what every known target of ``service`` refuses."""
         self._forget(now)
-        targets = self.targets.get(service, ())
-        known = (self.of_target(now, service, target) for target in targets)
-        return min(known, default=0)
+        learned = self.services.get(service)
+        return 0 if learned is None else learned.least_at(now)
 
     def _forget(self, now: float) -> None:
-        for entry in self.learned.expire(now):
+        for entry in self.known.expire(now):
             service, target = entry.key
-            self.targets[service].discard(target)
-            if not self.targets[service]:
-                del self.targets[service]
+            self.services[service].drop(target)
+            if not self.services[service].targets:
+                del self.services[service]
--- a/buckthornshed/tests/test_admission.py
+++ b/buckthornshed/tests/test_admission.py
@@ -151,4 +151,4 @@
     assert 0 < learned.of_service(1.0, "stables") < 1000
     assert learned.of_service(2.0, "stables") == 0
     assert (learned.of_service(0.1, "farrier"), learned.refused_full) == (0, 1)
-    assert not learned.targets
+    assert not learned.services
