Spread pushes in time and let one reader fetch a burst

Cause: in a burst readers of other domains read whole sets, whose merged deltas did not fit the logs of others (29 KB/s on the busiest of 330 nodes); pushes crossed on links. Ruled out: fewer links (a lost node would cut others off).

--- a/buckthornshed/coordination/acceptance.py
+++ b/buckthornshed/coordination/acceptance.py
@@ -22,10 +22,11 @@
 
 
 class Accepted(NamedTuple):
-    """A chain was put in force; an empty source is the platform."""
+    """A chain was put in force on top of ``base``; no source is the platform."""
 
     chain: tuple[Delta, ...]
     source: str
+    base: Version
 
 
 class Rejected(NamedTuple):
@@ -112,11 +113,12 @@
         chain = self.chain()
         last = chain[-1]
         source = self.pending[last.base_generation][1]
+        base = self.version
         objects = apply_chain(self.log.objects, chain)
         report = self.judge(last.version, objects)
         if report is None:
             self.advance(objects, chain)
-            return Accepted(tuple(chain), source)
+            return Accepted(tuple(chain), source, base)
         # The check speaks against the last delta alone; a wrong digest may come from
         # any of them.
         dropped = [last] if report.notice == "refused" else chain
--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/dissemination.py
@@ -33,6 +33,7 @@
 )
 from .joining import Candidate, Joining, Step
 from .platform_watch import HEAD, SET, PlatformWatch
+from .push import Push
 from .readers import Live, Topology
 from .repair import PUSH_BYTES, Repair, chain_size
 from .survey import Survey
@@ -106,7 +107,7 @@
         self.repair = Repair(formats=formats, log=self.acceptance.log, rng=rng)
         self.survey = Survey()
         self.peer_keys: dict[str, str] = {}
-        self.known: dict[str, int] = {}
+        self.push = Push(log=self.acceptance.log, rng=rng)
         self.neighbours: list[str] = []
         self.turn = 0
         self.last_tick = 0.0
@@ -154,7 +155,7 @@
         self.joining.unreachable(now, address)
         self.survey.drop(address)
         self.repair.unreachable(now, address)
-        self.known.pop(address, None)
+        self.push.forget(address)
         return self.then(now, [])
 
     def value(self, now: float, key: str, version: int, body: bytes) -> list[Action]:
@@ -202,7 +203,11 @@
         if self.phase is Phase.JOINING:
             return min(self.joining.due, self.last_tick + WAKE_GAP_S / 2)
         reader = self.topology.is_reader()
-        times = [self.digest_at, self.watch.due(self.goal(), reader=reader)]
+        times = [
+            self.digest_at,
+            self.push.due(),
+            self.watch.due(self.goal(), reader=reader),
+        ]
         if self.acceptance.ready():
             times.append(self.acceptance.apply_at)
         if self.phase is Phase.REFRESHING:
@@ -249,6 +254,8 @@
         reader = self.topology.is_reader()
         size = self.topology.size()
         actions += self.watch.reads(now, reader=reader, domain_size=size)
+        if now >= self.push.due():
+            actions += self.push.take(now, self.digest(now))
         return actions + self.watch.fetches(now, self.goal())
 
     def wake(self, now: float) -> list[Action]:
@@ -286,13 +293,12 @@
     def find_neighbours(self) -> None:
         """Work out the neighbours anew and forget what others are known to have."""
         self.neighbours = self.topology.addresses(self.topology.neighbours())
-        kept = self.known.keys() & set(self.neighbours)
-        self.known = {address: self.known[address] for address in kept}
+        self.push.keep_only(self.neighbours)
 
     def take_digest(self, now: float, address: str, message: Digest) -> list[Action]:
         """Compare what another node has in force with what this one has."""
         theirs = message.version
-        self.known[address] = theirs.generation
+        self.push.learn(address, theirs.generation)
         self.joining.survey.answer(address, theirs)
         self.survey.answer(address, theirs)
         actions: list[Action] = []
@@ -315,12 +321,12 @@
         chain = self.acceptance.log.since(version)
         if chain is None or chain_size(chain) > PUSH_BYTES:
             return [Send(address, self.digest(now), Priority.DIGEST)]
-        self.known[address] = self.version.generation
+        self.push.learn(address, self.version.generation)
         return [Send(address, Changes(chain), Priority.CONFIGURATION)]
 
     def take_pull(self, now: float, address: str, message: Pull) -> list[Action]:
         """Answer with a chain of deltas or the whole set."""
-        self.known[address] = message.version.generation
+        self.push.learn(address, message.version.generation)
         if message.version.generation >= self.version.generation:
             return [Send(address, self.digest(now), Priority.DIGEST)]
         return self.repair.reply(now, address, message.version)
@@ -338,7 +344,7 @@
         if self.phase is Phase.JOINING or not message.deltas:
             return []
         newest = message.deltas[-1].generation
-        self.known[address] = max(newest, self.known.get(address, 0))
+        self.push.learn(address, newest)
         self.repair.answered(now, address)
         actions: list[Action] = [*self.acceptance.keep(message.deltas, address)]
         if not self.acceptance.leads_to(newest):
@@ -372,8 +378,9 @@
         if self.phase is Phase.JOINING:
             return self.found(now, candidate)
         reports: list[Action] = [*self.acceptance.compare(candidate.version)]
+        base = self.version
         chain = self.acceptance.replace(candidate)
-        return reports + (self.in_force(now, chain, source) if chain else [])
+        return reports + (self.in_force(now, chain, source, base) if chain else [])
 
     def found(self, now: float, candidate: Candidate) -> list[Action]:
         """Ask the nodes that the first set names whether they have a higher one."""
@@ -396,7 +403,7 @@
         actions: list[Action] = [*self.acceptance.compare(head)]
         if head.generation > self.version.generation:
             primary = self.topology.primary(head.generation) == self.name
-            self.watch.learned(now, head, primary=primary)
+            self.watch.learned(now, head, self.version, primary=primary)
         elif head.generation < self.version.generation:
             detail = f"the platform has generation {head.generation}"
             actions.append(Report("platform_behind", self.version, detail))
@@ -416,7 +423,7 @@
         """Put in force what the waiting deltas lead to."""
         result = self.acceptance.apply(now)
         if isinstance(result, Accepted):
-            return self.in_force(now, result.chain, result.source)
+            return self.in_force(now, *result)
         if isinstance(result, Rejected):
             return [result.report, *self.rejected(now, result)]
         return []
@@ -431,7 +438,7 @@
         return []
 
     def in_force(
-        self, now: float, chain: tuple[Delta, ...], source: str
+        self, now: float, chain: tuple[Delta, ...], source: str, base: Version
     ) -> list[Action]:
         """Announce the set that is now in force and pass it on."""
         changed: set[str] = set()
@@ -442,19 +449,7 @@
             Activate(self.version, self.objects, frozenset(changed)),
             Report("in_force", self.version),
         ]
-        return actions + self.push(now, chain, source)
-
-    def push(self, now: float, chain: tuple[Delta, ...], source: str) -> list[Action]:
-        """Pass a chain on to the neighbours that may lack it."""
-        message: PeerMessage = self.digest(now)
-        if chain_size(chain) <= PUSH_BYTES:
-            message = Changes(chain)
-        generation = self.version.generation
-        actions: list[Action] = []
-        for address in self.neighbours:
-            if address != source and self.known.get(address, 0) < generation:
-                self.known[address] = generation
-                actions.append(Send(address, message, Priority.CONFIGURATION))
+        self.push.plan(now, base, self.neighbours, source)
         return actions
 
     def configure(self, objects: Mapping[str, bytes], changed: Iterable[str]) -> None:
--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/platform_watch.py
@@ -17,12 +17,15 @@
 FAILURE_PAUSE_S = (1.0, 4.0)
 """Pause of a reader after a read that failed."""
 
-FETCH_DELAY_S = (0.2, 0.6)
+FETCH_DELAY_S = (0.5, 1.5)
 """How long a reader other than the primary waits for peers before it fetches."""
 
-MAX_DELTAS_FETCHED = 16
+MAX_DELTAS_FETCHED = 8
 """Beyond this many deltas the whole set is read instead."""
 
+MAX_DELTAS_BY_PRIMARY = 64
+"""The same for the primary: single deltas spare other nodes whole sets."""
+
 SILENCE_S = 30.0
 """Age of the last word from the platform after which other nodes try to read."""
 
@@ -55,6 +58,7 @@
         self.watching = False
         self.fetching: set[str] = set()
         self.fetch_whole = False
+        self.primary = False
         self.next_watch_at = 0.0
         self.fetch_at = 0.0
         self.attempt_at: float | None = None
@@ -115,20 +119,27 @@
         self.fetched(key)
         self.fetch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
 
-    def learned(self, now: float, head: Version, *, primary: bool) -> None:
+    def learned(
+        self, now: float, head: Version, in_force: Version, *, primary: bool
+    ) -> None:
         """Take note of a head that is newer than what is in force."""
         if head == self.head:
             return
+        delay = 0.0 if primary else self.rng.uniform(*FETCH_DELAY_S)
+        # A fetch that is due stays so, or a burst would put it off again and again.
+        behind = self.head.generation > in_force.generation
+        self.fetch_at = min(self.fetch_at, now + delay) if behind else now + delay
         self.head = head
+        self.primary = primary
         self.fetch_whole = False
-        self.fetch_at = now if primary else now + self.rng.uniform(*FETCH_DELAY_S)
 
     def fetches(self, now: float, in_force: Version) -> list[ReadValue]:
         """Return the reads that lead from what is in force to the head."""
         missing = self.head.generation - in_force.generation
         if missing <= 0 or self.fetching or now < self.fetch_at:
             return []
-        whole = self.fetch_whole or missing > MAX_DELTAS_FETCHED
+        limit = MAX_DELTAS_BY_PRIMARY if self.primary else MAX_DELTAS_FETCHED
+        whole = self.fetch_whole or missing > limit
         generations = range(in_force.generation + 1, self.head.generation + 1)
         keys = [SET] if whole else [delta_key(number) for number in generations]
         # If these do not lead to the head, the next fetch reads the whole set.
--- a/buckthornshed/coordination/repair.py
+++ b/buckthornshed/coordination/repair.py
@@ -23,8 +23,8 @@
 PUSH_BYTES = 8_000
 """A longer chain is announced by a digest, and pulled by those that lack it."""
 
-REPLY_SPACING_S = 0.2
-"""Least time between two replies that are longer than ``PUSH_BYTES``."""
+REPLY_BYTES_PER_S = 1_000_000.0
+"""Rate of the replies that are longer than ``PUSH_BYTES``."""
 
 BUSY_RETRY_S = (0.2, 0.6)
 """When a refused pull may come back."""
@@ -89,17 +89,18 @@
         if now < self.reply_at:
             busy = Busy(self.rng.uniform(*BUSY_RETRY_S))
             return [Send(address, busy, Priority.DIGEST)]
-        self.reply_at = now + REPLY_SPACING_S
-        return [Send(address, self.long_reply(chain), Priority.CONFIGURATION)]
-
-    def long_reply(self, chain: tuple[Delta, ...] | None) -> PeerMessage:
-        """Return a chain, or the whole set when that is smaller or there is none."""
-        whole = self.encode()
-        if chain is None or len(chain) > MAX_DELTAS:
-            return WholeSet(self.log.version, whole)
-        if chain_size(chain) > min(MAX_CHANGES_BYTES, len(whole)):
-            return WholeSet(self.log.version, whole)
-        return Changes(chain)
+        message, size = self.long_reply(chain)
+        self.reply_at = now + size / REPLY_BYTES_PER_S
+        return [Send(address, message, Priority.CONFIGURATION)]
+
+    def long_reply(self, chain: tuple[Delta, ...] | None) -> tuple[PeerMessage, int]:
+        """Return a chain, or the whole set if there is none, and its size."""
+        if chain is not None and len(chain) <= MAX_DELTAS:
+            size = chain_size(chain)
+            if size <= MAX_CHANGES_BYTES:
+                return Changes(chain), size
+        body = self.encode()
+        return WholeSet(self.log.version, body), len(body)
 
     def encode(self) -> bytes:
         """Return the set in force as bytes, encoded once for each version."""
