Repeat a refused pull instead of waiting for the next digest

Cause: in a burst of 100 changes the chain is pulled from node to node; a refused pull was only repeated at the next digest, up to a second later, at each hop. Ruled out: longer pushes (each neighbour would send 27 KB); no refusals (a node that answers many pulls at once would delay its own traffic).

--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/dissemination.py
@@ -206,6 +206,7 @@
         times = [
             self.digest_at,
             self.push.due(),
+            self.repair.retry_at,
             self.watch.due(self.goal(), reader=reader),
         ]
         if self.acceptance.ready():
@@ -248,7 +249,7 @@
 
     def run(self, now: float) -> list[Action]:
         """Apply what waits, exchange a digest and read, each when it is due."""
-        actions = self.apply(now)
+        actions = self.apply(now) + self.repair.retry(now)
         if now >= self.digest_at:
             actions += self.send_digest(now)
         reader = self.topology.is_reader()
@@ -332,9 +333,9 @@
         return self.repair.reply(now, address, message.version)
 
     def take_busy(self, now: float, address: str, message: Busy) -> list[Action]:
-        """Pull again later, from whichever neighbour shows up first."""
+        """Pull again after the pause that the other node asks for."""
         self.joining.busy(now, address, message.retry_after)
-        self.repair.busy(now, message.retry_after)
+        self.repair.busy(now, address, message.retry_after)
         return []
 
     # Sets and deltas.
--- a/buckthornshed/coordination/repair.py
+++ b/buckthornshed/coordination/repair.py
@@ -26,6 +26,9 @@
 REPLY_BYTES_PER_S = 1_000_000.0
 """Rate of the replies that are longer than ``PUSH_BYTES``."""
 
+REPLY_BACKLOG_S = 0.2
+"""Replies may run ahead of that rate by this time; beyond it a pull is refused."""
+
 BUSY_RETRY_S = (0.2, 0.6)
 """When a refused pull may come back."""
 
@@ -57,6 +60,8 @@
         self.rng = rng
         self.source = ""
         self.pull_until = 0.0
+        self.retry_at = float("inf")
+        self.asked = NO_VERSION
         self.reply_at = 0.0
         self.encoded: tuple[Version, bytes] = (NO_VERSION, b"")
 
@@ -65,32 +70,44 @@
         if now < self.pull_until:
             return []
         self.source = address
+        self.asked = version
+        self.retry_at = float("inf")
         self.pull_until = now + PULL_TIMEOUT_S
         return [Send(address, Pull(version), Priority.CONFIGURATION)]
 
+    def retry(self, now: float) -> list[Action]:
+        """Repeat a pull that was refused, once its pause is over."""
+        if now < self.retry_at:
+            return []
+        again = NO_VERSION if self.asked == NO_VERSION else self.log.version
+        return self.pull(now, self.source, again)
+
     def answered(self, now: float, address: str) -> None:
         """Take note of an answer, which allows the next pull."""
         if address == self.source:
             self.pull_until = min(self.pull_until, now)
+            self.retry_at = float("inf")
 
     def unreachable(self, now: float, address: str) -> None:
         """Take note of a node that cannot answer."""
         self.answered(now, address)
 
-    def busy(self, now: float, retry_after: float) -> None:
-        """Put off the next pull."""
-        self.pull_until = now + min(retry_after, PULL_TIMEOUT_S)
+    def busy(self, now: float, address: str, retry_after: float) -> None:
+        """Put off a pull that was refused."""
+        if address == self.source:
+            self.pull_until = now + min(retry_after, PULL_TIMEOUT_S)
+            self.retry_at = self.pull_until
 
     def reply(self, now: float, address: str, version: Version) -> list[Action]:
         """Send what follows a version; long replies at a bounded rate."""
         chain = self.log.since(version)
         if chain is not None and chain_size(chain) <= PUSH_BYTES:
             return [Send(address, Changes(chain), Priority.CONFIGURATION)]
-        if now < self.reply_at:
+        if self.reply_at - now > REPLY_BACKLOG_S:
             busy = Busy(self.rng.uniform(*BUSY_RETRY_S))
             return [Send(address, busy, Priority.DIGEST)]
         message, size = self.long_reply(chain)
-        self.reply_at = now + size / REPLY_BYTES_PER_S
+        self.reply_at = max(now, self.reply_at) + size / REPLY_BYTES_PER_S
         return [Send(address, message, Priority.CONFIGURATION)]
 
     def long_reply(self, chain: tuple[Delta, ...] | None) -> tuple[PeerMessage, int]:
