--- /dev/null
+++ b/buckthornshed/protocol/delta.py
@@ -0,0 +1,149 @@
+"""Differences between published sets, object by object."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple, cast
+
+from ..errors import ConfigurationError
+from ..state.objects import ConfigurationSet
+from .canonical import canonical_bytes, object_digest, set_digest
+from .configuration import check_change
+from .encoded_sets import decode_object, split_key
+from .findings import FindingsError
+from .published import Published, unpack_published
+
+__all__ = ["Delta", "DeltaError", "advance", "apply", "delta"]
+
+
+class DeltaError(ConfigurationError):
+    """A delta does not lead from one set to the other."""
+
+
+class Delta(NamedTuple):
+    """What leads from one published set to a later one.
+
+    Parameters
+    ----------
+    base_generation : int
+        Generation that it applies to.
+    generation : int
+        Generation that it leads to.
+    digest : str
+        Digest of the whole set that it leads to.
+    changed : dict
+        Canonical bytes of new and changed objects, by ``kind/name``.
+    removed : tuple of str
+        Objects that are gone, as ``kind/name`` in order.
+    """
+
+    base_generation: int
+    generation: int
+    digest: str
+    changed: dict[str, bytes]
+    removed: tuple[str, ...]
+
+
+def delta(old: Published, new: Published) -> Delta:
+    """Return what leads from `old` to `new`."""
+    changed = {
+        key: canonical_bytes(_fields(new.objects, key))
+        for key, digest in sorted(new.digests.items())
+        if old.digests.get(key) != digest
+    }
+    removed = tuple(sorted(old.digests.keys() - new.digests.keys()))
+    return Delta(old.generation, new.generation, new.digest, changed, removed)
+
+
+def apply(old: Published, change: Delta) -> Published:
+    """Return the set that `change` leads to; `old` stays as it is.
+
+    Raises
+    ------
+    DeltaError
+        If `change` does not apply to the generation of `old`, does not lead to a
+        higher one, or leads to another digest than it states.
+    EncodedObjectError
+        If `change` is malformed.
+    FindingsError
+        If the set that it leads to has faults.
+    """
+    _expect_generations(old, change)
+    objects = {kind: dict(named) for kind, named in _tables(old.objects).items()}
+    digests = dict(old.digests)
+    _remove(objects, digests, change.removed)
+    for key, encoded in change.changed.items():
+        kind, name = split_key(key)
+        objects[kind][name] = decode_object(key, encoded)
+        digests[key] = object_digest(encoded)
+    digest = set_digest(digests)
+    if digest != change.digest:
+        raise DeltaError(subject="digest", found=digest, expected=change.digest[:64])
+    reached = cast(ConfigurationSet, objects)
+    _expect_valid(reached, change)
+    return Published(change.generation, digest, reached, digests)
+
+
+def advance(old: Published, value: bytes) -> tuple[Published, Delta]:
+    """Return the set in `value`, and what leads to it from `old`.
+
+    For a reader that has accepted `old`; checks only what the value changes.
+
+    Raises
+    ------
+    PublishedValueError
+        If `value` is malformed.
+    DeltaError
+        If its generation is not above that of `old`.
+    FindingsError
+        If its set has faults.
+    """
+    change = delta(old, unpack_published(value))
+    return apply(old, change), change
+
+
+def _expect_valid(objects: ConfigurationSet, change: Delta) -> None:
+    changed: dict[str, dict[str, Any]] = {}
+    for key in change.changed:
+        kind, name = split_key(key)
+        changed.setdefault(kind, {})[name] = _fields(objects, key)
+    removed = {split_key(key)[0] for key in change.removed}
+    findings = check_change(objects, changed=changed, removed=removed)
+    if findings:
+        raise FindingsError(findings=findings)
+
+
+def _fields(objects: ConfigurationSet, key: str) -> Any:
+    kind, _, name = key.partition("/")
+    return _tables(objects)[kind][name]
+
+
+def _tables(objects: ConfigurationSet) -> dict[str, dict[str, Any]]:
+    return cast(dict[str, dict[str, Any]], objects)
+
+
+def _expect_generations(old: Published, change: Delta) -> None:
+    if change.base_generation != old.generation:
+        raise DeltaError(
+            subject="base generation",
+            found=str(change.base_generation),
+            expected=str(old.generation),
+        )
+    if change.generation <= old.generation:
+        raise DeltaError(
+            subject="generation",
+            found=str(change.generation),
+            expected=f"more than {old.generation}",
+        )
+
+
+def _remove(
+    objects: dict[str, dict[str, Any]],
+    digests: dict[str, bytes],
+    removed: Iterable[str],
+) -> None:
+    for key in removed:
+        kind, name = split_key(key)
+        if objects[kind].pop(name, None) is None:
+            raise DeltaError(
+                subject="delta", found=f"{key!r} removed", expected="an object of it"
+            )
+        del digests[key]
