Learn of a slow target from silence, and forget it later

A call that waits now counts as being as slow as it is already, and FORGET_S is 10 s.

The test of the retry of a slow target names FORGET_S instead of its former value.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -97,7 +97,8 @@
 class Bench:
     """One scenario under one policy."""
 
-    def __init__(self, *, policy: str, slots: tuple[int, ...], load: float) -> None:
+    def __init__(self, *, policy: str, case: "Case") -> None:
+        slots = case.slots
         self.rng = random.Random(7)
         self.now = 0.0
         self.order = itertools.count()
@@ -116,10 +117,14 @@
                 rng=random.Random(number),
                 number=number,
             )
-            for number, domain in enumerate(DOMAINS * CALLERS_PER_DOMAIN)
+            for number, domain in enumerate(DOMAINS * case.callers)
         ]
+        self.callers_in = {
+            domain: [each for each in self.callers if each.domain == domain]
+            for domain in DOMAINS
+        }
         self.weights = dict.fromkeys(DOMAINS, 1.0)
-        self.rate = load * sum(slots) / SERVICE_S
+        self.rate = case.load * sum(slots) / SERVICE_S
         self.latencies: list[float] = []
         self.sent = 0
 
@@ -127,8 +132,8 @@
         heapq.heappush(self.events, (when, next(self.order), action))
 
     def arrive(self) -> None:
-        weights = [self.weights[caller.domain] for caller in self.callers]
-        caller = self.rng.choices(self.callers, weights)[0]
+        domain = self.rng.choices(DOMAINS, [self.weights[name] for name in DOMAINS])[0]
+        caller = self.rng.choice(self.callers_in[domain])
         self.sent += 1
         self.call(caller, self.now, ())
         if self.now < WINDOW_S:
@@ -251,6 +256,7 @@
     slots: tuple[int, ...]
     load: float
     name: str = ""
+    callers: int = CALLERS_PER_DOMAIN
 
 
 CASES = (
@@ -261,6 +267,9 @@
     Case(shedding, EVEN, 0.6),
     Case(dead, EVEN, 0.6),
     Case(lopsided, EVEN, 0.7),
+    Case(slow, EVEN, 0.6, "One of six is 5 times slower, 1800 callers.", 600),
+    Case(dead, EVEN, 0.6, "One of six is dead, 1800 callers.", 600),
+    Case(equal, UNEQUAL, 0.8, "Slots 35 to 10, load 80%, 1800 callers.", 600),
 )
 POLICIES = ("random", "round robin", "least in flight", "router")
 
@@ -270,7 +279,7 @@
 
 
 def measure(case: Case, policy: str):
-    bench = Bench(policy=policy, slots=case.slots, load=case.load)
+    bench = Bench(policy=policy, case=case)
     case.scenario(bench)
     bench.run()
     good = sum(latency <= DEADLINE_S for latency in bench.latencies)
--- a/buckthornshed/coordination/handover.py
+++ b/buckthornshed/coordination/handover.py
@@ -99,6 +99,7 @@
         self.members: set[str] = set()
         self.moves: list[Move] = []
         self.barrier = float("-inf")
+        self.wall = float("-inf")
         self.round = ANNOUNCEMENT
         self.heard_first: dict[str, int] = {}
         self.heard_again: dict[str, int] | None = None
@@ -110,19 +111,20 @@
 
     def update(self, wall: float, generation: int, owners: OwnerSet) -> None:
         """Take the owner set of a configuration; an older one is ignored."""
+        self.wall = max(self.wall, wall)
         if generation < self.generation:
             return
         self.generation = generation
         if owners.digest == self.owners.digest:
             return
         if self.settled:
-            self._record_move(wall)
+            self._record_move()
         self.owners = owners
         self.set_generation = generation
         self.members.intersection_update(owners.owners)
         self.settled = self.settled and self.own in owners.owners
         self._restart_rounds()
-        self._settle_if_heard(wall)
+        self._settle_if_heard()
 
     def query(self) -> OwnerQuery | None:
         """Return the question for all ``peers``, to be repeated until settled."""
@@ -140,6 +142,7 @@
 
     def heard(self, wall: float, reply: OwnerReply) -> bool:
         """Take a reply or an announcement; return whether this node settled by it."""
+        self.wall = max(self.wall, wall)
         if reply.owner not in self.peers:
             return False
         if reply.settled:
@@ -149,13 +152,13 @@
         if self._is_behind(reply):
             return False
         if reply.settled and self.own in reply.members:
-            self._settle(wall, reply.members)
+            self._settle(reply.members)
             return True
         if not self._is_held_by(reply):
             return False
         self.members.update(reply.members)
         self._count(reply)
-        return self._settle_if_heard(wall)
+        return self._settle_if_heard()
 
     def check(self, key: ParsedKey) -> Refused | None:
         """Return why this node must not begin a key, or None."""
@@ -213,22 +216,22 @@
             self.round += 1
             self.heard_again = {}
 
-    def _settle_if_heard(self, wall: float) -> bool:
+    def _settle_if_heard(self) -> bool:
         if self.settled or self.own not in self.owners.owners:
             return False
         second = self.heard_again if self.peers else {}
         if second is None or len(second) != len(self.peers):
             return False
-        self._settle(wall, self.members or self.owners.owners)
+        self._settle(self.members or self.owners.owners)
         return True
 
-    def _settle(self, wall: float, members: tuple[str, ...] | set[str]) -> None:
+    def _settle(self, members: tuple[str, ...] | set[str]) -> None:
         self.members = {self.own, *members}.intersection(self.owners.owners)
-        self.barrier = max(self.barrier, barrier_after(wall, self.clock_bound))
+        self.barrier = max(self.barrier, barrier_after(self.wall, self.clock_bound))
         self.settled = True
 
-    def _record_move(self, wall: float) -> None:
-        barrier = barrier_after(wall, self.clock_bound)
+    def _record_move(self) -> None:
+        barrier = barrier_after(self.wall, self.clock_bound)
         self.moves.append(Move(self.owners, barrier))
         if len(self.moves) > MOVES:
             self.barrier = max(self.barrier, self.moves.pop(0).barrier)
--- a/buckthornshed/coordination/ranking.py
+++ b/buckthornshed/coordination/ranking.py
@@ -13,7 +13,7 @@
 __all__ = ["COLD_S", "COLD_WEIGHT", "FORGET_S", "TargetView"]
 
 LATENCY_WEIGHT = 0.1
-FORGET_S = 5.0
+FORGET_S = 10.0
 COLD_S = 10.0
 COLD_WEIGHT = 0.1
 SIGNAL_FADE_S = 1.0
@@ -49,6 +49,7 @@
         "reported",
         "reported_at",
         "sent_since",
+        "silent_since",
         "slots",
         "target",
         "threshold",
@@ -60,14 +61,17 @@
         self.slots = target["slots"]
         self.distance = distance
         self.in_flight = 0
+        self.silent_since = 0.0
         self.record = FailureRecord()
         self.leaving = False
         self.incarnation = 0
         self.cold_since = -math.inf
         self._forget()
 
-    def sent(self) -> None:
+    def sent(self, now: float) -> None:
         """Count a call on its way."""
+        if self.in_flight == 0:
+            self.silent_since = now
         self.in_flight += 1
         self.sent_since += 1
 
@@ -78,6 +82,7 @@
         and must not make its target look fast.
         """
         self.in_flight = max(0, self.in_flight - 1)
+        self.silent_since = now
         self.record.succeeded()
         if signal.incarnation > self.incarnation:
             self._restarted(now, signal.incarnation)
@@ -99,7 +104,8 @@
         """Return the expected seconds of a further call.
 
         A target that has not answered for long looks a little better than the
-        others until one call is under way: that call finds out how it does now.
+        others until one call is under way: that call finds out how it does now. Calls
+        that wait without any answer count as being as slow as they are already.
 
         Parameters
         ----------
@@ -112,6 +118,8 @@
         if known == 0 and self.in_flight == 0:
             typical *= TRIAL_FACTOR
         latency = typical + known * (self.latency - typical)
+        if self.in_flight:
+            latency = max(latency, now - self.silent_since)
         load = self.load(now)
         queueing = FULL_FACTOR if load >= 1 else 1.0
         return max(latency, LATENCY_FLOOR_S) * (1 + load) * queueing
--- a/buckthornshed/coordination/routing.py
+++ b/buckthornshed/coordination/routing.py
@@ -124,7 +124,7 @@
         """Note that a call goes to ``target``."""
         view = self.views.get(target)
         if view is not None:
-            view.sent()
+            view.sent(now)
 
     def answered(
         self, now: float, target: str, signal: NodeSignal, latency: float | None
--- a/buckthornshed/tests/properties/test_at_most_once_removed.py
+++ b/buckthornshed/tests/properties/test_at_most_once_removed.py
@@ -128,7 +128,7 @@
     def update(self, wall, generation, owners):
         super().update(wall, generation, owners)
         if not self.settled:
-            self._settle(wall, self.owners.owners)
+            self._settle(self.owners.owners)
 
 
 class NoHandover(AtMostOnce):
--- a/buckthornshed/tests/test_routing.py
+++ b/buckthornshed/tests/test_routing.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from buckthornshed.coordination.ranking import COLD_S
+from buckthornshed.coordination.ranking import COLD_S, FORGET_S
 from buckthornshed.coordination.routing import Router
 from buckthornshed.protocol.messages import NO_SIGNAL, Fault
 
@@ -103,11 +103,21 @@
         router.answered(0.1, "two", UP, 0.01)
     slow = shares(router, 0.1)["one"]
     assert slow < 200
+    later = 0.1 + FORGET_S
     for _ in range(150):
-        router.answered(9.9, "two", UP, 0.01)
-    assert router.choose(10.0) == "one"
-    router.sent(10.0, "one")
-    assert shares(router, 10.0)["one"] < 200
+        router.answered(later, "two", UP, 0.01)
+    assert router.choose(later) == "one"
+    router.sent(later, "one")
+    assert shares(router, later)["one"] < 200
+
+
+def test_target_that_leaves_calls_waiting_loses_calls_before_it_answers():
+    router = make_router({"one": target(), "two": target()})
+    for name in ("one", "two", "two", "two"):
+        router.sent(0.0, name)
+    assert shares(router, 0.005)["one"] > 1800
+    router.answered(0.1, "two", UP, 0.01)
+    assert shares(router, 0.1)["one"] < 200
 
 
 def test_quick_refusals_do_not_attract_calls():
