Let a retry policy say what may be sent again

Cause: a route of work that may not be repeated had to name allowance 0, so a booking that one target refused as not run went back to the client even if another was free.

Retry gets the optional field `after`: "failure", the default, as before, or "not_run", under which only a send that is known not to have run is sent again and a key is repeated at its owner to fetch a lost answer.

A check changes: retries_of_unrepeatable_work now passes an allowance above 0 with after "not_run". It was wrong in that it refused sends that repeat no work; what it was made for, a repeat of work after any failure, it refuses as before, with the default and with "failure" written out, and it names the field in its finding.

Ruled out: to drop the check and leave it to the egress: a reader of the set could not see which is meant. To default to "not_run" on unrepeatable work: the same field would mean two things.

--- a/buckthornshed/protocol/checks_policies.py
+++ b/buckthornshed/protocol/checks_policies.py
@@ -14,6 +14,9 @@
 KEY_FIELDS = ("lifetime_s", "clock_bound_ms", "entries")
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
+AFTER_FAILURE = "failure"
+"""What a retry policy comes after where it does not say."""
+
 MS_PER_S = 1000
 
 
@@ -66,16 +69,24 @@
 
 @check("route", "retry", "idempotency")
 def retries_of_unrepeatable_work(draft: Draft) -> Iterator[Finding]:
-    """Find retry allowances on work that may not be repeated."""
+    """Find retries after any failure of work that may not be repeated."""
     for name, fields in draft.items("route"):
-        allowance = draft.field("retry", fields.get("retry"), "allowance")
-        if allowance and _repeatable(draft, fields.get("idempotency")) is False:
+        retry = fields.get("retry")
+        allowance = draft.field("retry", retry, "allowance")
+        after = draft.field("retry", retry, "after") or AFTER_FAILURE
+        if not allowance or after != AFTER_FAILURE:
+            continue
+        # A field of a wrong value was found by itself.
+        if ("retry", retry, "after") in draft.faulty_fields:
+            continue
+        if _repeatable(draft, fields.get("idempotency")) is False:
             yield draft.finding(
                 "route",
                 name,
                 "retry",
-                found=f"{fields['retry']!r} of allowance {allowance}",
-                expected="allowance 0 for work that may not be repeated",
+                found=f"{retry!r} of allowance {allowance} after {after!r}",
+                expected="allowance 0, or after 'not_run', "
+                "for work that may not be repeated",
             )
 
 
--- a/buckthornshed/state/objects.py
+++ b/buckthornshed/state/objects.py
@@ -89,10 +89,17 @@
 
 @with_config(STRICT)
 class Retry(TypedDict):
-    """How many additional sends one client request may cause in its whole chain."""
+    """How many additional sends one client request may cause in its whole chain.
+
+    ``after`` says what calls of a route may be sent again after: ``"failure"``, the
+    default, any failure; ``"not_run"`` only a send that is known not to have run.
+    With ``"not_run"``, a key may still be repeated at its owner to fetch an answer
+    that was lost, as the owner runs it no second time.
+    """
 
     allowance: Annotated[int, Field(ge=0, le=16)]
     backoff_ms: Annotated[int, Field(ge=1, le=10_000)]
+    after: NotRequired[Literal["not_run", "failure"]]
 
 
 @with_config(STRICT)
--- a/buckthornshed/tests/test_configuration.py
+++ b/buckthornshed/tests/test_configuration.py
@@ -41,6 +41,11 @@
     assert check_set(small_set()) == ()
 
 
+def test_unrepeatable_work_may_be_sent_again_where_it_did_not_run():
+    text = with_fault(TEXT, "retry_of_unrepeatable_after_failure")
+    assert read_text(text.replace('"failure"', '"not_run"')).findings == ()
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 def test_fault_is_the_only_finding(fault):
     assert TEXT.count(FAULTS[fault]["old"]) == 1
