--- a/buckthornshed/standins/asgi.py
+++ b/buckthornshed/standins/asgi.py
@@ -1,17 +1,20 @@
 """A small ASGI application with a table of routes, served by hypercorn."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
 from urllib.parse import parse_qsl, unquote
 
 import anyio
-import hypercorn
-import hypercorn.asyncio
 import msgspec
 from pydantic import TypeAdapter, ValidationError
 
 from ..errors import BuckthornshedError, SettingsError
+from ..transport.asgi_server import (
+    bound_address,
+    listen,
+    parse_address,
+    serve_application,
+)
 
 __all__ = [
     "Application",
@@ -25,8 +28,6 @@
     "serve_application",
 ]
 
-GRACE_S = 0.2
-
 
 class Request(NamedTuple):
     """An HTTP request with its whole body; ``rest`` is the path after the prefix."""
@@ -158,48 +159,3 @@
     while message["type"] != "http.disconnect":
         message = await receive()
     scope.cancel()
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """Split ``ip:port``.
-
-    Raises
-    ------
-    SettingsError
-        If the text is not of that form.
-    """
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit():
-        raise SettingsError(subject="address", found=repr(text), expected="ip:port")
-    return host, int(port)
-
-
-def listen(address: str) -> socket.socket:
-    """Return a socket that listens at ``ip:port``; port 0 takes any free port."""
-    listener = socket.create_server(parse_address(address), backlog=1024)
-    listener.setblocking(False)
-    return listener
-
-
-async def serve_application(
-    application: Application, listener: socket.socket, stop: anyio.Event
-) -> None:
-    """Serve ``application`` with hypercorn until ``stop`` is set.
-
-    hypercorn takes over and closes the descriptor of ``listener``.
-    """
-    config = hypercorn.Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = GRACE_S
-    config.errorlog = None
-    await hypercorn.asyncio.serve(
-        application,
-        config,
-        shutdown_trigger=stop.wait,
-    )
-
-
-def bound_address(listener: socket.socket) -> str:
-    """Return ``ip:port`` of a listening socket."""
-    host, port = listener.getsockname()[:2]
-    return f"{host}:{port}"
