Type the shared parts of the node's tests

Cause: the merge of the parts left one untyped mapping in test code. Ruled out: an ignore. Conclusion: the type checker is clean again.

--- a/buckthornshed/tests/node_parts.py
+++ b/buckthornshed/tests/node_parts.py
@@ -1,6 +1,7 @@
 """Objects that the tests of a node's decisions share."""
 
 from random import Random
+from typing import Any
 
 from buckthornshed.coordination.actions import (
     Action,
@@ -59,7 +60,7 @@
     return actions
 
 
-def call_to_stables(exchange: int = 1, **context: object) -> Call:
+def call_to_stables(exchange: int = 1, **context: Any) -> Call:
     """Return a call of another node for a stables target."""
     fields = CallContext(
         request_id=exchange.to_bytes(16, "big"),
