Measure a node by OpenTelemetry instruments

Cause: a node counted nothing that operators could read. transport.metrics keeps plain integers that observable counters and gauges read at collection; Prometheus text comes from a registry of its own, and the setting `otlp` adds a periodic exporter.

Ruled out: a global registry, since two nodes in one process would share it.

A scrape holds the loop for some milliseconds, so it is seen in the slowest calls while it runs.

--- /dev/null
+++ b/buckthornshed/transport/metrics.py
@@ -0,0 +1,242 @@
+"""Metrics of a node by OpenTelemetry, read by Prometheus or sent by OTLP.
+
+Counts are plain integers on the path of calls; OpenTelemetry reads them through
+observable instruments when metrics are collected. Only the histogram of added
+latency is recorded call by call.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import NamedTuple, TypeVar
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import MetricReader
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from ..protocol.outcome import Outcome, Reason
+
+__all__ = ["Gauges", "NodeMetrics"]
+
+ADDED_LATENCY_BUCKETS_S = (
+    0.00005,
+    0.0001,
+    0.0002,
+    0.0003,
+    0.00044,
+    0.0006,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.05,
+    0.25,
+    1.0,
+)
+OTLP_INTERVAL_MS = 10_000
+OTLP_PATH = "/v1/metrics"
+NO_REASON = "none"
+NO_PRIORITY = -1
+
+Labels = dict[str, str | int]
+K = TypeVar("K")
+
+
+class Gauges(NamedTuple):
+    """What is true of a node at the moment.
+
+    Parameters
+    ----------
+    in_flight : int
+        Calls that run at the target.
+    queue_length : int
+        Calls that wait for a slot.
+    threshold : int
+        Admission threshold, see ``coordination.admission``.
+    generation : int
+        Generation of the configuration in force; 0 before the first.
+    drain_phase : str
+        Name of the phase, see ``coordination.drain``.
+    control_bytes : int
+        Bytes sent to other nodes so far, apart from calls.
+    """
+
+    in_flight: int
+    queue_length: int
+    threshold: int
+    generation: int
+    drain_phase: str
+    control_bytes: int
+
+
+class NodeMetrics:
+    """Counts what a node does and renders it for operators.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target beside the node.
+    gauges : callable
+        Returns the present `Gauges`; called when metrics are collected.
+    otlp : str, optional
+        Base URL of an OTLP collector, ``http://ip:port``. A thread of the
+        exporter sends to it every 10 s.
+    """
+
+    def __init__(
+        self, *, name: str, gauges: Callable[[], Gauges], otlp: str | None = None
+    ) -> None:
+        self.gauges = gauges
+        self.calls: Counter[tuple[Outcome, Reason | None, int]] = Counter()
+        self.admitted: Counter[int] = Counter()
+        self.refused: Counter[tuple[Reason, int]] = Counter()
+        self.keys: Counter[str] = Counter()
+        self.retries = 0
+        self.registry = CollectorRegistry()
+        readers: list[MetricReader] = [
+            PrometheusMetricReader(scope_info_enabled=False, registry=self.registry)
+        ]
+        if otlp is not None:
+            readers.append(_otlp_reader(otlp))
+        self.provider = MeterProvider(
+            metric_readers=readers,
+            resource=Resource({"service.name": "buckthornshed", "node.name": name}),
+            shutdown_on_exit=False,
+        )
+        self._register_counters()
+        self._register_gauges()
+        self._added_latency = self.provider.get_meter("buckthornshed").create_histogram(
+            "buckthornshed.added_latency",
+            unit="s",
+            description="Time in the node, without the target and other nodes",
+            explicit_bucket_boundaries_advisory=ADDED_LATENCY_BUCKETS_S,
+        )
+
+    def count_call(
+        self, outcome: Outcome, reason: Reason | None, priority: int = NO_PRIORITY
+    ) -> None:
+        """Count a call that was answered; `priority` is the rank of its context."""
+        self.calls[outcome, reason, priority] += 1
+
+    def count_retry(self) -> None:
+        """Count a send after the first one of a call."""
+        self.retries += 1
+
+    def count_admitted(self, priority: int) -> None:
+        """Count a call that goes to the target or its queue."""
+        self.admitted[priority] += 1
+
+    def count_refused(self, reason: Reason, priority: int) -> None:
+        """Count a call that the node refused in place of its target."""
+        self.refused[reason, priority] += 1
+
+    def count_key(self, outcome: str) -> None:
+        """Count what the key table said of a call with an idempotency key."""
+        self.keys[outcome] += 1
+
+    def record_added_latency(self, seconds: float) -> None:
+        """Record the time that the node added to a call."""
+        self._added_latency.record(seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
+
+    def close(self) -> None:
+        """Send what is left by OTLP and end its thread."""
+        self.provider.shutdown()
+
+    def _register_counters(self) -> None:
+        meter = self.provider.get_meter("buckthornshed")
+        tables: dict[str, tuple[str, Callable[[], Iterable[Observation]]]] = {
+            "calls": ("Calls answered", self._observe_calls),
+            "admitted": ("Calls admitted", self._observe_admitted),
+            "refused": ("Calls refused", self._observe_refused),
+            "keys": ("Answers of the key table", self._observe_keys),
+            "retries": ("Sends after the first", self._observe_retries),
+            "control_bytes": ("Bytes sent to nodes", self._observe_control_bytes),
+        }
+        for name, (description, observe) in tables.items():
+            meter.create_observable_counter(
+                f"buckthornshed.{name}",
+                callbacks=[_callback(observe)],
+                description=description,
+            )
+
+    def _register_gauges(self) -> None:
+        meter = self.provider.get_meter("buckthornshed")
+        fields: dict[str, tuple[str, Callable[[Gauges], int]]] = {
+            "in_flight": ("Calls at the target", lambda now: now.in_flight),
+            "queue_length": ("Calls that wait", lambda now: now.queue_length),
+            "threshold": ("Admission threshold", lambda now: now.threshold),
+            "generation": ("Generation in force", lambda now: now.generation),
+        }
+        for name, (description, read) in fields.items():
+            meter.create_observable_gauge(
+                f"buckthornshed.{name}",
+                callbacks=[_callback(self._reading(read))],
+                description=description,
+            )
+        meter.create_observable_gauge(
+            "buckthornshed.drain_phase",
+            callbacks=[_callback(self._observe_drain_phase)],
+            description="1 for the phase that the instance is in",
+        )
+
+    def _reading(
+        self, read: Callable[[Gauges], int]
+    ) -> Callable[[], Iterable[Observation]]:
+        return lambda: (Observation(read(self.gauges())),)
+
+    def _observe_calls(self) -> Iterator[Observation]:
+        for (outcome, reason, priority), count in _snapshot(self.calls):
+            label = NO_REASON if reason is None else reason.value
+            labels: Labels = {"outcome": outcome.value, "reason": label}
+            yield Observation(count, labels | {"priority": priority})
+
+    def _observe_admitted(self) -> Iterator[Observation]:
+        for priority, count in _snapshot(self.admitted):
+            yield Observation(count, {"priority": priority})
+
+    def _observe_refused(self) -> Iterator[Observation]:
+        for (reason, priority), count in _snapshot(self.refused):
+            yield Observation(count, {"reason": reason.value, "priority": priority})
+
+    def _observe_keys(self) -> Iterator[Observation]:
+        for outcome, count in _snapshot(self.keys):
+            yield Observation(count, {"outcome": outcome})
+
+    def _observe_retries(self) -> Iterator[Observation]:
+        yield Observation(self.retries)
+
+    def _observe_control_bytes(self) -> Iterator[Observation]:
+        yield Observation(self.gauges().control_bytes)
+
+    def _observe_drain_phase(self) -> Iterator[Observation]:
+        yield Observation(1, {"phase": self.gauges().drain_phase})
+
+
+def _snapshot(counts: Mapping[K, int]) -> tuple[tuple[K, int], ...]:
+    """Return the items at once: the exporter's thread reads while calls count."""
+    return tuple(counts.items())
+
+
+def _callback(
+    observe: Callable[[], Iterable[Observation]],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    return lambda _: observe()
+
+
+def _otlp_reader(base_url: str) -> MetricReader:
+    # Imported on use: the exporter brings an HTTP library that few nodes need.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+    exporter = OTLPMetricExporter(endpoint=base_url.rstrip("/") + OTLP_PATH)
+    return PeriodicExportingMetricReader(
+        exporter, export_interval_millis=OTLP_INTERVAL_MS
+    )
