--- a/buckthornshed/coordination/repair.py
+++ b/buckthornshed/coordination/repair.py
@@ -23,8 +23,11 @@
 PUSH_BYTES = 8_000
 """A longer chain is announced by a digest, and pulled by those that lack it."""
 
-REPLY_SPACING_S = 0.2
-"""Least time between two replies that are longer than ``PUSH_BYTES``."""
+REPLY_BYTES_PER_S = 1_000_000.0
+"""Rate of the replies that are longer than ``PUSH_BYTES``."""
+
+REPLY_BACKLOG_S = 0.2
+"""Replies may run ahead of that rate by this time; beyond it a pull is refused."""
 
 BUSY_RETRY_S = (0.2, 0.6)
 """When a refused pull may come back."""
@@ -57,6 +60,8 @@
         self.rng = rng
         self.source = ""
         self.pull_until = 0.0
+        self.retry_at = float("inf")
+        self.asked = NO_VERSION
         self.reply_at = 0.0
         self.encoded: tuple[Version, bytes] = (NO_VERSION, b"")
 
@@ -65,41 +70,54 @@
         if now < self.pull_until:
             return []
         self.source = address
+        self.asked = version
+        self.retry_at = float("inf")
         self.pull_until = now + PULL_TIMEOUT_S
         return [Send(address, Pull(version), Priority.CONFIGURATION)]
 
+    def retry(self, now: float) -> list[Action]:
+        """Repeat a pull that was refused, once its pause is over."""
+        if now < self.retry_at:
+            return []
+        again = NO_VERSION if self.asked == NO_VERSION else self.log.version
+        return self.pull(now, self.source, again)
+
     def answered(self, now: float, address: str) -> None:
         """Take note of an answer, which allows the next pull."""
         if address == self.source:
             self.pull_until = min(self.pull_until, now)
+            self.retry_at = float("inf")
 
     def unreachable(self, now: float, address: str) -> None:
         """Take note of a node that cannot answer."""
         self.answered(now, address)
 
-    def busy(self, now: float, retry_after: float) -> None:
-        """Put off the next pull."""
-        self.pull_until = now + min(retry_after, PULL_TIMEOUT_S)
+    def busy(self, now: float, address: str, retry_after: float) -> None:
+        """Put off a pull that was refused."""
+        if address == self.source:
+            self.pull_until = now + min(retry_after, PULL_TIMEOUT_S)
+            self.retry_at = self.pull_until
 
     def reply(self, now: float, address: str, version: Version) -> list[Action]:
         """Send what follows a version; long replies at a bounded rate."""
         chain = self.log.since(version)
         if chain is not None and chain_size(chain) <= PUSH_BYTES:
             return [Send(address, Changes(chain), Priority.CONFIGURATION)]
-        if now < self.reply_at:
+        if self.reply_at - now > REPLY_BACKLOG_S:
             busy = Busy(self.rng.uniform(*BUSY_RETRY_S))
             return [Send(address, busy, Priority.DIGEST)]
-        self.reply_at = now + REPLY_SPACING_S
-        return [Send(address, self.long_reply(chain), Priority.CONFIGURATION)]
-
-    def long_reply(self, chain: tuple[Delta, ...] | None) -> PeerMessage:
-        """Return a chain, or the whole set when that is smaller or there is none."""
-        whole = self.encode()
-        if chain is None or len(chain) > MAX_DELTAS:
-            return WholeSet(self.log.version, whole)
-        if chain_size(chain) > min(MAX_CHANGES_BYTES, len(whole)):
-            return WholeSet(self.log.version, whole)
-        return Changes(chain)
+        message, size = self.long_reply(chain)
+        self.reply_at = max(now, self.reply_at) + size / REPLY_BYTES_PER_S
+        return [Send(address, message, Priority.CONFIGURATION)]
+
+    def long_reply(self, chain: tuple[Delta, ...] | None) -> tuple[PeerMessage, int]:
+        """Return a chain, or the whole set if there is none, and its size."""
+        if chain is not None and len(chain) <= MAX_DELTAS:
+            size = chain_size(chain)
+            if size <= MAX_CHANGES_BYTES:
+                return Changes(chain), size
+        body = self.encode()
+        return WholeSet(self.log.version, body), len(body)
 
     def encode(self) -> bytes:
         """Return the set in force as bytes, encoded once for each version."""
