Print the state of a running node

Cause: the state of a process was served but no command read it, and the program did not know the commands node, platform, target, load and demo. `dump` fetches /dump by httpx, past any proxy of the environment, and prints text or JSON.

Ruled out: a limit on the size of the answer, which httpx would have read whole before the check.

--- /dev/null
+++ b/buckthornshed/cli/dump.py
@@ -0,0 +1,146 @@
+"""``buckthornshed dump``: print the state of a running node."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import httpx
+import msgspec
+from tabulate import tabulate
+
+from ..errors import BuckthornshedError
+from .exits import ExitCode, errors_exit_with
+
+__all__ = ["Dump", "DumpError", "fetch_dump", "render_dump"]
+
+TIMEOUT_S = 5.0
+DUMP_PATH = "/dump"
+NOTHING = "-"
+
+State = dict[str, Any]
+
+
+class DumpError(BuckthornshedError):
+    """A node did not answer a request for its state, or not with a state."""
+
+
+@cappa.command(name="dump", help="Print the state of a running node.")
+@dataclass(kw_only=True)
+class Dump:
+    """Print the state of a running node.
+
+    Exits with 0 if it is printed, 2 if the node does not answer with a state.
+    """
+
+    address: Annotated[str, cappa.Arg(help="ip:port of the node's operators' endpoint")]
+    json: Annotated[bool, cappa.Arg(long=True, help="print JSON, for programs")] = False
+
+    def __call__(self) -> None:
+        """Fetch the state and print it."""
+        with errors_exit_with(ExitCode.UNUSABLE), create_client() as client:
+            state = fetch_dump(client, self.address)
+        if self.json:
+            print(msgspec.json.format(msgspec.json.encode(state)).decode())
+        else:
+            print(render_dump(state))
+
+
+def create_client() -> httpx.Client:
+    """Return the client of the command, which heeds no proxy of the environment."""
+    return httpx.Client(timeout=TIMEOUT_S, trust_env=False)
+
+
+def fetch_dump(client: httpx.Client, address: str) -> State:
+    """Return the state of the node whose operators' endpoint is `address`.
+
+    Raises
+    ------
+    DumpError
+        If there is no answer in time, or one that holds no state.
+    """
+    try:
+        response = client.get(f"http://{address}{DUMP_PATH}")
+    except (httpx.HTTPError, httpx.InvalidURL) as error:
+        raise DumpError(
+            subject=address,
+            found=str(error) or type(error).__name__,
+            expected=f"an answer within {TIMEOUT_S:g} s",
+        ) from error
+    if response.status_code != httpx.codes.OK:
+        raise DumpError(
+            subject=address,
+            found=f"status {response.status_code}",
+            expected="status 200",
+        )
+    return _decoded(address, response.content)
+
+
+def render_dump(state: Mapping[str, Any]) -> str:
+    """Return a state as text: single values first, then a section for each group.
+
+    A mapping becomes a table of names and values, a mapping or list of mappings a
+    table with a column for each field.
+    """
+    single = {name: value for name, value in state.items() if _is_single(value)}
+    parts = [_name_table(single)] if single else []
+    parts += (f"{title}\n{table}" for title, table in _sections(state))
+    return "\n\n".join(parts)
+
+
+def _sections(state: Mapping[str, Any], above: str = "") -> Iterator[tuple[str, str]]:
+    for name, value in state.items():
+        if _is_single(value):
+            continue
+        title = f"{above}{name}"
+        rows = _rows(value)
+        if rows is not None:
+            yield title, tabulate(rows, headers="keys", missingval=NOTHING)
+            continue
+        single = {key: item for key, item in value.items() if _is_single(item)}
+        if single:
+            yield title, _name_table(single)
+        yield from _sections(value, f"{title}.")
+
+
+def _is_single(value: object) -> bool:
+    """Return whether a value takes one cell."""
+    if isinstance(value, Mapping):
+        return not value
+    if isinstance(value, list):
+        return not any(isinstance(item, Mapping) for item in value)
+    return True
+
+
+def _rows(value: Any) -> list[State] | None:
+    """Return the rows of a value that is a table, or None."""
+    if isinstance(value, list):
+        return [item if isinstance(item, dict) else {"": item} for item in value]
+    alike = all(isinstance(item, dict) and item for item in value.values())
+    flat = alike and all(
+        _is_single(cell) for item in value.values() for cell in item.values()
+    )
+    same = flat and len({frozenset(item) for item in value.values()}) == 1
+    return [{"name": key} | item for key, item in value.items()] if same else None
+
+
+def _name_table(values: Mapping[str, Any]) -> str:
+    rows = [(name, _cell(value)) for name, value in values.items()]
+    return tabulate(rows, tablefmt="plain", disable_numparse=True)
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return ", ".join(map(str, value)) or NOTHING
+    return NOTHING if value is None or value == {} else str(value)
+
+
+def _decoded(address: str, content: bytes) -> State:
+    try:
+        return msgspec.json.decode(content, type=State)
+    except msgspec.DecodeError as error:
+        raise DumpError(
+            subject=address, found=str(error), expected="a JSON object"
+        ) from error
--- a/buckthornshed/cli/main.py
+++ b/buckthornshed/cli/main.py
@@ -7,13 +7,19 @@
 
 from .build import Build
 from .check import Check
+from .demo import Demo
 from .diff import Diff
+from .dump import Dump
+from .load import Load
+from .node import Node
+from .platform import Platform
+from .target import Target
 
 __all__ = ["Buckthornshed", "Command", "main"]
 
 PROGRAM = "buckthornshed"
 
-Command = Build | Check | Diff
+Command = Node | Check | Build | Diff | Dump | Load | Demo | Platform | Target
 """The commands of the program; each is a dataclass that is called."""
 
 
