--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -12,7 +12,9 @@
     "RandomBits",
     "derive_key",
     "fingerprint",
+    "key_text",
     "mint_key",
+    "mint_raw",
     "parse_key",
 ]
 
@@ -54,7 +56,12 @@
 
 def mint_key(*, wall: float, rng: RandomBits) -> str:
     """Return a new key that was minted at ``wall`` seconds."""
-    return _format(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
+    return key_text(mint_raw(wall=wall, rng=rng))
+
+
+def mint_raw(*, wall: float, rng: RandomBits) -> bytes:
+    """Return the 16 bytes of a new key."""
+    return _pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
 
 
 def parse_key(text: str) -> ParsedKey:
@@ -105,7 +112,7 @@
     seed = f"{service}\0{ordinal}\0{roll}".encode()
     digest = hashlib.blake2b(seed, digest_size=16, key=parsed.raw).digest()
     bits = int.from_bytes(digest, "big") & ((1 << RANDOM_BITS) - 1)
-    return _format(int.from_bytes(parsed.raw[:6], "big"), bits)
+    return key_text(_pack(int.from_bytes(parsed.raw[:6], "big"), bits))
 
 
 def fingerprint(call: Call) -> bytes:
@@ -138,11 +145,16 @@
     )
 
 
-def _format(milliseconds: int, bits: int) -> str:
+def key_text(raw: bytes) -> str:
+    """Return the canonical form of the 16 bytes of a key."""
+    digits = raw.hex()
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+
+
+def _pack(milliseconds: int, bits: int) -> bytes:
     value = (milliseconds & MILLISECONDS_MASK) << 80
     value |= VERSION << 76
     value |= (bits >> LOW_BITS) << 64
     value |= VARIANT << LOW_BITS
     value |= bits & ((1 << LOW_BITS) - 1)
-    digits = f"{value:032x}"
-    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+    return value.to_bytes(16, "big")
--- a/buckthornshed/coordination/ownership.py
+++ b/buckthornshed/coordination/ownership.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from .keys import RandomBits, derive_key, mint_key, parse_key
+from .keys import RandomBits, derive_key, key_text, mint_raw, parse_key
 
 __all__ = ["MINT_TRIES", "OwnerSet", "derive_owned", "mint_owned", "owner_id"]
 
@@ -37,16 +37,15 @@
     def __init__(self, *, owners: Iterable[str]) -> None:
         self.owners = tuple(sorted(set(owners)))
         self.digest = xxhash.xxh3_64_intdigest("\0".join(self.owners).encode())
-        self.seeds = [
-            (xxhash.xxh3_64_intdigest(name.encode()), name) for name in self.owners
-        ]
+        self.seeds = [xxhash.xxh3_64_intdigest(name.encode()) for name in self.owners]
 
     def owner_of(self, raw: bytes) -> str | None:
         """Return the owner of the key with the bytes ``raw``; None without targets."""
         if not self.seeds:
             return None
         score = xxhash.xxh3_64_intdigest
-        return max(self.seeds, key=lambda pair: (score(raw, pair[0]), pair[1]))[1]
+        scores = [score(raw, seed) for seed in self.seeds]
+        return self.owners[scores.index(max(scores))]
 
 
 def mint_owned(
@@ -59,10 +58,10 @@
     key is taken, whoever owns it.
     """
     for _ in range(MINT_TRIES):
-        key = mint_key(wall=wall, rng=rng)
-        if owners.owner_of(parse_key(key).raw) in wanted:
+        raw = mint_raw(wall=wall, rng=rng)
+        if owners.owner_of(raw) in wanted:
             break
-    return key
+    return key_text(raw)
 
 
 def derive_owned(
