Hand down all of the allowance but one

Cause: half of the allowance, rounded up, was a guess. Most sends are 40 = 10 x (1 + 3) with both. Conclusion: share() keeps one and hands down the rest.

--- a/buckthornshed/coordination/allowance.py
+++ b/buckthornshed/coordination/allowance.py
@@ -47,10 +47,10 @@
     def share(self) -> int:
         """Return how much of the allowance the next send should carry.
 
-        Half, rounded up: a failure far below is repaired there, and calls made
-        in parallel or after a lost answer still find some.
+        All but one: a failure far below is repaired there, and one is kept for a
+        send whose answer is lost.
         """
-        return (self.available + 1) // 2
+        return max(0, self.available - 1)
 
     def lend(self, exchange: int, wanted: int) -> int:
         """Hand at most ``wanted`` to the send ``exchange``; return how much.
