Start nodes in the driver and wait for their configuration

Cause: a node listens before a configuration is in force and refuses until then; the driver waits for its log event, which also tells the generations seen in force. The demo can keep logs and journals (--folder).

--- a/buckthornshed/cli/demo.py
+++ b/buckthornshed/cli/demo.py
@@ -3,6 +3,7 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Annotated, Literal
 
 import anyio
@@ -30,6 +31,10 @@
         Literal["both", "nodes", "without"], cappa.Arg(long=True, help="which runs")
     ] = "both"
 
+    folder: Annotated[
+        Path | None, cappa.Arg(long=True, help="where to keep logs and journals")
+    ] = None
+
     def __call__(self) -> None:
         """Run and print the tables; exit with 1 if nodes broke a promise."""
         kept = anyio.run(self.run, backend_options={"use_uvloop": True})
@@ -57,7 +62,11 @@
             print(prefix + line, file=sys.stderr, flush=True)
 
         report("starting")
-        return await run_morning(objects, nodes=nodes, seed=self.seed, report=report)
+        with TemporaryDirectory(prefix="buckthornshed-") as temporary:
+            folder = (self.folder or Path(temporary)) / prefix.strip()
+            return await run_morning(
+                objects, nodes=nodes, seed=self.seed, folder=folder, report=report
+            )
 
 
 if __name__ == "__main__":
--- a/buckthornshed/load/experiment.py
+++ b/buckthornshed/load/experiment.py
@@ -178,7 +178,7 @@
     async with fleet:
         runner, script = prepare(fleet, plan, deployment, events, report)
         await runner.run()
-        generations = await fleet.generations_in_force()
+        generations = fleet.generations_in_force()
     evidence = Evidence(
         plan=plan,
         deployment=deployment,
--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -15,7 +15,15 @@
 
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
-from .processes import FleetError, Ports, Process, start_process, wait_until_ready
+from .processes import (
+    FleetError,
+    Ports,
+    Process,
+    answers,
+    logged_generations,
+    start_process,
+    wait_until_ready,
+)
 
 __all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
 
@@ -146,9 +154,13 @@
         await self.publish(self.objects, generation=self.generation)
         return self.generation
 
-    async def generations_in_force(self) -> dict[str, list[int]]:
-        """Return the generation in force at each node."""
-        return {}
+    def generations_in_force(self) -> dict[str, list[int]]:
+        """Return the generations that each node had in force, in order."""
+        return {
+            name: logged_generations(process)
+            for name, process in self.processes.items()
+            if name.endswith("-node") and process.alive()
+        }
 
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
@@ -197,7 +209,13 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
+        process = self.processes[f"{name}-node"]
+        before = len(logged_generations(process))
+
+        async def configured() -> bool:
+            return len(logged_generations(process)) > before
+
+        await wait_until_ready(process, configured)
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -207,7 +225,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], self.client, url)
+        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
--- a/buckthornshed/load/morning.py
+++ b/buckthornshed/load/morning.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from tempfile import TemporaryDirectory
 
 from tabulate import tabulate
 
@@ -33,29 +32,33 @@
     *,
     nodes: bool,
     seed: int | None,
+    folder: Path,
     report: Callable[[str], None],
 ) -> Findings:
-    """Run the morning once and judge it."""
+    """Run the morning once and judge it.
+
+    Settings, logs and journals of the processes go to ``folder``.
+    """
     plan = read_plan(PLAN)
     if seed is not None:
         plan = plan._replace(seed=seed)
-    with TemporaryDirectory(prefix="buckthornshed-") as folder:
-        fleet = Fleet(
-            objects=objects,
-            behaviour=BEHAVIOUR,
-            nodes=nodes,
-            folder=Path(folder),
-            ports=Ports(),
-            seed=plan.seed,
-        )
-        return await run_experiment(
-            fleet,
-            plan,
-            EVENTS,
-            behaviour=BEHAVIOUR,
-            short_service=SHORT_SERVICE,
-            report=report,
-        )
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(
+        objects=objects,
+        behaviour=BEHAVIOUR,
+        nodes=nodes,
+        folder=folder,
+        ports=Ports(),
+        seed=plan.seed,
+    )
+    return await run_experiment(
+        fleet,
+        plan,
+        EVENTS,
+        behaviour=BEHAVIOUR,
+        short_service=SHORT_SERVICE,
+        report=report,
+    )
 
 
 def comparison(findings: dict[str, Findings]) -> str:
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -12,13 +14,22 @@
 
 from ..errors import BuckthornshedError
 
-__all__ = ["FleetError", "Ports", "Process", "start_process", "wait_until_ready"]
+__all__ = [
+    "FleetError",
+    "Ports",
+    "Process",
+    "answers",
+    "logged_generations",
+    "start_process",
+    "wait_until_ready",
+]
 
 READY_POLL_S = 0.05
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
+IN_FORCE = re.compile(r"event=configuration_in_force\b.*\bgeneration=(\d+)")
 LOOPBACK = "127.0.0.1"
 
 
@@ -101,7 +112,8 @@
     """Return what starts a command of this program in another process."""
     if getattr(sys, "frozen", False):
         return [sys.executable, command]
-    return [sys.executable, "-m", f"buckthornshed.cli.{command}"]
+    start = f"from buckthornshed.cli.{command} import {command.title()} as command"
+    return [sys.executable, "-c", f"import cappa; {start}; cappa.invoke(command)"]
 
 
 async def start_process(
@@ -121,23 +133,28 @@
 
 
 async def wait_until_ready(
-    process: Process, client: httpx.AsyncClient, url: str
+    process: Process, ready: Callable[[], Awaitable[bool]]
 ) -> None:
-    """Wait until ``url`` answers with 200.
+    """Wait until ``ready`` returns true.
 
     Raises
     ------
     FleetError
-        If the process ends, or does not answer in time.
+        If the process ends, or is not ready in time.
     """
     try:
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await answers(client, url):
+            while not await ready():
                 if not process.alive():
                     raise not_ready(process, f"exit code {process.running.returncode}")
                 await asyncio.sleep(READY_POLL_S)
     except TimeoutError:
-        raise not_ready(process, f"nothing at {url}") from None
+        raise not_ready(process, f"no sign after {READY_TIMEOUT_S} s") from None
+
+
+def logged_generations(process: Process) -> list[int]:
+    """Return the generations that a node logged as in force, in order."""
+    return [int(found) for found in IN_FORCE.findall(process.log.read_text())]
 
 
 async def answers(client: httpx.AsyncClient, url: str) -> bool:
