Tell unknown when a request with a key is turned away at the edge

Cause: a node without a view, with a stale one or without a route answered NOT_RUN also to a request that brought its key. An attempt with that key at another node may have run; only the owner of the key can say that it did not. Ruled out: asking the owner even so, for a node that is not fresh must not act.

--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -6,7 +6,7 @@
 
 from ..protocol.http import Request, forwardable
 from ..protocol.messages import Answer, Call, Fault, Pairs, refusal
-from ..protocol.outcome import Outcome, Reason
+from ..protocol.outcome import REASONS, Outcome, Reason
 from .actions import Action, CancelPeer, Reply, SendPeer
 from .deadlines import deadline_below
 from .drain import DrainState
@@ -127,13 +127,13 @@
         """Take a request of an outside client for the service of this node."""
         self._observe(now, wall)
         if self.view is None or self.view.own is None:
-            return [_refused(token, Reason.NO_CONFIGURATION, STALE_RETRY_S)]
+            return [_turned_away(token, request, Reason.NO_CONFIGURATION)]
         if not self.pause.fresh:
-            return [_refused(token, Reason.STALE_VIEW, STALE_RETRY_S)]
+            return [_turned_away(token, request, Reason.STALE_VIEW)]
         service = self.view.own["service"]
         policies = self.view.match(service, request.method, request.path)
         if policies is None:
-            return [_refused(token, Reason.NO_ROUTE)]
+            return [_turned_away(token, request, Reason.NO_ROUTE)]
         minted = self.edge.mint(now, wall, token, request, policies)
         if isinstance(minted, Refused):
             answer = refusal(exchange=0, outcome=minted.outcome, reason=minted.reason)
@@ -388,6 +388,13 @@
         self._forget(now, reply.token)
 
 
+def _turned_away(token: int, request: Request, reason: Reason) -> Reply:
+    """Refuse a client before any send; a key it brings may have run elsewhere."""
+    outcome = Outcome.NOT_RUN if key_of(request) is None else Outcome.UNKNOWN
+    retry_after = STALE_RETRY_S if REASONS[reason].retry_later else None
+    return _refused(token, reason, retry_after, outcome=outcome)
+
+
 def _refused(
     token: int,
     reason: Reason,
