--- /dev/null
+++ b/buckthornshed/tests/scenarios/expectations.py
@@ -0,0 +1,174 @@
+"""Judges a finished run by its ledgers, promise by promise."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+from ...protocol.messages import Answer
+from ...protocol.outcome import Outcome, Reason
+from .driver import ENTRIES, World, expected_body
+
+CHECKS: dict[str, Callable[..., Iterator[str]]] = {}
+UNREPEATABLE = b"POST"
+SHORT = (Reason.OVERLOAD, Reason.QUEUE_FULL)
+WINDOW_S = 1.0
+WINDOW_LEAST = 8
+CALM_SHARE = 0.99
+
+
+def check(function):
+    """Register an expectation; it yields what is wrong."""
+    CHECKS[function.__name__] = function
+    return function
+
+
+def judge(world: World) -> list[str]:
+    """Return what does not hold of a finished run."""
+    found: list[str] = []
+    for each in world.scenario.checks:
+        wrong = list(CHECKS[each.name](world, *each.arguments))
+        found += [f"{each.name}: {one}" for one in wrong[:3]]
+    return found
+
+
+def answers(world: World) -> Iterator[tuple]:
+    for client in world.clients:
+        for attempt in client.attempts:
+            if isinstance(attempt.told, Answer):
+                yield client, attempt, attempt.told
+
+
+def completed(client) -> bool:
+    told = [attempt.told for attempt in client.attempts]
+    return any(isinstance(t, Answer) and t.outcome is Outcome.COMPLETE for t in told)
+
+
+@check
+def once(world: World) -> Iterator[str]:
+    runs = Counter(
+        (run.service, run.prefix, run.ident)
+        for run in world.runs
+        if run.method == UNREPEATABLE
+    )
+    for work, count in runs.items():
+        if count > 1:
+            yield f"{work} ran {count} times"
+
+
+@check
+def truth(world: World) -> Iterator[str]:
+    by_request = {run.request_id for run in world.runs}
+    first_run: dict[str, float] = {}
+    for run in world.runs:
+        if run.method == UNREPEATABLE:
+            first_run.setdefault(run.ident, run.began)
+    for client, attempt, answer in answers(world):
+        if answer.outcome is not Outcome.NOT_RUN:
+            continue
+        if attempt.request_id in by_request:
+            yield f"{client.ident} {client.kind} told {answer.reason} ran"
+        elif client.key and first_run.get(client.ident, 1e9) < attempt.began:
+            yield f"{client.ident} {client.kind} told {answer.reason} had run"
+
+
+@check
+def sends(world: World, most: int) -> Iterator[str]:
+    runs = Counter(run.request_id for run in world.runs)
+    for request, count in world.sends.items():
+        if count > most:
+            yield f"{request.hex()[:8]} was sent {count} times"
+    for request, count in runs.items():
+        if count > most:
+            yield f"{request.hex()[:8]} ran {count} times"
+
+
+@check
+def own(world: World) -> Iterator[str]:
+    for client, _, answer in answers(world):
+        service, _, prefix = ENTRIES[client.kind]
+        wanted = expected_body(service, prefix, client.ident)
+        if answer.outcome is Outcome.COMPLETE and answer.body != wanted:
+            yield f"{client.ident} got {answer.body!r}, expected {wanted!r}"
+
+
+@check
+def outlast(world: World) -> Iterator[str]:
+    """In each window the share refused for capacity is least for bookings."""
+    windows: dict[int, dict[bool, list[bool]]] = defaultdict(lambda: defaultdict(list))
+    for client, attempt, answer in answers(world):
+        important = client.kind in ("booking", "deposit")
+        refused = answer.reason in SHORT
+        windows[int(attempt.began / WINDOW_S)][important].append(refused)
+    for number, kinds in windows.items():
+        if min(len(kinds[True]), len(kinds[False])) < WINDOW_LEAST:
+            continue
+        high = sum(kinds[True]) / len(kinds[True])
+        low = sum(kinds[False]) / len(kinds[False])
+        if high > low:
+            yield f"second {number}: bookings refused {high:.2f}, browsing {low:.2f}"
+
+
+@check
+def leaving(world: World, name: str, seconds: float) -> Iterator[str]:
+    since = world.drained[name]
+    for run in world.runs:
+        if run.target == name and run.began > since + seconds:
+            if run.process.core.drain.stopped_at is None:
+                continue
+            yield f"{name} began {run.prefix} {run.began - since:.2f} s after"
+
+
+@check
+def stops(world: World) -> Iterator[str]:
+    yield from world.stopped_cuts
+    for name in world.drained:
+        process = world.processes.get(name)
+        if process is not None and process.core.drain.draining:
+            yield f"{name} has not exited"
+
+
+@check
+def monotonic(world: World) -> Iterator[str]:
+    for name, history in world.histories.items():
+        generations = [generation for _, generation, _ in history]
+        if generations != sorted(generations):
+            yield f"{name}: {generations}"
+
+
+@check
+def in_force(world: World, generation: int, seconds: float) -> Iterator[str]:
+    limit = world.published[generation] + seconds
+    for name in world.processes:
+        times = [at for at, number, _ in world.histories[name] if number >= generation]
+        if not times or min(times) > limit:
+            yield f"{name}: {times[:1]}"
+
+
+@check
+def conflict(world: World) -> Iterator[str]:
+    nodes = world.exchange.nodes.values()
+    if not any(node.reports["conflict"] for node in nodes):
+        yield "nobody reported two sets of one generation"
+
+
+@check
+def calm(world: World, since: float) -> Iterator[str]:
+    late = [c for c in world.clients if since <= c.began < world.scenario.end - 1.0]
+    good = sum(map(completed, late))
+    if good < CALM_SHARE * len(late) or not late:
+        yield f"{good} of {len(late)} complete"
+
+
+@check
+def complete(world: World, percent: int, kind: str) -> Iterator[str]:
+    mine = [client for client in world.clients if client.kind == kind]
+    good = sum(map(completed, mine))
+    if good * 100 < percent * len(mine):
+        yield f"{good} of {len(mine)} complete"
+
+
+@check
+def refused(world: World, least: int) -> Iterator[str]:
+    """Check that capacity is short at all, so that the other checks say something."""
+    found = sum(answer.reason in SHORT for _, _, answer in answers(world))
+    if found < least:
+        yield f"{found} refused"
