Run fleet, operators' endpoint and metrics in the node process

Cause: nodes polled the platform each for itself and showed nothing of their state. Ruled out: a task for each concern on the data path; one tick of 20 ms drives the decisions, and the fleet part keeps its own task and inbox. Conclusion: the configuration comes from the fleet part, checked again in the node; the process drains by telling its callers first.

--- a/buckthornshed/transport/data_path.py
+++ b/buckthornshed/transport/data_path.py
@@ -27,6 +27,7 @@
 from .http_client import ConnectionPool, ExchangeHandlers, RawAnswer
 from .http_server import Listener, ServerConnection, ServerHandlers
 from .logs import log_event
+from .metrics import NodeMetrics
 from .responses import client_response, peer_response
 
 __all__ = ["DataPath"]
@@ -48,6 +49,8 @@
         Address of the target beside the node, ``ip:port``.
     body_bytes_max : int
         Greatest size of a body.
+    metrics : NodeMetrics
+        Counts what is answered.
     clock, wall : callable
         Return seconds of the monotonic clock and of the wall clock.
     """
@@ -59,12 +62,14 @@
         codec: ContextCodec,
         target_address: str,
         body_bytes_max: int,
+        metrics: NodeMetrics,
         clock: Callable[[], float],
         wall: Callable[[], float],
     ) -> None:
         self.core = core
         self.codec = codec
         self.target_address = target_address
+        self.metrics = metrics
         self.clock = clock
         self.wall = wall
         self.replies: dict[int, tuple[ServerConnection, bool]] = {}
@@ -221,6 +226,7 @@
         connection, from_node = self.replies.pop(action.token, (None, False))
         if connection is None:
             return
+        self.metrics.count_call(action.answer.outcome, action.answer.reason)
         head_only = connection.method == b"HEAD"
         if from_node:
             data = peer_response(action.answer, self.codec, head_only=head_only)
--- /dev/null
+++ b/buckthornshed/transport/node_dump.py
@@ -0,0 +1,81 @@
+"""The state of a node process, for operators."""
+
+from typing_extensions import TypedDict
+
+from ..coordination.node import NodeCore
+from .data_path import DataPath
+from .fleet import Fleet, FleetDump
+
+__all__ = ["NodeDump", "TableDump", "dump_node"]
+
+
+class TableDump(TypedDict):
+    """Entries of a table and the number at which it is full."""
+
+    entries: int
+    bound: int
+
+
+class NodeDump(TypedDict):
+    """State of one node process. Times are seconds."""
+
+    name: str
+    generation: int
+    fresh: bool
+    pauses: int
+    drain: str
+    in_flight: int
+    slots: int
+    queue: TableDump
+    threshold: int
+    queue_delay_s: float
+    egress_pending: int
+    resends: int
+    owner: bool
+    keys: TableDump
+    client_repeats: TableDump
+    thresholds: TableDump
+    targets: dict[str, list[dict[str, object]]]
+    connections: dict[str, int]
+    fleet: FleetDump
+
+
+def dump_node(
+    core: NodeCore, data_path: DataPath, fleet: Fleet, now: float
+) -> NodeDump:
+    """Return the state of the parts of one node."""
+    ingress, egress = core.ingress, core.egress
+    keys = core.keys
+    repeats = core.edge.repeats.remaining
+    known = egress.thresholds.known
+    return NodeDump(
+        name=core.name,
+        generation=0 if core.view is None else core.view.generation,
+        fresh=core.pause.fresh,
+        pauses=core.pause.pauses,
+        drain=core.drain.phase.value,
+        in_flight=ingress.running,
+        slots=ingress.slots,
+        queue=TableDump(entries=len(ingress.queue), bound=ingress.queue.limit),
+        threshold=ingress.signal().threshold,
+        queue_delay_s=ingress.queue_delay,
+        egress_pending=len(egress.pending),
+        resends=egress.resends,
+        owner=core.gate is not None and core.gate.settled,
+        keys=TableDump(
+            entries=0 if keys is None else len(keys.held),
+            bound=0 if keys is None else keys.held.size,
+        ),
+        client_repeats=TableDump(entries=len(repeats), bound=repeats.size),
+        thresholds=TableDump(entries=len(known), bound=known.size),
+        targets={
+            service: [each._asdict() for each in router.snapshot(now)]
+            for service, router in egress.routers.items()
+        },
+        connections={
+            "ingress": len(data_path.ingress.connections),
+            "egress": len(data_path.egress.connections),
+            "replies": len(data_path.replies),
+        },
+        fleet=fleet.dump(),
+    )
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -1,32 +1,33 @@
 """A node process: settings in, sockets open, drained on SIGTERM."""
 
+import logging
 import signal
 import time
 from random import Random, SystemRandom
 
 import anyio
-import httpx
 from anyio.abc import TaskGroup
-from pydantic import TypeAdapter
 
+from ..coordination.fleet_actions import Activate, Report
 from ..coordination.node import NodeCore
+from ..coordination.node_formats import ActiveSet, node_formats
 from ..coordination.view import View
 from ..protocol.authentication import Authenticator
 from ..protocol.wire_context import ContextCodec
-from ..state.objects import ConfigurationSet
+from .admin import AdminServer
 from .data_path import DataPath
+from .fleet import Fleet, FleetSettings
 from .logs import log_event
+from .metrics import Gauges, NodeMetrics
+from .node_dump import NodeDump, dump_node
 from .settings import DEFAULTS, NodeSettings, split_address
 
 __all__ = ["NodeProcess"]
 
 TICK_S = 0.02
 SWEEP_TICKS = 50
-SEED_BITS = 256
-POLL_S = 0.5
 DRAIN_POLL_S = 0.05
-
-SETS: TypeAdapter[ConfigurationSet] = TypeAdapter(ConfigurationSet)
+SEED_BITS = 256
 
 
 class NodeProcess:
@@ -42,34 +43,73 @@
         self.settings = settings
         self.clock = time.monotonic
         self.wall = time.time
+        incarnation = time.time_ns()
+        rng = Random(SystemRandom().getrandbits(SEED_BITS))
+        keys = tuple(bytes.fromhex(key) for key in settings["keys"])
         self.core = NodeCore(
             name=settings["name"],
             domain=settings["failure_domain"],
-            rng=Random(SystemRandom().getrandbits(SEED_BITS)),
+            rng=rng,
             now=self.clock(),
-            incarnation=time.time_ns(),
+            incarnation=incarnation,
             drain_s=settings.get("drain_s", DEFAULTS["drain_s"]),
         )
-        keys = tuple(bytes.fromhex(key) for key in settings["keys"])
+        self.metrics = NodeMetrics(
+            name=settings["name"], gauges=self.gauges, otlp=settings.get("otlp")
+        )
         self.data_path = DataPath(
             core=self.core,
             codec=ContextCodec(authenticator=Authenticator(keys=keys)),
             target_address=settings["target"],
             body_bytes_max=settings.get("body_bytes_max", DEFAULTS["body_bytes_max"]),
+            metrics=self.metrics,
             clock=self.clock,
             wall=self.wall,
         )
+        self.active = ActiveSet()
+        self.fleet = Fleet(
+            settings=fleet_settings(settings, keys, incarnation),
+            formats=node_formats(),
+            rng=rng,
+            on_active=self._activate,
+            on_report=self._report,
+        )
+        self.admin = AdminServer(
+            address=settings["admin"],
+            dump=self.dump,
+            ready=lambda: self.core.view is not None,
+            metrics=self.metrics.render,
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and return."""
         await self.data_path.ingress.open(*split_address(self.settings["ingress"]))
         await self.data_path.egress.open(*split_address(self.settings["egress"]))
-        log_event("node_started", name=self.settings["name"])
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.admin.serve, anyio.Event())
+            tasks.start_soon(self.fleet.run)
             tasks.start_soon(self._tick)
-            tasks.start_soon(self._read_configuration)
+            log_event("node_started", node=self.settings["name"])
             await self._until_signal(tasks)
-        log_event("node_stopped", name=self.settings["name"])
+        self.metrics.close()
+        log_event("node_stopped", node=self.settings["name"])
+
+    def gauges(self) -> Gauges:
+        """Return what is true of the node at the moment."""
+        ingress = self.core.ingress
+        view = self.core.view
+        return Gauges(
+            in_flight=ingress.running,
+            queue_length=len(ingress.queue),
+            threshold=ingress.signal().threshold,
+            generation=0 if view is None else view.generation,
+            drain_phase=self.core.drain.phase.value,
+            control_bytes=sum(self.fleet.budget.sent_bytes.values()),
+        )
+
+    def dump(self) -> NodeDump:
+        """Return the state of the process for operators."""
+        return dump_node(self.core, self.data_path, self.fleet, self.clock())
 
     async def _until_signal(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -81,7 +121,8 @@
 
     async def _drain(self) -> None:
         """Leave: tell the callers, finish what is in flight, then close."""
-        self.core.stop(self.clock())
+        callers = self.core.stop(self.clock())
+        self.fleet.leave(callers)
         while not self._is_drained():
             await anyio.sleep(DRAIN_POLL_S)
         self.data_path.ingress.stop_accepting()
@@ -99,33 +140,45 @@
         while True:
             await anyio.sleep(TICK_S)
             self.data_path.tick()
+            if not self.core.pause.fresh and self.fleet.fresh:
+                self.core.refreshed(self.clock())
             ticks += 1
             if ticks % SWEEP_TICKS == 0:
                 self.data_path.sweep()
 
-    async def _read_configuration(self) -> None:
-        async with httpx.AsyncClient(base_url=self.settings["platform"]) as client:
-            while True:
-                await self._read_once(client)
-                await anyio.sleep(POLL_S)
-
-    async def _read_once(self, client: httpx.AsyncClient) -> None:
-        try:
-            response = await client.get("/v1/values/set")
-        except httpx.HTTPError as error:
-            log_event("platform_unreachable", error=str(error) or type(error).__name__)
-            return
-        if response.status_code != httpx.codes.OK:
-            return
-        generation = int(response.headers["x-version"])
-        view = self.core.view
-        if view is not None and view.generation >= generation:
-            return
-        objects = SETS.validate_json(response.content)
-        name = self.settings["name"]
-        self.core.configure(
-            self.clock(),
-            self.wall(),
-            View(name=name, generation=generation, objects=objects),
+    def _activate(self, action: Activate) -> None:
+        active = self.active.take(action)
+        view = View(
+            name=self.settings["name"],
+            generation=active.generation,
+            objects=active.objects,
+        )
+        self.core.configure(self.clock(), self.wall(), view)
+        log_event(
+            "configuration_in_force",
+            generation=active.generation,
+            changed=len(action.changed),
         )
-        log_event("configuration_in_force", generation=generation)
+
+    def _report(self, report: Report) -> None:
+        log_event(
+            report.notice,
+            level=logging.WARNING,
+            generation=report.version.generation,
+            detail=report.detail,
+        )
+
+
+def fleet_settings(
+    settings: NodeSettings, keys: tuple[bytes, ...], incarnation: int
+) -> FleetSettings:
+    """Return the part of the settings that the fleet needs."""
+    return FleetSettings(
+        name=settings["name"],
+        domain=settings["failure_domain"],
+        address=settings["control"],
+        seeds=tuple(settings.get("peers", ())),
+        platform=settings["platform"],
+        keys=keys,
+        incarnation=incarnation,
+    )
