Tell a client when to come back while no owner is settled

Cause: a booking without a key of its own, refused by an owner that cannot prove yet that a key is new, ended with 502 and no time to come back. Ruled out: a new reason; the key was known to this node alone, so the booking had simply no target. Found by a trial of four nodes with the fleet part, in which browsing went through both hops and each booking was refused so. Before/after: 502 key-unproven / 503 no-target with Retry-After. Conclusion: what the owner says of a key stays between nodes.

--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -158,10 +158,11 @@
             now, pending, answer.reason
         ):
             del self.pending[pending.token]
-            unspent = pending.account.available
-            return [
-                Reply(pending.token, answer._replace(outcome=told, unspent=unspent))
-            ]
+            if answer.reason is Reason.KEY_UNPROVEN and told is Outcome.NOT_RUN:
+                # The key was ours alone; its owner is not settled yet.
+                return [self._reply(pending, Reason.NO_TARGET)]
+            final = answer._replace(outcome=told, unspent=pending.account.available)
+            return [Reply(pending.token, final)]
         return self._resend(now, wall, pending)
 
     def failed(self, now: float, wall: float, fault: Fault) -> list[EgressAction]:
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -29,6 +29,9 @@
 DRAIN_POLL_S = 0.05
 SEED_BITS = 256
 
+NOTICE_LEVELS = {"in_force": logging.DEBUG}
+"""Levels of notices that are not warnings; `in_force` is logged on its own."""
+
 
 class NodeProcess:
     """Owns the parts of one node and their tasks.
@@ -163,7 +166,7 @@
     def _report(self, report: Report) -> None:
         log_event(
             report.notice,
-            level=logging.WARNING,
+            level=NOTICE_LEVELS.get(report.notice, logging.WARNING),
             generation=report.version.generation,
             detail=report.detail,
         )
