--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -1,6 +1,7 @@
 """Idempotency keys: UUIDs of version 7, RFC 9562, which carry their mint time."""
 
 import hashlib
+import re
 from typing import NamedTuple, Protocol
 
 from ..errors import ContextError
@@ -20,13 +21,14 @@
 
 FINGERPRINT_BYTES = 16
 KEY_CHARACTERS = 36
-DASHES = (8, 13, 18, 23)
 RANDOM_BITS = 74
 LOW_BITS = 62
 VERSION = 7
 VARIANT = 0b10
 MILLISECONDS_MASK = (1 << 48) - 1
-HEXADECIMAL = frozenset("0123456789abcdef")
+CANONICAL = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 
 
 class RandomBits(Protocol):
@@ -73,7 +75,7 @@
         If ``text`` is not a UUID of version 7 in its canonical form.
     """
     lowered = text.lower()
-    if not _is_canonical(lowered):
+    if CANONICAL.fullmatch(lowered) is None:
         raise ContextError(
             subject="idempotency key",
             found=repr(text[:KEY_CHARACTERS]),
@@ -131,20 +133,6 @@
     return digest.digest()
 
 
-def _is_canonical(text: str) -> bool:
-    if len(text) != KEY_CHARACTERS:
-        return False
-    if any(text[place] != "-" for place in DASHES):
-        return False
-    digits = text.replace("-", "")
-    return (
-        len(digits) == KEY_CHARACTERS - len(DASHES)
-        and HEXADECIMAL.issuperset(digits)
-        and digits[12] == "7"
-        and digits[16] in "89ab"
-    )
-
-
 def key_text(raw: bytes) -> str:
     """Return the canonical form of the 16 bytes of a key."""
     digits = raw.hex()
