Take published values as they are, and let a cold start read little

Cause: the fleet took formats of its tests only; and when all nodes start at once with nothing in force anywhere, reads grew with the fleet (49, 57, 176 in the worst second at 110, 330, 990 nodes). Ruled out: a longer even spread (a small fleet would wait for it); first node by rank (a node without a set knows no ranks). Conclusion: the rate of early reads doubles ten times over six seconds; a delta that is absent leads to the set after at most 0.2 s.

--- a/buckthornshed/coordination/joining.py
+++ b/buckthornshed/coordination/joining.py
@@ -6,6 +6,7 @@
 newer one can be reached.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum, auto
 from typing import NamedTuple
@@ -20,9 +21,12 @@
 SEEDS_ASKED = 8
 """Nodes of the settings that are asked at a time."""
 
-COLD_START_SPREAD_S = 10.0
+COLD_START_SPREAD_S = 6.0
 """Time over which nodes read the platform when the nodes they ask have no set."""
 
+COLD_START_DOUBLINGS = 10
+"""How often the rate of these reads doubles in that time."""
+
 ALONE_SPREAD_S = 1.0
 """The same when no other node answers."""
 
@@ -108,13 +112,22 @@
             self.step = Step.DONE
             return []
         if self.read_at is None:
-            answered = bool(self.survey.versions)
-            spread = COLD_START_SPREAD_S if answered else ALONE_SPREAD_S
-            self.read_at = now + self.rng.uniform(0.0, spread)
+            self.read_at = now + self.read_delay()
         self.step = Step.WAITING
         self.due = min(self.read_at, now + ASK_PAUSE_S)
         return []
 
+    def read_delay(self) -> float:
+        """Return how long to leave the platform to others.
+
+        Few nodes of a fleet that starts as a whole read early, whatever its size, and
+        the others learn from them; in a small fleet the first read is not far off.
+        """
+        if not self.survey.versions:
+            return self.rng.uniform(0.0, ALONE_SPREAD_S)
+        drawn = self.rng.uniform(1.0, 2.0**COLD_START_DOUBLINGS)
+        return COLD_START_SPREAD_S * math.log2(drawn) / COLD_START_DOUBLINGS
+
     def pull(self, now: float, version: Version) -> list[Action]:
         """Ask one holder of a version for its whole set."""
         self.step = Step.PULLING
--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/platform_watch.py
@@ -17,6 +17,9 @@
 FAILURE_PAUSE_S = (1.0, 4.0)
 """Pause of a reader after a read that failed."""
 
+RETRY_PAUSE_S = (0.05, 0.2)
+"""Pause before the set is read in place of a delta that is absent."""
+
 FETCH_DELAY_S = (0.5, 1.5)
 """How long a reader other than the primary waits for peers before it fetches."""
 
@@ -117,7 +120,9 @@
             self.next_watch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
             return
         self.fetched(key)
-        self.fetch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
+        # A generation may have no delta; the set is read in its place.
+        pause = FAILURE_PAUSE_S if key == SET else RETRY_PAUSE_S
+        self.fetch_at = now + self.rng.uniform(*pause)
 
     def learned(
         self, now: float, head: Version, in_force: Version, *, primary: bool
--- /dev/null
+++ b/buckthornshed/tests/test_published_formats.py
@@ -0,0 +1,59 @@
+import pytest
+
+from ..coordination.config_log import apply_chain
+from ..coordination.published_formats import published_formats
+from ..errors import BuckthornshedError, ConfigurationError
+from ..protocol.encoded_sets import encode_objects
+from ..protocol.platform_values import platform_values
+from ..protocol.published import encode_published
+from ..protocol.published_values import decode_delta_value, decode_head_value
+from .small_set import small_set
+
+
+def changed_set():
+    objects = small_set()
+    name = next(iter(objects["retry"]))
+    objects["retry"][name]["backoff_ms"] += 1
+    return objects
+
+
+def test_what_is_published_leads_from_one_set_to_the_next():
+    formats = published_formats()
+    previous = encode_published(small_set(), 1)
+    values = platform_values(encode_published(changed_set(), 2), previous)
+    assert list(values) == ["set", "delta/2", "head"]
+    head = formats.decode_head(values["head"])
+    delta = formats.decode_delta(values["delta/2"])
+    _, old = formats.decode_set(previous)
+    objects = apply_chain(old, [delta])
+    formats.check(old)
+    formats.check(objects)
+    assert formats.decode_set(values["set"]) == (head, objects)
+    assert head == delta.version == (2, formats.digest(objects))
+    assert formats.decode_set(formats.encode_set(head, objects))[0] == head
+
+
+def test_nodes_are_found_in_the_targets():
+    formats = published_formats()
+    objects = encode_objects(small_set())
+    peers = [formats.peer(key, value) for key, value in objects.items()]
+    found = {peer.name: peer for peer in peers if peer}
+    targets = small_set()["target"]
+    assert set(found) == set(targets)
+    for name, peer in found.items():
+        assert peer.address == targets[name]["control"]
+
+
+def test_a_dangling_reference_is_refused():
+    objects = small_set()
+    objects["provider"].clear()
+    with pytest.raises(ConfigurationError):
+        published_formats().check(encode_objects(objects))
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xff", b"x" * 1_000])
+def test_small_values_that_are_malformed_are_refused(body):
+    with pytest.raises(BuckthornshedError):
+        decode_head_value(body)
+    with pytest.raises(BuckthornshedError):
+        decode_delta_value(body)
