Carry the request context in Python applications

Cause: a target had to copy headers by hand.

Ruled out: forwarding the idempotency key by default, since a second call with the same key would count as a repeat of the first; it is an option. Ruled out: the name client, which the glossary keeps for customers.

--- /dev/null
+++ b/buckthornshed/integration/keys.py
@@ -0,0 +1,18 @@
+"""Idempotency keys for applications."""
+
+import time
+from random import SystemRandom
+
+from ..coordination.keys import mint_key
+
+__all__ = ["create_key"]
+
+SOURCE = SystemRandom()
+
+
+def create_key() -> str:
+    """Return a new idempotency key, a UUID of version 7.
+
+    A client makes one for each piece of work and keeps it for its repeats.
+    """
+    return mint_key(wall=time.time(), rng=SOURCE)
--- /dev/null
+++ b/buckthornshed/integration/request_context.py
@@ -0,0 +1,62 @@
+"""What an application keeps of the request that it works on."""
+
+import time
+from collections.abc import Iterable
+from contextvars import ContextVar
+from typing import NamedTuple
+
+from ..protocol.http import CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER, first
+
+__all__ = ["CURRENT", "TRACE_HEADER", "RequestContext", "current_context"]
+
+TRACE_HEADER = b"traceparent"
+
+
+class RequestContext(NamedTuple):
+    """The part of a request that its calls to other services carry on.
+
+    Parameters
+    ----------
+    context : bytes or None
+        Value of the context header, which means something to the node alone.
+    traceparent : bytes or None
+        Trace context of W3C.
+    key : bytes or None
+        Idempotency key of the request.
+    deadline : float or None
+        When the caller gives up, seconds of the monotonic clock.
+    """
+
+    context: bytes | None
+    traceparent: bytes | None
+    key: bytes | None
+    deadline: float | None
+
+    def remaining_s(self) -> float | None:
+        """Return the seconds to the deadline, negative after it; None without one."""
+        return None if self.deadline is None else self.deadline - time.monotonic()
+
+
+CURRENT: ContextVar[RequestContext | None] = ContextVar(
+    "buckthornshed_request", default=None
+)
+
+
+def current_context() -> RequestContext | None:
+    """Return the context of the request that is worked on, if there is one."""
+    return CURRENT.get()
+
+
+def read_context(headers: Iterable[tuple[bytes, bytes]]) -> RequestContext:
+    """Return the context of a request that arrived now, from its headers."""
+    pairs = tuple((name.lower(), value) for name, value in headers)
+    remaining_ms = first(pairs, DEADLINE_HEADER)
+    deadline = None
+    if remaining_ms is not None and remaining_ms.isdigit():
+        deadline = time.monotonic() + int(remaining_ms) / 1e3
+    return RequestContext(
+        context=first(pairs, CONTEXT_HEADER),
+        traceparent=first(pairs, TRACE_HEADER),
+        key=first(pairs, KEY_HEADER),
+        deadline=deadline,
+    )
--- /dev/null
+++ b/buckthornshed/integration/transport.py
@@ -0,0 +1,120 @@
+"""An httpx transport that sends calls to the egress of the node beside a target."""
+
+from collections.abc import Iterator
+
+import httpx
+
+from ..protocol.http import CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER
+from ..protocol.outcome import Outcome
+from .errors import CallNotRunError, error_of, read_outcome
+from .request_context import TRACE_HEADER, RequestContext, current_context
+
+__all__ = ["EgressTransport"]
+
+CARRIED = (CONTEXT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
+"""Headers that come from the request context and not from the author of a call."""
+
+
+class EgressTransport(httpx.AsyncBaseTransport):
+    """Sends calls to ``http://<service>/...`` through the node.
+
+    Parameters
+    ----------
+    egress : str
+        Address of the egress of the node, ``ip:port``.
+    raise_errors : bool, optional
+        Whether a call that did not complete raises a `CallError`. Otherwise its
+        response is returned, with the outcome in ``buckthornshed-outcome``.
+    forward_key : bool, optional
+        Whether calls without an idempotency key carry that of the request.
+    inner : httpx.AsyncBaseTransport, optional
+        What sends the requests.
+
+    Raises
+    ------
+    CallError
+        By calls, if `raise_errors` is set.
+    httpx.UnsupportedProtocol
+        By calls to a URL that is not ``http``.
+    """
+
+    def __init__(
+        self,
+        *,
+        egress: str,
+        raise_errors: bool = False,
+        forward_key: bool = False,
+        inner: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        host, _, port = egress.rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.raise_errors = raise_errors
+        self.forward_key = forward_key
+        self.inner = inner or httpx.AsyncHTTPTransport()
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send one call on behalf of the current request."""
+        if request.url.scheme != "http":
+            raise httpx.UnsupportedProtocol(
+                f"{request.url}: found {request.url.scheme}, expected http",
+                request=request,
+            )
+        context = current_context()
+        subject = f"{request.method} {request.url.host}{request.url.path}"
+        remaining_s = None if context is None else context.remaining_s()
+        if self.raise_errors and remaining_s is not None and remaining_s <= 0:
+            raise CallNotRunError(subject=subject, found="no time left")
+        response = await self.inner.handle_async_request(self._routed(request, context))
+        if not self.raise_errors:
+            return response
+        return await _complete(subject, request, response)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self.inner.aclose()
+
+    def _routed(
+        self, request: httpx.Request, context: RequestContext | None
+    ) -> httpx.Request:
+        headers = request.headers.copy()
+        for name in CARRIED:
+            headers.pop(name.decode(), None)
+        if context is not None:
+            headers.update(list(_carried_headers(context)))
+        key = None if context is None else context.key
+        if self.forward_key and key is not None:
+            headers.setdefault(KEY_HEADER.decode(), key.decode("latin-1"))
+        headers["host"] = request.url.host
+        return httpx.Request(
+            request.method,
+            request.url.copy_with(host=self.host, port=self.port),
+            headers=headers,
+            stream=request.stream,
+            extensions=request.extensions,
+        )
+
+
+def _carried_headers(context: RequestContext) -> Iterator[tuple[str, str]]:
+    if context.context is not None:
+        yield CONTEXT_HEADER.decode(), context.context.decode("latin-1")
+    if context.traceparent is not None:
+        yield TRACE_HEADER.decode(), context.traceparent.decode("latin-1")
+    remaining_s = context.remaining_s()
+    if remaining_s is not None:
+        yield DEADLINE_HEADER.decode(), str(max(0, int(remaining_s * 1e3)))
+
+
+async def _complete(
+    subject: str, request: httpx.Request, response: httpx.Response
+) -> httpx.Response:
+    """Return a response whose call completed, else raise its error."""
+    response.request = request
+    if read_outcome(response) in (None, Outcome.COMPLETE):
+        return response
+    await response.aread()
+    await response.aclose()
+    error = error_of(subject, response)
+    if error is not None:
+        raise error
+    return response
