Publish checked values from the driver of a deployment

Cause: the driver put the set as plain JSON, which the fleet part does not read. Ruled out: a second reader in the node. Conclusion: the driver checks, encodes and puts set, delta and head in this order.

--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -13,6 +13,9 @@
 import httpx
 import msgspec
 
+from ..protocol.configuration import require_valid
+from ..protocol.platform_values import platform_values
+from ..protocol.published import encode_published
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
 from .processes import (
@@ -111,6 +114,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
+        self.published: bytes | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -145,8 +149,17 @@
             await self.publish_next()
 
     async def publish(self, objects: Objects, *, generation: int) -> None:
-        """Publish a set, as an operator does."""
-        await self.put_value("set", msgspec.json.encode(objects))
+        """Publish a set, as an operator does.
+
+        Raises
+        ------
+        FindingsError
+            If the set has faults.
+        """
+        value = encode_published(require_valid(objects), generation)
+        for key, body in platform_values(value, self.published).items():
+            await self.put_value(key, body)
+        self.published = value
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
