Start deployments that run side by side at different ports

Cause: two test runs at once took the same ports; a port is free until its process listens (seen: the platform of one run found its port in use). Ruled out: holding the sockets open for the children; they bind by themselves.

--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -29,6 +29,7 @@
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
+PORTS_OF_DEPLOYMENT = 256
 IN_FORCE = re.compile(r"event=configuration_in_force\b.*\bgeneration=(\d+)")
 LOOPBACK = "127.0.0.1"
 
@@ -38,10 +39,20 @@
 
 
 class Ports:
-    """Hands out free loopback ports below the ephemeral range."""
+    """Hands out free loopback ports below the ephemeral range.
 
-    def __init__(self, *, first: int = FIRST_PORT) -> None:
-        self.next = first
+    Deployments that run side by side start at different ports, for a port is free
+    until its process listens.
+
+    Parameters
+    ----------
+    first : int, optional
+        Where to start; by default a place that follows from the process id.
+    """
+
+    def __init__(self, *, first: int | None = None) -> None:
+        spread = os.getpid() * PORTS_OF_DEPLOYMENT % (LAST_PORT - FIRST_PORT) // 2
+        self.next = FIRST_PORT + spread if first is None else first
 
     def take(self) -> str:
         """Return the next free address.
