Publish head, set and delta, and let a node read them as they are

Cause: `build` wrote the whole value only, while nodes watch `head` and follow `delta/<generation>`; and the fleet part of a node had no formats but those of its tests.

protocol.published_values.published_values(objects, generation, previous) gives what to put on the platform, by key, head last. The keys move there from coordination.platform_watch, which imports them. coordination.node_formats has node_formats(), from protocol.encoded_sets, and ActiveSet, which turns each Activate into generation and set. The refusal of a generation that does not rise moves from the command into published_values, under PublishedValueError.

Ruled out: to refuse a set whose delta is above a megabyte: nodes read the set where a delta is missing, so it is left out. To create DIR: a command that is refused would leave it.

--- a/buckthornshed/cli/build.py
+++ b/buckthornshed/cli/build.py
@@ -1,30 +1,27 @@
-"""``buckthornshed build``: write the value that operators publish."""
+"""``buckthornshed build``: write the values that operators publish."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
-from ..errors import ConfigurationError
 from ..protocol.delta import delta
-from ..protocol.published import Published, encode_published, publish
+from ..protocol.published import publish
+from ..protocol.published_values import SET, published_values
 from .exits import ExitCode, errors_exit_with
-from .sources import read_checked, read_published, write_value
+from .sources import read_checked, read_published, write_values
 
-__all__ = ["Build", "GenerationError"]
+__all__ = ["Build"]
 
 
-class GenerationError(ConfigurationError):
-    """A generation does not follow the one that is published."""
-
-
-@cappa.command(name="build", help="Write the value to publish.")
+@cappa.command(name="build", help="Write the values to publish.")
 @dataclass(kw_only=True)
 class Build:
-    """Write the value to publish.
+    """Write the values to publish.
 
-    Exits with 0 if it is written, 1 if the set or the generation is refused, 2 if
+    Exits with 0 if they are written, 1 if the set or the generation is refused, 2 if
     a path cannot be used. Nothing is written unless the exit code is 0.
     """
 
@@ -39,6 +36,10 @@
         Path | None,
         cappa.Arg(long=True, help="The published value that this one follows."),
     ] = None
+    values: Annotated[
+        Path | None,
+        cappa.Arg(long=True, help="Directory for a file of each value to publish."),
+    ] = None
 
     def __call__(self) -> None:
         """Check the set, write the value and print what it holds."""
@@ -47,31 +48,22 @@
             previous = read_published(self.previous) if self.previous else None
         with errors_exit_with(ExitCode.REFUSED):
             objects = reading.require()
-            expect_higher(self.generation, previous)
-            value = encode_published(objects, self.generation)
+            values = published_values(objects, self.generation, previous)
         with errors_exit_with(ExitCode.UNUSABLE):
-            write_value(self.out, value)
+            write_values(self.files(values))
         built = publish(objects, self.generation)
         print(f"generation {built.generation}")
         print(f"digest {built.digest}")
-        print(f"bytes {len(value)}")
+        print(f"bytes {len(values[SET])}")
         if previous:
             change = delta(previous, built)
             print(f"changed {len(change.changed)}")
             print(f"removed {len(change.removed)}")
 
-
-def expect_higher(generation: int, previous: Published | None) -> None:
-    """Refuse a generation that nodes would not take after `previous`.
-
-    Raises
-    ------
-    GenerationError
-        If `generation` is not above that of `previous`.
-    """
-    if previous and generation <= previous.generation:
-        raise GenerationError(
-            subject="generation",
-            found=str(generation),
-            expected=f"more than {previous.generation}, which is published",
-        )
+    def files(self, values: Mapping[str, bytes]) -> dict[Path, bytes]:
+        """Return what to write by path; a slash of a key is a hyphen in its name."""
+        files = {self.out: values[SET]}
+        if self.values is not None:
+            for key, value in values.items():
+                files[self.values / key.replace("/", "-")] = value
+        return files
--- a/buckthornshed/cli/sources.py
+++ b/buckthornshed/cli/sources.py
@@ -1,6 +1,8 @@
 """Configuration sets and published values on disk."""
 
 import os
+from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 
 from ..errors import BuckthornshedError
@@ -20,7 +22,7 @@
     "read_either",
     "read_published",
     "read_sources",
-    "write_value",
+    "write_values",
 ]
 
 SUFFIX = ".toml"
@@ -96,19 +98,27 @@
     return read_published(path)
 
 
-def write_value(path: Path, value: bytes) -> None:
-    """Write `value` so that `path` holds either the whole of it or what was there.
+def write_values(values: Mapping[Path, bytes]) -> None:
+    """Write files so that each holds either the whole of its value or what was there.
+
+    All values are written before the first file is replaced.
 
     Raises
     ------
     UnusablePathError
-        If the file cannot be written.
+        If a file cannot be written.
     """
-    partial = path.with_name(path.name + ".partial")
+    partials = {path: path.with_name(path.name + ".partial") for path in values}
+    path = Path()
     try:
-        partial.write_bytes(value)
-        os.replace(partial, path)
+        for path, value in values.items():
+            partials[path].write_bytes(value)
+        for path, partial in partials.items():
+            os.replace(partial, path)
     except OSError as error:
+        for partial in partials.values():
+            with suppress(OSError):
+                partial.unlink()
         raise _unusable(path, error, "a file that can be written") from error
 
 
--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/platform_watch.py
@@ -1,13 +1,11 @@
 """When a node reads the platform, and which values."""
 
 from ..protocol.peer_messages import NO_VERSION, Version
+from ..protocol.published_values import HEAD, SET, delta_key
 from .fleet_actions import ReadValue, Rng
 
 __all__ = ["HEAD", "SET", "PlatformWatch", "delta_key"]
 
-HEAD = "head"
-SET = "set"
-
 WATCH_S = 20.0
 """How long a watch of the head waits at the platform."""
 
@@ -33,11 +31,6 @@
 """How long a node that broke the silence goes on reading."""
 
 
-def delta_key(generation: int) -> str:
-    """Return the key of the delta that leads to a generation."""
-    return f"delta/{generation}"
-
-
 class PlatformWatch:
     """Decide on reads of the platform; at most one watch and one fetch at a time.
 
--- a/buckthornshed/tests/test_cli_configuration.py
+++ b/buckthornshed/tests/test_cli_configuration.py
@@ -6,8 +6,9 @@
 import pytest
 
 from buckthornshed.cli.main import main
-from buckthornshed.cli.sources import read_checked
+from buckthornshed.cli.sources import read_checked, read_published
 from buckthornshed.protocol.published import decode_published, encode_published
+from buckthornshed.protocol.published_values import published_values
 
 from .small_set import TEXT, small_set
 
@@ -117,6 +118,19 @@
     assert f"digest {published.digest}\n" in out
 
 
+def test_build_writes_each_value_that_is_put_on_the_platform(run, tmp_path):
+    directory = tmp_path / "values"
+    directory.mkdir()
+    build(run, "good.toml", 3)
+    more = ("--previous", "v3", "--values", "values")
+    assert build(run, "good.toml", 4, *more)[0] == 0
+    written = {path.name: path.read_bytes() for path in directory.iterdir()}
+    last = read_published(tmp_path / "v3")
+    values = published_values(small_set(), 4, last)
+    assert written == {key.replace("/", "-"): values[key] for key in values}
+    assert written["set"] == (tmp_path / "v4").read_bytes()
+
+
 def test_build_refuses_and_writes_nothing(run, tmp_path):
     build(run, "good.toml", 3)
     before = sorted(path.name for path in tmp_path.iterdir())
@@ -126,6 +140,7 @@
     assert build(run, "good.toml", 3, "--previous", "v3")[0] == 1
     assert build(run, "good.toml", 4, "--previous", "bad.toml")[0] == 2
     assert run("build", "good.toml", "--generation=4", "--out=none/v4")[0] == 2
+    assert build(run, "good.toml", 4, "--values", "none")[0] == 2
     assert sorted(path.name for path in tmp_path.iterdir()) == before
     assert build(run, "good.toml", 4, "--previous", "v3")[0] == 0
 
--- /dev/null
+++ b/buckthornshed/tests/test_node_formats.py
@@ -0,0 +1,155 @@
+"""A node that reads what operators publish, from the stand-in platform."""
+
+import random
+import socket
+import time
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+import pytest
+
+from ..coordination.fleet_actions import Activate
+from ..coordination.node_formats import ActiveConfiguration, ActiveSet, node_formats
+from ..errors import BuckthornshedError
+from ..protocol.encoded_sets import encode_objects
+from ..protocol.peer_messages import Peer, Version
+from ..protocol.published import publish
+from ..protocol.published_values import SET, delta_key, published_values
+from ..standins.platform import PlatformState, reader_application
+from ..transport.fleet import Fleet, FleetSettings
+from .exchange import KEY
+from .small_set import small_set
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def address():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+def first_set(address):
+    objects = small_set()
+    objects["target"]["stables-1"]["control"] = address
+    return objects
+
+
+def next_set(address):
+    objects = first_set(address)
+    objects["priority"]["low"]["rank"] = 5
+    del objects["shift"]["stables"]
+    return objects
+
+
+class Published:
+    """The stand-in platform, and what its reader answered with 200, by key."""
+
+    def __init__(self):
+        self.state = PlatformState(clock=time.monotonic)
+        self.transport = httpx.ASGITransport(app=reader_application(self.state))
+        self.answered = []
+
+    def put(self, values):
+        for key, body in values.items():
+            self.state.put(key, body)
+
+    async def note(self, response):
+        if response.status_code == httpx.codes.OK:
+            self.answered.append(response.url.path.removeprefix("/v1/values/"))
+
+
+@asynccontextmanager
+async def following(platform, address):
+    """Run a node; yields a function that awaits the next set in force."""
+    send, receive = anyio.create_memory_object_stream[Activate](100)
+    settings = FleetSettings(
+        "stables-1", "east", address, (), "http://platform", (KEY,), 7
+    )
+    fleet = Fleet(
+        settings=settings,
+        formats=node_formats(),
+        rng=random.Random(1),
+        on_active=send.send_nowait,
+        on_report=lambda report: None,
+    )
+    fleet.reader.client = httpx.AsyncClient(
+        base_url="http://platform",
+        transport=platform.transport,
+        event_hooks={"response": [platform.note]},
+    )
+    active = ActiveSet()
+
+    async def in_force():
+        with anyio.fail_after(20):
+            return active.take(await receive.receive())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.run)
+        yield in_force
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_node_takes_the_set_and_follows_a_delta(address):
+    platform = Published()
+    platform.put(published_values(first_set(address), 3, None))
+    async with following(platform, address) as in_force:
+        assert await in_force() == ActiveConfiguration(3, first_set(address))
+        reads_of_the_set = platform.answered.count(SET)
+        last = publish(first_set(address), 3)
+        platform.put(published_values(next_set(address), 4, last))
+        assert await in_force() == ActiveConfiguration(4, next_set(address))
+        assert delta_key(4) in platform.answered
+        assert platform.answered.count(SET) == reads_of_the_set
+
+
+@pytest.mark.anyio
+async def test_node_reads_the_set_where_there_is_no_delta(address):
+    platform = Published()
+    platform.put(published_values(first_set(address), 3, None))
+    async with following(platform, address) as in_force:
+        await in_force()
+        platform.put(published_values(next_set(address), 4, None))
+        assert await in_force() == ActiveConfiguration(4, next_set(address))
+        assert delta_key(4) not in platform.answered
+
+
+def test_each_activation_is_decoded_as_a_whole_set():
+    active = ActiveSet()
+    sets = [first_set("127.0.0.1:1"), next_set("127.0.0.1:2"), first_set("127.0.0.1:1")]
+    for generation, objects in enumerate(sets, start=1):
+        activate = Activate(
+            Version(generation, b""), encode_objects(objects), frozenset()
+        )
+        assert active.take(activate) == (generation, objects)
+
+
+def test_formats_judge_a_set_as_the_check_does():
+    formats = node_formats()
+    objects = encode_objects(small_set())
+    version = Version(3, bytes.fromhex(publish(small_set(), 3).digest))
+    assert formats.decode_set(formats.encode_set(version, objects)) == (
+        version,
+        objects,
+    )
+    assert formats.digest(objects) == version.digest
+    formats.check(objects)
+    broken = {key: objects[key] for key in objects if key != "priority/low"}
+    with pytest.raises(BuckthornshedError, match=r"route\.browse"):
+        formats.check(broken)
+
+
+def test_targets_in_service_are_nodes():
+    objects = small_set()
+    objects["target"]["stables-2"]["retired"] = True
+    peers = [node_formats().peer(*each) for each in encode_objects(objects).items()]
+    assert [peer for peer in peers if peer] == [
+        Peer("booking-1", "east", "127.0.0.1:22001"),
+        Peer("stables-1", "east", "127.0.0.1:22002"),
+    ]
