Judge that requests complete in calm; list refusals by reason

Cause: a run in which every request was refused broke no promise, since equal shares of nothing hold the order of priorities. Found with a node that refused all.

--- a/buckthornshed/load/judge.py
+++ b/buckthornshed/load/judge.py
@@ -15,6 +15,7 @@
 __all__ = ["CHECKS", "Evidence", "Verdict", "judge", "register_check"]
 
 LEAVING_GRACE_S = 3.0
+CALM_SHARE = 0.95
 EXAMPLES = 3
 
 
@@ -176,6 +177,17 @@
     return Verdict(promise, held if short else None, f"whole in the surge: {figure}")
 
 
+@register_check
+def check_calm(evidence: Evidence) -> Verdict:
+    """Check that requests complete before anything disturbs them."""
+    first = evidence.plan.phase[0]
+    calm = [one for one in evidence.records if one.arrival < first.seconds]
+    good = sum(one.whole() and len(one.attempts) == 1 for one in calm)
+    figure = f"{good} of {len(calm)} whole at their first try in {first.name}"
+    held = good >= CALM_SHARE * len(calm) if first.factor == 1.0 else None
+    return Verdict("whole requests complete in calm", held, figure)
+
+
 @register_check
 def check_answers(evidence: Evidence) -> Verdict:
     """Check that no success was incomplete or another's."""
--- a/buckthornshed/load/morning.py
+++ b/buckthornshed/load/morning.py
@@ -82,6 +82,9 @@
     rows["recovery"] = "not within the run" if recovery is None else f"{recovery} s"
     rows["tries of a client, at most"] = str(summary["retries_max"] + 1)
     rows["tries in all"] = str(summary["attempts"])
+    rows["refusals and failures"] = "\n".join(
+        f"{count} {reason}" for reason, count in list(summary["refusals"].items())[:6]
+    )
     rows["work for tries that failed"] = f"{100 * findings.wasted:.1f}%"
     rows["sent late, p99"] = f"{summary['late_ms_p99']:.0f} ms"
     rows["p50 / p99 of whole requests"] = (
--- a/buckthornshed/tests/test_load_judge.py
+++ b/buckthornshed/tests/test_load_judge.py
@@ -68,6 +68,13 @@
     assert held("outlast", records=swapped, short_service="farrier") is None
 
 
+def test_requests_that_do_not_complete_in_calm():
+    calm = PLAN._replace(phase=(Phase("calm", 10.0),))
+    assert held("calm", plan=calm, records=(record(1, 0, Result.WHOLE),)) is True
+    assert held("calm", plan=calm, records=(record(1, 0, Result.REFUSED),)) is False
+    assert held("calm") is None
+
+
 def test_wrong_answer():
     assert held("own", records=(record(1, 0, Result.WRONG),)) is False
 
