--- a/buckthornshed/load/runner.py
+++ b/buckthornshed/load/runner.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..errors import SettingsError, UpstreamError
+from ..protocol.http import OUTCOME_HEADER
 from ..standins.asgi import Response
 from ..standins.behaviour import Deployment
 from ..standins.calls import DEADLINE_HEADER
@@ -229,8 +230,9 @@
             result = Result.WHOLE if fault is None else Result.WRONG
             return result, "", "", fault or ""
         problem = read_problem(response)
-        outcome = str(problem.get("outcome", ""))
-        reason = str(problem.get("reason", ""))
+        stated = dict(response.headers).get(OUTCOME_HEADER, b"").decode("latin-1")
+        outcome = str(problem.get("outcome", stated))
+        reason = str(problem.get("type", "")).rpartition(":")[2]
         refused = outcome == "not_run" or (
             not outcome and response.status in REFUSED_STATUSES
         )
