Hold at least one waiting call for each slot under overload

Conclusion: a call may wait for the policy's delay or one service time, whichever is longer. The benchmark has a slow target as a fourth trigger.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -1,7 +1,8 @@
 """Admission under surge, side by side with baselines, in virtual time.
 
 Run with ``python -m benchmarks.admission``. Three hops, the bottom one is the
-bottleneck; the load is 0.7 of its capacity, times the surge for ten seconds.
+bottleneck; the load is 0.7 of its capacity. For ten seconds a trigger multiplies
+the load or the service time of the bottom target.
 """
 
 from argparse import ArgumentParser
@@ -224,11 +225,26 @@
 }
 
 
+class Trigger(NamedTuple):
+    """What a trigger multiplies: the load, and the bottom's service time."""
+
+    load: float
+    slowness: float
+
+
+TRIGGERS = {
+    "surge 2x": Trigger(2.0, 1.0),
+    "surge 4x": Trigger(4.0, 1.0),
+    "surge 10x": Trigger(10.0, 1.0),
+    "slow 5x": Trigger(1.0, 5.0),
+}
+
+
 class Row(NamedTuple):
     """The figures of one run; rates as parts of the possible."""
 
     policy: str
-    surge: float
+    trigger: str
     goodput: float
     bookings: float
     price_checks: float
@@ -239,7 +255,7 @@
     median_ms: float
 
 
-def run(name: str, surge: float, seed: int) -> Row:
+def run(name: str, trigger: str, seed: int) -> Row:
     clock, rng = Clock(), Random(seed)
     bottom = hop = POLICIES[name](clock=clock, rng=rng, index=2, below=None)
     for index in (1, 0):
@@ -247,14 +263,15 @@
     clients = Clients(clock=clock, rng=rng, entry=hop)
     clients.arrive()
     clock.run(WARM_S)
-    clients.factor = surge
+    clients.factor = TRIGGERS[trigger].load
+    bottom.slowness = TRIGGERS[trigger].slowness
     clock.run(WARM_S + SURGE_S)
-    clients.factor = 1.0
+    clients.factor = bottom.slowness = 1.0
     clock.run(WARM_S + SURGE_S + AFTER_S)
-    return measure(name, surge, clients, bottom)
+    return measure(name, trigger, clients, bottom)
 
 
-def measure(name: str, surge: float, clients: Clients, bottom: Hop) -> Row:
+def measure(name: str, trigger: str, clients: Clients, bottom: Hop) -> Row:
     begin, end = WARM_S + SETTLED_S, WARM_S + SURGE_S
     parts = {}
     left = bottom.capacity(begin, end)
@@ -276,7 +293,7 @@
     )
     return Row(
         name,
-        surge,
+        trigger,
         got_all / possible_all,
         parts[0],
         parts[4],
@@ -322,12 +339,12 @@
 def main() -> None:
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--surges", type=float, nargs="*", default=[2.0, 4.0, 10.0])
+    parser.add_argument("--triggers", nargs="*", default=list(TRIGGERS))
     parser.add_argument("--policies", nargs="*", default=list(POLICIES))
     options = parser.parse_args()
     rows = [
-        run(name, surge, options.seed)
-        for surge in options.surges
+        run(name, trigger, options.seed)
+        for trigger in options.triggers
         for name in options.policies
     ]
     print(tabulate(rows, headers=Row._fields, floatfmt=".3f", missingval="never"))
--- a/benchmarks/chain_model.py
+++ b/benchmarks/chain_model.py
@@ -92,6 +92,7 @@
         self.below = below
         self.shape = SHAPES[index]
         self.running = 0
+        self.slowness = 1.0
         self.works: list[tuple[float, float]] = []
 
     def receive(self, attempt: Attempt, reply: Reply) -> None:
@@ -113,7 +114,7 @@
         self.running += 1
         began = self.clock.now
         spread = self.rng.expovariate(1.0) if self.below is None else 1.0
-        work = self.shape.service_time * spread
+        work = self.shape.service_time * self.slowness * spread
 
         def end(result: Result) -> None:
             self.running -= 1
--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -89,6 +89,14 @@
         """Calls a second that the slots carry."""
         return self.slots / self.service_time
 
+    @property
+    def allowed_delay(self) -> float:
+        """Seconds that a call may wait: by the policy, or one service time if longer.
+
+        A queue that holds less than one call for each slot leaves slots idle.
+        """
+        return max(self.delay_limit, self.service_time)
+
     def reset(self, now: float) -> None:
         """Discard the threshold and the demand that were learned."""
         self.threshold = 0
@@ -188,7 +196,7 @@
         delay = max(self.longest_wait, self.waiting / self.capacity)
         self.longest_wait = 0.0
         near = self.demand.total > NEAR_CAPACITY * self.capacity
-        late = delay > self.delay_limit * (1.0 if near else BURST_FACTOR)
+        late = delay > self.allowed_delay * (1.0 if near else BURST_FACTOR)
         self.late_windows = self.late_windows + 1 if late else 0
         if self.late_windows >= 2:
             self.overloaded = True
@@ -210,7 +218,8 @@
 
     def _move(self, now: float) -> None:
         """Set the threshold at which the slots carry what is admitted."""
-        wanted_queue = self.capacity * self.delay_limit
+        wanted_queue = self.capacity * self.allowed_delay
+        wanted_queue = min(wanted_queue, self.policy["queue"] / 2)
         refill = (wanted_queue - self.waiting) / DRAIN_S
         self.threshold = self.demand.threshold_for(max(0.0, self.capacity + refill))
         if self.threshold > 0:
