Part the handlers of messages and values from the decisions

Ruled out: mixins (attributes whose owner is hard to find). The benchmark counted the traffic of a replaced node's last incarnation only; it counts by address now. Conclusion: handlers register by type of message and key of value.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -118,8 +118,7 @@
         exchange = self.exchange
         self.delays.clear()
         self.reads.clear()
-        nodes = list(exchange.nodes.values())
-        before = {node.number: node.sent + node.received for node in nodes}
+        before = exchange.traffic.copy()
         messages = exchange.messages.total()
         begun = exchange.now
         processor = time.process_time()
@@ -128,7 +127,7 @@
         processor = time.process_time() - processor
         nodes = list(exchange.nodes.values())
         traffic = [
-            (node.sent + node.received - before.get(node.number, 0)) / seconds
+            (exchange.traffic[node.peer.address] - before[node.peer.address]) / seconds
             for node in nodes
         ]
         delays = sorted(self.delays) or [float("nan")]
--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/dissemination.py
@@ -7,19 +7,14 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum, auto
-from typing import Any
 
 from ..errors import BuckthornshedError
 from ..protocol.peer_messages import (
     NO_VERSION,
-    Busy,
-    Changes,
     Delta,
     Digest,
     PeerMessage,
-    Pull,
     Version,
-    WholeSet,
 )
 from .acceptance import Acceptance, Accepted, Rejected
 from .fleet_actions import (
@@ -32,11 +27,13 @@
     Send,
 )
 from .joining import Candidate, Joining, Step
-from .platform_watch import HEAD, SET, PlatformWatch
+from .peer_handlers import MESSAGE_HANDLERS
+from .platform_watch import HEAD, PlatformWatch
 from .push import Push
 from .readers import Live, Topology
-from .repair import PUSH_BYTES, Repair, chain_size
+from .repair import Repair
 from .survey import Survey
+from .value_handlers import value_handler
 
 __all__ = ["Dissemination", "Phase"]
 
@@ -126,6 +123,11 @@
         """The objects in force."""
         return self.acceptance.log.objects
 
+    @property
+    def has_set(self) -> bool:
+        """Whether a set is in force."""
+        return self.phase is not Phase.JOINING
+
     @property
     def fresh(self) -> bool:
         """Whether a set is in force and was refreshed since the last pause."""
@@ -145,7 +147,7 @@
 
     def receive(self, now: float, address: str, message: PeerMessage) -> list[Action]:
         """Take a message of the node at an address."""
-        handler = HANDLERS.get(type(message))
+        handler = MESSAGE_HANDLERS.get(type(message))
         if handler is None or address == self.address:
             return []
         return self.then(now, handler(self, now, address, message))
@@ -162,7 +164,7 @@
         """Take a value of the platform, with the platform's version of it."""
         self.platform_failing = False
         try:
-            actions = VALUES.get(key, Dissemination.take_delta)(self, now, body)
+            actions = value_handler(key)(self, now, body)
         except BuckthornshedError as error:
             self.watch.failed(now, key)
             actions = [Report("unreadable_value", self.version, f"{key}: {error}")]
@@ -296,77 +298,8 @@
         self.neighbours = self.topology.addresses(self.topology.neighbours())
         self.push.keep_only(self.neighbours)
 
-    def take_digest(self, now: float, address: str, message: Digest) -> list[Action]:
-        """Compare what another node has in force with what this one has."""
-        theirs = message.version
-        self.push.learn(address, theirs.generation)
-        self.joining.survey.answer(address, theirs)
-        self.survey.answer(address, theirs)
-        actions: list[Action] = []
-        if message.reply:
-            actions.append(Send(address, self.digest(now), Priority.DIGEST))
-        if self.phase is Phase.JOINING:
-            return actions
-        if self.topology.in_own_domain(address):
-            self.watch.heard(now, message.source_age)
-        for version in (theirs, message.rival):
-            actions += self.acceptance.compare(version or NO_VERSION)
-        if theirs.generation > self.version.generation:
-            actions += self.repair.pull(now, address, self.version)
-        elif 0 < theirs.generation < self.version.generation:
-            actions += self.offer(now, address, theirs)
-        return actions
-
-    def offer(self, now: float, address: str, version: Version) -> list[Action]:
-        """Send a node that is behind the short chain it lacks, or a digest."""
-        chain = self.acceptance.log.since(version)
-        if chain is None or chain_size(chain) > PUSH_BYTES:
-            return [Send(address, self.digest(now), Priority.DIGEST)]
-        self.push.learn(address, self.version.generation)
-        return [Send(address, Changes(chain), Priority.CONFIGURATION)]
-
-    def take_pull(self, now: float, address: str, message: Pull) -> list[Action]:
-        """Answer with a chain of deltas or the whole set."""
-        self.push.learn(address, message.version.generation)
-        if message.version.generation >= self.version.generation:
-            return [Send(address, self.digest(now), Priority.DIGEST)]
-        return self.repair.reply(now, address, message.version)
-
-    def take_busy(self, now: float, address: str, message: Busy) -> list[Action]:
-        """Pull again after the pause that the other node asks for."""
-        self.joining.busy(now, address, message.retry_after)
-        self.repair.busy(now, address, message.retry_after)
-        return []
-
     # Sets and deltas.
 
-    def take_changes(self, now: float, address: str, message: Changes) -> list[Action]:
-        """Keep the deltas of another node until they can be applied."""
-        if self.phase is Phase.JOINING or not message.deltas:
-            return []
-        newest = message.deltas[-1].generation
-        self.push.learn(address, newest)
-        self.repair.answered(now, address)
-        actions: list[Action] = [*self.acceptance.keep(message.deltas, address)]
-        if not self.acceptance.leads_to(newest):
-            actions += self.repair.pull(now, address, self.version)
-        return actions
-
-    def take_whole_set(
-        self, now: float, address: str, message: WholeSet
-    ) -> list[Action]:
-        """Put the whole set of another node in force if it is higher."""
-        self.repair.answered(now, address)
-        actions: list[Action] = [*self.acceptance.compare(message.version)]
-        if message.version.generation <= self.version.generation:
-            return actions
-        try:
-            return actions + self.take_set(now, message.body, address)
-        except BuckthornshedError as error:
-            detail = f"from {address}: {error}"
-            actions.append(Report("unreadable_value", message.version, detail))
-            return actions
-
     def take_set(self, now: float, body: bytes, source: str = "") -> list[Action]:
         """Take a whole set from the platform or another node.
 
@@ -392,34 +325,6 @@
         addresses = self.topology.addresses(names)
         return self.joining.found(now, candidate, addresses)
 
-    def take_head(self, now: float, body: bytes) -> list[Action]:
-        """Compare the head of the platform with what is in force.
-
-        Raises
-        ------
-        BuckthornshedError
-            If the value cannot be read.
-        """
-        head = self.formats.decode_head(body)
-        actions: list[Action] = [*self.acceptance.compare(head)]
-        if head.generation > self.version.generation:
-            primary = self.topology.primary(head.generation) == self.name
-            self.watch.learned(now, head, self.version, primary=primary)
-        elif head.generation < self.version.generation:
-            detail = f"the platform has generation {head.generation}"
-            actions.append(Report("platform_behind", self.version, detail))
-        return actions
-
-    def take_delta(self, now: float, body: bytes) -> list[Action]:
-        """Keep a delta of the platform until it can be applied.
-
-        Raises
-        ------
-        BuckthornshedError
-            If the value cannot be read.
-        """
-        return [*self.acceptance.keep([self.formats.decode_delta(body)], "")]
-
     def apply(self, now: float) -> list[Action]:
         """Put in force what the waiting deltas lead to."""
         result = self.acceptance.apply(now)
@@ -468,19 +373,6 @@
         self.topology.update(peers, removed)
 
 
-HANDLERS: dict[type, Callable[[Dissemination, float, str, Any], list[Action]]] = {
-    Digest: Dissemination.take_digest,
-    Changes: Dissemination.take_changes,
-    Pull: Dissemination.take_pull,
-    WholeSet: Dissemination.take_whole_set,
-    Busy: Dissemination.take_busy,
-}
-
-VALUES: dict[str, Callable[[Dissemination, float, bytes], list[Action]]] = {
-    HEAD: Dissemination.take_head,
-    SET: Dissemination.take_set,
-}
-
 PHASES: dict[Phase, Callable[[Dissemination, float], list[Action]]] = {
     Phase.JOINING: Dissemination.join,
     Phase.CURRENT: Dissemination.run,
--- /dev/null
+++ b/buckthornshed/coordination/peer_handlers.py
@@ -0,0 +1,125 @@
+"""What a node does with each message of another node about configuration."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from ..errors import BuckthornshedError
+from ..protocol.peer_messages import (
+    NO_VERSION,
+    Busy,
+    Changes,
+    Digest,
+    Pull,
+    Version,
+    WholeSet,
+)
+from .fleet_actions import Action, Priority, Report, Send
+from .repair import PUSH_BYTES, chain_size
+
+if TYPE_CHECKING:
+    from .dissemination import Dissemination
+
+__all__ = ["MESSAGE_HANDLERS"]
+
+Handler = Callable[["Dissemination", float, str, Any], list[Action]]
+MESSAGE_HANDLERS: dict[type, Handler] = {}
+
+
+def handles(message_type: type) -> Callable[[Handler], Handler]:
+    """Register the handler of a message type."""
+
+    def register(function: Handler) -> Handler:
+        MESSAGE_HANDLERS[message_type] = function
+        return function
+
+    return register
+
+
+@handles(Digest)
+def take_digest(
+    node: "Dissemination", now: float, address: str, message: Digest
+) -> list[Action]:
+    """Compare what another node has in force with what this one has."""
+    theirs = message.version
+    node.push.learn(address, theirs.generation)
+    node.joining.survey.answer(address, theirs)
+    node.survey.answer(address, theirs)
+    actions: list[Action] = []
+    if message.reply:
+        actions.append(Send(address, node.digest(now), Priority.DIGEST))
+    if not node.has_set:
+        return actions
+    if node.topology.in_own_domain(address):
+        node.watch.heard(now, message.source_age)
+    for version in (theirs, message.rival):
+        actions += node.acceptance.compare(version or NO_VERSION)
+    if theirs.generation > node.version.generation:
+        actions += node.repair.pull(now, address, node.version)
+    elif 0 < theirs.generation < node.version.generation:
+        actions += offer(node, now, address, theirs)
+    return actions
+
+
+def offer(
+    node: "Dissemination", now: float, address: str, version: Version
+) -> list[Action]:
+    """Send a node that is behind the short chain it lacks, or a digest."""
+    chain = node.acceptance.log.since(version)
+    if chain is None or chain_size(chain) > PUSH_BYTES:
+        return [Send(address, node.digest(now), Priority.DIGEST)]
+    node.push.learn(address, node.version.generation)
+    return [Send(address, Changes(chain), Priority.CONFIGURATION)]
+
+
+@handles(Pull)
+def take_pull(
+    node: "Dissemination", now: float, address: str, message: Pull
+) -> list[Action]:
+    """Answer with a chain of deltas or the whole set."""
+    node.push.learn(address, message.version.generation)
+    if message.version.generation >= node.version.generation:
+        return [Send(address, node.digest(now), Priority.DIGEST)]
+    return node.repair.reply(now, address, message.version)
+
+
+@handles(Busy)
+def take_busy(
+    node: "Dissemination", now: float, address: str, message: Busy
+) -> list[Action]:
+    """Pull again after the pause that the other node asks for."""
+    node.joining.busy(now, address, message.retry_after)
+    node.repair.busy(now, address, message.retry_after)
+    return []
+
+
+@handles(Changes)
+def take_changes(
+    node: "Dissemination", now: float, address: str, message: Changes
+) -> list[Action]:
+    """Keep the deltas of another node until they can be applied."""
+    if not node.has_set or not message.deltas:
+        return []
+    newest = message.deltas[-1].generation
+    node.push.learn(address, newest)
+    node.repair.answered(now, address)
+    actions: list[Action] = [*node.acceptance.keep(message.deltas, address)]
+    if not node.acceptance.leads_to(newest):
+        actions += node.repair.pull(now, address, node.version)
+    return actions
+
+
+@handles(WholeSet)
+def take_whole_set(
+    node: "Dissemination", now: float, address: str, message: WholeSet
+) -> list[Action]:
+    """Put the whole set of another node in force if it is higher."""
+    node.repair.answered(now, address)
+    actions: list[Action] = [*node.acceptance.compare(message.version)]
+    if message.version.generation <= node.version.generation:
+        return actions
+    try:
+        return actions + node.take_set(now, message.body, address)
+    except BuckthornshedError as error:
+        detail = f"from {address}: {error}"
+        actions.append(Report("unreadable_value", message.version, detail))
+        return actions
--- a/buckthornshed/tests/exchange.py
+++ b/buckthornshed/tests/exchange.py
@@ -137,8 +137,6 @@
         self.since: list[tuple[Version, float]] = []
         self.reports: Counter[str] = Counter()
         self.frozen = False
-        self.sent = 0
-        self.received = 0
         self.scheduled = float("inf")
 
 
@@ -161,6 +159,7 @@
         self.platform_cut: Callable[[Peer], bool] = lambda peer: False
         self.on_active: Callable[[Node, Version], None] = lambda node, version: None
         self.codec = PeerCodec(authenticator=Authenticator(keys=(KEY,)))
+        self.traffic: Counter[str] = Counter()
         self.encoded_sizes: dict[int, int] = {}
         self.messages: Counter[str] = Counter()
         self.incarnations = itertools.count(1)
@@ -254,7 +253,7 @@
 
     def send(self, node: Node, action: Send) -> None:
         size = self.size(node, action)
-        node.sent += size
+        self.traffic[node.peer.address] += size
         self.messages[type(action.message).__name__] += 1
         target = self.nodes.get(action.address)
         delay = self.one_way_s + self.rng.uniform(0.0, self.jitter_s)
@@ -271,7 +270,7 @@
         self.at(self.now + delay, lambda: self.deliver(node, target, action, size))
 
     def deliver(self, node: Node, target: Node, action: Send, size: int) -> None:
-        target.received += size
+        self.traffic[target.peer.address] += size
         address = node.peer.address
         self.when(
             target,
--- a/buckthornshed/tests/test_dissemination.py
+++ b/buckthornshed/tests/test_dissemination.py
@@ -7,6 +7,7 @@
 from ..coordination.config_log import ConfigLog
 from ..coordination.dissemination import Phase
 from ..coordination.joining import Step
+from ..coordination.repair import PUSH_BYTES
 from ..coordination.survey import Survey
 from ..protocol.peer_messages import NO_VERSION, Changes, Delta, Version, WholeSet
 from .exchange import (
@@ -285,7 +286,7 @@
 def test_a_large_change_is_announced_and_pulled_once(small):
     exchange, peers = small
     exchange.messages.clear()
-    publish(exchange, peers, a=b"x" * dissemination.PUSH_BYTES)
+    publish(exchange, peers, a=b"x" * PUSH_BYTES)
     exchange.run(exchange.now + 3)
     assert len(exchange.versions()) == 1
     assert exchange.messages["Changes"] <= len(peers) * 1.5
