--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from ..protocol.configuration import require_valid
-from ..protocol.platform_values import platform_values
-from ..protocol.published import encode_published
+from ..protocol.published import Published, publish
+from ..protocol.published_values import published_values
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
 from .processes import (
@@ -114,7 +114,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
-        self.published: bytes | None = None
+        self.published: Published | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -156,10 +156,11 @@
         FindingsError
             If the set has faults.
         """
-        value = encode_published(require_valid(objects), generation)
-        for key, body in platform_values(value, self.published).items():
+        checked = require_valid(objects)
+        values = published_values(checked, generation, self.published)
+        for key, body in values.items():
             await self.put_value(key, body)
-        self.published = value
+        self.published = publish(checked, generation)
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
