Charge the allowance for calls that a target repeats by itself

Cause: the allowance bounded the sends of the nodes, but an application that repeats a failed call made a new call each time, and its node sent it as one. A call below that is alike to an earlier one of the same parent (service, method, path, key, body) without a whole answer now costs one of the allowance, and is refused as retry-limit, not run, when none is left. Ruled out: comparing headers too, for tracing headers differ on each repeat; counting alike calls after a whole answer, for those are no repeats. Two tests of the egress made alike calls under one parent and meant different ones; they now ask for a stall each, and check the same.

--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/ingress.py
@@ -1,7 +1,7 @@
 """Calls for the target beside the node: whether and when each one starts."""
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..protocol.messages import Answer, Call, Fault, NodeSignal, Pairs, refusal
 from ..protocol.outcome import REASONS, Outcome, Reason
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["Ingress", "IngressAction", "RunningCall"]
+__all__ = ["CallBelow", "Ingress", "IngressAction", "RunningCall"]
 
 IngressAction = StartTarget | CancelTarget | Answer
 """What the ingress asks for; an answer goes to whoever sent its exchange."""
@@ -28,12 +28,23 @@
 """Least HTTP status that tells that the target failed."""
 
 
+class CallBelow(NamedTuple):
+    """What a target asks of a service; when alike, the second is a repeat."""
+
+    service: str
+    method: bytes
+    path: bytes
+    key: str | None
+    body_hash: int
+
+
 @dataclass(slots=True, kw_only=True)
 class RunningCall:
     """A call that this node has taken.
 
     ``account`` holds the allowance for the calls of the target below it, ``below``
-    the tokens of those in flight, ``shed_below`` the time after which to come back
+    the tokens of those in flight, ``unanswered`` what was asked below without a whole
+    answer so far, by token, ``shed_below`` the time after which to come back
     when one of them was refused for lack of capacity. An orphan has no caller any
     more but runs on, so that a repeat of its key gets its answer.
     """
@@ -46,6 +57,7 @@
     orphan: bool = False
     shed_below: float | None = None
     below: set[int] = field(default_factory=set)
+    unanswered: dict[int, CallBelow] = field(default_factory=dict)
 
 
 class Ingress:
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from ..protocol.http import Request, forwardable
 from ..protocol.messages import Answer, Call, Fault, Pairs, refusal
 from ..protocol.outcome import REASONS, Outcome, Reason
@@ -14,7 +16,7 @@
 from .egress import Egress
 from .handover import OwnerQuery, OwnerReply, OwnershipGate
 from .idempotency import KeyTable, Refused
-from .ingress import Ingress, RunningCall
+from .ingress import CallBelow, Ingress, RunningCall
 from .integrity import KeySource
 from .keys import derive_key, fingerprint, key_text
 from .ownership import owner_id
@@ -169,7 +171,8 @@
     ) -> list[Action]:
         """Take a call of the own target, made on behalf of exchange `parent`.
 
-        A call without a parent is refused: nothing would bound its retries.
+        A call without a parent is refused: nothing would bound its retries. A call
+        that repeats one without a whole answer costs one of the allowance.
         """
         self._observe(now, wall)
         running = self.ingress.calls.get(parent)
@@ -180,6 +183,8 @@
         policies = self.view.match(service, request.method, request.path)
         if policies is None:
             return [_refused(token, Reason.NO_ROUTE)]
+        if not _may_ask(running, token, service, request):
+            return [_refused(token, Reason.RETRY_LIMIT)]
         call = self._call_below(now, running, service, request, policies)
         running.below.add(token)
         self.parents[token] = running
@@ -385,11 +390,29 @@
     def _note_reply(self, now: float, reply: Reply) -> None:
         parent = self.parents.get(reply.token)
         answer = reply.answer
+        if parent is not None and answer.outcome is Outcome.COMPLETE:
+            parent.unanswered.pop(reply.token, None)
         if parent is not None and answer.reason in SHED_REASONS:
             parent.shed_below = answer.retry_after or STALE_RETRY_S
         self._forget(now, reply.token)
 
 
+def _may_ask(running: RunningCall, token: int, service: str, request: Request) -> bool:
+    """Whether a target may make a call; takes one from the allowance for a repeat."""
+    asked = CallBelow(
+        service=service,
+        method=request.method,
+        path=request.path,
+        key=key_of(request),
+        body_hash=xxhash.xxh3_64_intdigest(request.body),
+    )
+    repeated = asked in running.unanswered.values()
+    if repeated and not running.account.spend():
+        return False
+    running.unanswered[token] = asked
+    return True
+
+
 def _turned_away(token: int, request: Request, reason: Reason) -> Reply:
     """Refuse a client before any send; a key it brings may have run elsewhere."""
     outcome = Outcome.NOT_RUN if key_of(request) is None else Outcome.UNKNOWN
--- a/buckthornshed/protocol/outcome.py
+++ b/buckthornshed/protocol/outcome.py
@@ -24,6 +24,7 @@
 
     OVERLOAD = "overload"
     QUEUE_FULL = "queue-full"
+    RETRY_LIMIT = "retry-limit"
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     DRAINING = "draining"
@@ -63,6 +64,7 @@
 REASONS: dict[Reason, ReasonTraits] = {
     Reason.OVERLOAD: ReasonTraits(503, "Capacity is short", True),
     Reason.QUEUE_FULL: ReasonTraits(503, "The queue is full", True),
+    Reason.RETRY_LIMIT: ReasonTraits(503, "The retry allowance is spent", False),
     Reason.DEADLINE: ReasonTraits(504, "The deadline has passed", True),
     Reason.CANCELLED: ReasonTraits(499, "The caller cancelled the call", False),
     Reason.DRAINING: ReasonTraits(503, "The instance is leaving", True),
--- a/buckthornshed/tests/node_parts.py
+++ b/buckthornshed/tests/node_parts.py
@@ -74,9 +74,9 @@
     return Call(fields, "stables", b"GET", b"/stalls", (), b"")
 
 
-def browse() -> Request:
-    """Return a client's request for stalls."""
-    return Request(b"GET", b"/stalls", (), b"")
+def browse(stall: int = 0) -> Request:
+    """Return a client's request for a stall."""
+    return Request(b"GET", b"/stalls/%d" % stall, (), b"")
 
 
 def only(actions, kind):
--- a/buckthornshed/tests/test_egress.py
+++ b/buckthornshed/tests/test_egress.py
@@ -46,7 +46,7 @@
     again = only(core.peer_answered(1.01, WALL, answer), SendPeer)
     assert again.target != send.target
     later = [
-        only(core.local_call(1.1, WALL, 10 + i, 9, "stables", browse()), SendPeer)
+        only(core.local_call(1.1, WALL, 10 + i, 9, "stables", browse(10 + i)), SendPeer)
         for i in range(30)
     ]
     assert send.target not in {each.target for each in later}
@@ -114,7 +114,8 @@
     for token in range(10, 60):
         now += 0.2
         send = only(
-            core.local_call(now, WALL, token, parent, "stables", browse()), SendPeer
+            core.local_call(now, WALL, token, parent, "stables", browse(token)),
+            SendPeer,
         )
         chosen.append(send.target)
         answer = Answer(send.exchange, Outcome.COMPLETE, 200, body=b"ok")
--- a/buckthornshed/tests/test_node_outcomes.py
+++ b/buckthornshed/tests/test_node_outcomes.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from ..coordination.actions import Reply, StartTarget
 from ..coordination.keys import mint_key
 from ..coordination.node import NodeCore
 from ..coordination.view import View
 from ..protocol.http import KEY_HEADER, Request
+from ..protocol.messages import Answer, Call, CallContext
 from ..protocol.outcome import Outcome, Reason
 from .small_set import small_set
 
@@ -50,3 +52,50 @@
     core = make_core(configured=configured)
     assert ask(core, now, request(path)) == (reason, Outcome.UNKNOWN)
     assert ask(core, now, request(path, keyed=False)) == (reason, Outcome.NOT_RUN)
+
+
+def running_call(core, allowance):
+    """Start a call at the target beside a node; return its exchange."""
+    context = CallContext(
+        request_id=b"r" * 16,
+        exchange=7,
+        priority=4,
+        deadline=1.0,
+        allowance=allowance,
+        depth=1,
+        key=None,
+        caller="booking-1",
+    )
+    call = Call(context, "stables", b"GET", b"/stalls", (), b"")
+    (started,) = core.peer_call(0.0, WALL, 1, call)
+    assert isinstance(started, StartTarget)
+    return started.exchange
+
+
+def ask_below(core, token, body=b""):
+    asked = Request(b"GET", b"/stalls", (), body)
+    actions = core.local_call(0.0, WALL, token, 7, "stables", asked)
+    return [a.answer.reason for a in actions if isinstance(a, Reply)]
+
+
+def test_a_target_that_repeats_a_call_spends_the_allowance():
+    core = make_core(name="stables-1")
+    running_call(core, allowance=4)  # two calls in flight hold 2 and 1 of it
+    assert ask_below(core, 2) == []
+    assert ask_below(core, 3, body=b"another") == []
+    assert ask_below(core, 4) == []
+    assert ask_below(core, 5) == [Reason.RETRY_LIMIT]
+
+
+def test_a_call_that_was_answered_whole_may_be_made_again():
+    core = make_core(name="stables-1")
+    running_call(core, allowance=0)
+    asked = Request(b"GET", b"/stalls", (), b"")
+    (sent,) = core.local_call(0.0, WALL, 2, 7, "stables", asked)
+    if isinstance(sent, StartTarget):
+        answered = core.target_answered(0.0, WALL, sent.exchange, 200, (), b"")
+    else:
+        answer = Answer(sent.exchange, Outcome.COMPLETE, 200)
+        answered = core.peer_answered(0.0, WALL, answer)
+    assert [a.token for a in answered if isinstance(a, Reply)] == [2]
+    assert ask_below(core, 3) == []
