--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/platform_watch.py
@@ -1,13 +1,11 @@
 """When a node reads the platform, and which values."""
 
 from ..protocol.peer_messages import NO_VERSION, Version
+from ..protocol.published_values import HEAD, SET, delta_key
 from .fleet_actions import ReadValue, Rng
 
 __all__ = ["HEAD", "SET", "PlatformWatch", "delta_key"]
 
-HEAD = "head"
-SET = "set"
-
 WATCH_S = 20.0
 """How long a watch of the head waits at the platform."""
 
@@ -17,6 +15,9 @@
 FAILURE_PAUSE_S = (1.0, 4.0)
 """Pause of a reader after a read that failed."""
 
+RETRY_PAUSE_S = (0.05, 0.2)
+"""Pause before the set is read in place of a delta that is absent."""
+
 FETCH_DELAY_S = (0.5, 1.5)
 """How long a reader other than the primary waits for peers before it fetches."""
 
@@ -36,11 +37,6 @@
 """How long a node that broke the silence goes on reading."""
 
 
-def delta_key(generation: int) -> str:
-    """Return the key of the delta that leads to a generation."""
-    return f"delta/{generation}"
-
-
 class PlatformWatch:
     """Decide on reads of the platform; at most one watch and one fetch at a time.
 
@@ -117,7 +113,9 @@
             self.next_watch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
             return
         self.fetched(key)
-        self.fetch_at = now + self.rng.uniform(*FAILURE_PAUSE_S)
+        # A generation may have no delta; the set is read in its place.
+        pause = FAILURE_PAUSE_S if key == SET else RETRY_PAUSE_S
+        self.fetch_at = now + self.rng.uniform(*pause)
 
     def learned(
         self, now: float, head: Version, in_force: Version, *, primary: bool
--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -13,9 +13,20 @@
 import httpx
 import msgspec
 
+from ..protocol.configuration import require_valid
+from ..protocol.platform_values import platform_values
+from ..protocol.published import encode_published
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
-from .processes import FleetError, Ports, Process, start_process, wait_until_ready
+from .processes import (
+    FleetError,
+    Ports,
+    Process,
+    answers,
+    logged_generations,
+    start_process,
+    wait_until_ready,
+)
 
 __all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
 
@@ -103,6 +114,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
+        self.published: bytes | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -137,8 +149,17 @@
             await self.publish_next()
 
     async def publish(self, objects: Objects, *, generation: int) -> None:
-        """Publish a set, as an operator does."""
-        await self.put_value("set", msgspec.json.encode(objects))
+        """Publish a set, as an operator does.
+
+        Raises
+        ------
+        FindingsError
+            If the set has faults.
+        """
+        value = encode_published(require_valid(objects), generation)
+        for key, body in platform_values(value, self.published).items():
+            await self.put_value(key, body)
+        self.published = value
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
@@ -146,9 +167,13 @@
         await self.publish(self.objects, generation=self.generation)
         return self.generation
 
-    async def generations_in_force(self) -> dict[str, list[int]]:
-        """Return the generation in force at each node."""
-        return {}
+    def generations_in_force(self) -> dict[str, list[int]]:
+        """Return the generations that each node had in force, in order."""
+        return {
+            name: logged_generations(process)
+            for name, process in self.processes.items()
+            if name.endswith("-node") and process.alive()
+        }
 
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
@@ -197,7 +222,13 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
+        process = self.processes[f"{name}-node"]
+        before = len(logged_generations(process))
+
+        async def configured() -> bool:
+            return len(logged_generations(process)) > before
+
+        await wait_until_ready(process, configured)
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -207,7 +238,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], self.client, url)
+        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
--- a/buckthornshed/load/morning.py
+++ b/buckthornshed/load/morning.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from tempfile import TemporaryDirectory
 
 from tabulate import tabulate
 
@@ -33,29 +32,33 @@
     *,
     nodes: bool,
     seed: int | None,
+    folder: Path,
     report: Callable[[str], None],
 ) -> Findings:
-    """Run the morning once and judge it."""
+    """Run the morning once and judge it.
+
+    Settings, logs and journals of the processes go to ``folder``.
+    """
     plan = read_plan(PLAN)
     if seed is not None:
         plan = plan._replace(seed=seed)
-    with TemporaryDirectory(prefix="buckthornshed-") as folder:
-        fleet = Fleet(
-            objects=objects,
-            behaviour=BEHAVIOUR,
-            nodes=nodes,
-            folder=Path(folder),
-            ports=Ports(),
-            seed=plan.seed,
-        )
-        return await run_experiment(
-            fleet,
-            plan,
-            EVENTS,
-            behaviour=BEHAVIOUR,
-            short_service=SHORT_SERVICE,
-            report=report,
-        )
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(
+        objects=objects,
+        behaviour=BEHAVIOUR,
+        nodes=nodes,
+        folder=folder,
+        ports=Ports(),
+        seed=plan.seed,
+    )
+    return await run_experiment(
+        fleet,
+        plan,
+        EVENTS,
+        behaviour=BEHAVIOUR,
+        short_service=SHORT_SERVICE,
+        report=report,
+    )
 
 
 def comparison(findings: dict[str, Findings]) -> str:
@@ -79,6 +82,9 @@
     rows["recovery"] = "not within the run" if recovery is None else f"{recovery} s"
     rows["tries of a client, at most"] = str(summary["retries_max"] + 1)
     rows["tries in all"] = str(summary["attempts"])
+    rows["refusals and failures"] = "\n".join(
+        f"{count} {reason}" for reason, count in list(summary["refusals"].items())[:6]
+    )
     rows["work for tries that failed"] = f"{100 * findings.wasted:.1f}%"
     rows["sent late, p99"] = f"{summary['late_ms_p99']:.0f} ms"
     rows["p50 / p99 of whole requests"] = (
