Publish in the nodes' format and keep drivers' ports apart

Sets are published as set, delta and head, and a node is ready when its operators' endpoint says so.

--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -8,18 +8,20 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 import httpx
 import msgspec
 
+from ..protocol.platform_values import platform_values
+from ..protocol.published import encode_published
 from ..standins.ledger import Entry, read_journal
+from ..state.objects import ConfigurationSet, empty_set
 from .plan import Plan, Traffic
 from .processes import (
     FleetError,
     Ports,
     Process,
-    answers,
     logged_generations,
     start_process,
     wait_until_ready,
@@ -111,6 +113,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
+        self.published: bytes | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -144,14 +147,14 @@
         if self.nodes:
             await self.publish_next()
 
-    async def publish(self, objects: Objects, *, generation: int) -> None:
-        """Publish a set, as an operator does."""
-        await self.put_value("set", msgspec.json.encode(objects))
-
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
         self.generation += 1
-        await self.publish(self.objects, generation=self.generation)
+        objects = cast(ConfigurationSet, empty_set() | self.objects)
+        value = encode_published(objects, self.generation)
+        for key, body in platform_values(value, self.published).items():
+            await self.put_value(key, body)
+        self.published = value
         return self.generation
 
     def generations_in_force(self) -> dict[str, list[int]]:
@@ -209,13 +212,7 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        process = self.processes[f"{name}-node"]
-        before = len(logged_generations(process))
-
-        async def configured() -> bool:
-            return len(logged_generations(process)) > before
-
-        await wait_until_ready(process, configured)
+        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -225,7 +222,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
+        await wait_until_ready(self.processes[name], self.client, url)
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import sys
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -18,7 +17,6 @@
     "FleetError",
     "Ports",
     "Process",
-    "answers",
     "logged_generations",
     "start_process",
     "wait_until_ready",
@@ -29,6 +27,7 @@
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
+BLOCK_PORTS = 200
 IN_FORCE = re.compile(r"event=configuration_in_force\b.*\bgeneration=(\d+)")
 LOOPBACK = "127.0.0.1"
 
@@ -38,10 +37,15 @@
 
 
 class Ports:
-    """Hands out free loopback ports below the ephemeral range."""
+    """Hands out free loopback ports below the ephemeral range.
 
-    def __init__(self, *, first: int = FIRST_PORT) -> None:
-        self.next = first
+    It takes them from a block whose first port it holds, so that several drivers
+    on one machine keep out of each other's way.
+    """
+
+    def __init__(self) -> None:
+        self.lock, self.next = lock_block()
+        self.end = self.next + BLOCK_PORTS - 1
 
     def take(self) -> str:
         """Return the next free address.
@@ -49,25 +53,41 @@
         Raises
         ------
         FleetError
-            If the range is used up.
+            If the block is used up.
         """
-        while self.next < LAST_PORT:
+        while self.next < self.end:
             port = self.next
             self.next += 1
-            if is_free(port):
+            listener = open_port(port)
+            if listener is not None:
+                listener.close()
                 return f"{LOOPBACK}:{port}"
         raise FleetError(
-            subject="ports", found="none free", expected=f"one below {LAST_PORT}"
+            subject="ports", found="none free", expected=f"one below {self.end}"
         )
 
 
-def is_free(port: int) -> bool:
-    """Return whether a loopback port can be listened at."""
+def lock_block() -> tuple[socket.socket, int]:
+    """Return the held first port of a block as a socket, and the port after it.
+
+    Raises
+    ------
+    FleetError
+        If all blocks are taken.
+    """
+    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+        lock = open_port(first)
+        if lock is not None:
+            return lock, first + 1
+    raise FleetError(subject="ports", found="no free block", expected="one")
+
+
+def open_port(port: int) -> socket.socket | None:
+    """Return a socket that listens at a loopback port, None if it is taken."""
     try:
-        socket.create_server((LOOPBACK, port)).close()
+        return socket.create_server((LOOPBACK, port))
     except OSError:
-        return False
-    return True
+        return None
 
 
 class Process(NamedTuple):
@@ -133,23 +153,23 @@
 
 
 async def wait_until_ready(
-    process: Process, ready: Callable[[], Awaitable[bool]]
+    process: Process, client: httpx.AsyncClient, url: str
 ) -> None:
-    """Wait until ``ready`` returns true.
+    """Wait until ``url`` answers with 200.
 
     Raises
     ------
     FleetError
-        If the process ends, or is not ready in time.
+        If the process ends, or does not answer in time.
     """
     try:
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await ready():
+            while not await answers(client, url):
                 if not process.alive():
                     raise not_ready(process, f"exit code {process.running.returncode}")
                 await asyncio.sleep(READY_POLL_S)
     except TimeoutError:
-        raise not_ready(process, f"no sign after {READY_TIMEOUT_S} s") from None
+        raise not_ready(process, f"nothing at {url}") from None
 
 
 def logged_generations(process: Process) -> list[int]:
--- a/buckthornshed/tests/test_load_fleet.py
+++ b/buckthornshed/tests/test_load_fleet.py
@@ -115,9 +115,9 @@
     assert "faulty.toml" in str(error)
 
 
-def test_ports_are_distinct():
-    ports = Ports()
-    assert len({ports.take() for _ in range(20)}) == 20
+def test_ports_of_two_drivers_are_distinct():
+    drivers = [Ports(), Ports()]
+    assert len({ports.take() for ports in drivers for _ in range(20)}) == 40
 
 
 @pytest.mark.parametrize(("path", "expected"), [("/", 2), ("/once/7", 0)])
