--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -8,15 +8,15 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, NamedTuple, cast
+from typing import Any, NamedTuple
 
 import httpx
 import msgspec
 
+from ..protocol.configuration import require_valid
 from ..protocol.platform_values import platform_values
 from ..protocol.published import encode_published
 from ..standins.ledger import Entry, read_journal
-from ..state.objects import ConfigurationSet, empty_set
 from .plan import Plan, Traffic
 from .processes import (
     FleetError,
@@ -147,14 +147,23 @@
         if self.nodes:
             await self.publish_next()
 
-    async def publish_next(self) -> int:
-        """Publish the set again under the next generation and return that."""
-        self.generation += 1
-        objects = cast(ConfigurationSet, empty_set() | self.objects)
-        value = encode_published(objects, self.generation)
+    async def publish(self, objects: Objects, *, generation: int) -> None:
+        """Publish a set, as an operator does.
+
+        Raises
+        ------
+        FindingsError
+            If the set has faults.
+        """
+        value = encode_published(require_valid(objects), generation)
         for key, body in platform_values(value, self.published).items():
             await self.put_value(key, body)
         self.published = value
+
+    async def publish_next(self) -> int:
+        """Publish the set again under the next generation and return that."""
+        self.generation += 1
+        await self.publish(self.objects, generation=self.generation)
         return self.generation
 
     def generations_in_force(self) -> dict[str, list[int]]:
