--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -22,7 +22,6 @@
     FleetError,
     Ports,
     Process,
-    answers,
     logged_generations,
     start_process,
     wait_until_ready,
@@ -223,13 +222,7 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        process = self.processes[f"{name}-node"]
-        before = len(logged_generations(process))
-
-        async def configured() -> bool:
-            return len(logged_generations(process)) > before
-
-        await wait_until_ready(process, configured)
+        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -239,7 +232,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
+        await wait_until_ready(self.processes[name], self.client, url)
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
