--- a/buckthornshed/tests/properties/test_at_most_once_machine.py
+++ b/buckthornshed/tests/properties/test_at_most_once_machine.py
@@ -22,7 +22,7 @@
 from buckthornshed.coordination.keys import parse_key
 from buckthornshed.coordination.ownership import OwnerSet, mint_owned
 from buckthornshed.protocol.messages import Answer
-from buckthornshed.protocol.outcome import Outcome
+from buckthornshed.protocol.outcome import Outcome, Reason
 
 BOUND = 1.0
 LIFETIME = 60.0
@@ -188,8 +188,8 @@
             self.tell(request, request.sends.told)
 
     @precondition(lambda self: self.calls)
-    @rule(which=INDEX, lost=SELDOM)
-    def deliver_call(self, which, lost):
+    @rule(which=INDEX, lost=SELDOM, refused=SELDOM)
+    def deliver_call(self, which, lost, refused=False):
         call = self.pick([each for each in self.calls if not each[0].frozen], which)
         if call is None:
             return
@@ -199,7 +199,12 @@
             request.sends.ended(Outcome.UNKNOWN)
             return
         wall = self.now + node.offset
-        begun = node.table.begin(self.now, wall, request.key, b"content")
+        if refused:
+            begun = node.table.deny(
+                self.now, wall, request.key, b"content", Reason.OVERLOAD
+            )
+        else:
+            begun = node.table.begin(self.now, wall, request.key, b"content")
         if isinstance(begun, Started):
             node.handing.append((request.key, exchange))
             request.sends.ended(Outcome.UNKNOWN)
