--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -290,6 +290,21 @@
     added(world)
 
 
+def restarted(world: World) -> None:
+    """All owners are killed and replaced after 2 s."""
+    for name in DOMAINS:
+        world.at(world.begin + FAULT_AT, lambda name=name: world.kill(name))
+        world.at(world.begin + FAULT_AT + 2, lambda name=name: world.start(name))
+
+
+def restarted_but_one(world: World) -> None:
+    """All owners are killed; two are replaced after 2 s, one after 20 s."""
+    for name in DOMAINS:
+        back = FAULT_AT + (FAULT_S if name == "c" else 2)
+        world.at(world.begin + FAULT_AT, lambda name=name: world.kill(name))
+        world.at(world.begin + back, lambda name=name: world.start(name))
+
+
 FAULTS = (
     calm,
     lost_answers,
@@ -300,6 +315,8 @@
     cut_and_killed,
     added,
     added_while_one_is_gone,
+    restarted,
+    restarted_but_one,
 )
 MODES = {
     "none": "no keys, sent again anywhere",
