Count retries, not the calls of runs that were repeated

Cause: the check of the retry bound counted every run beyond one of each piece. A run that is repeated makes its calls below anew; these are no retries, and no allowance counts them, so a chain of fan-out two showed 8 where 3 retries had run. A retry is now a run that neither the client's call nor a run above explains.

--- a/buckthornshed/load/judge.py
+++ b/buckthornshed/load/judge.py
@@ -10,7 +10,7 @@
 from .fleet import TargetLedger
 from .plan import Plan, Traffic
 from .records import Attempt, RequestRecord, Result
-from .verify import Expected, expected_answer
+from .verify import expected_answer
 
 __all__ = ["CHECKS", "Evidence", "Verdict", "judge", "register_check"]
 
@@ -102,51 +102,77 @@
     return runs
 
 
-def count_pieces(expected: Expected | None) -> Counter[tuple[str, str]]:
-    """Return how often each service and route runs for one whole answer."""
-    counts: Counter[tuple[str, str]] = Counter()
-    if expected is not None:
-        counts[expected.service, expected.route] += 1
-        for part in expected.parts:
-            counts += count_pieces(part)
-    return counts
+Piece = tuple[str, str]
+"""Service and route."""
 
 
-def pieces_of(evidence: Evidence, kind: Traffic) -> Counter[tuple[str, str]]:
-    """Return how often each service and route runs for one kind of request."""
-    return count_pieces(
-        expected_answer(evidence.deployment, kind.service, kind.method, kind.path)
+class CallTree(NamedTuple):
+    """The calls of one kind of request: its entry, and those of each run."""
+
+    entry: Piece
+    calls: dict[Piece, Counter[Piece]]
+
+
+def call_tree(evidence: Evidence, kind: Traffic) -> CallTree | None:
+    """Return the calls of a kind of request, None if its route is not known."""
+    expected = expected_answer(
+        evidence.deployment, kind.service, kind.method, kind.path
     )
+    if expected is None:
+        return None
+    calls: dict[Piece, Counter[Piece]] = {}
+    waiting = [expected]
+    while waiting:
+        piece = waiting.pop()
+        below = Counter((part.service, part.route) for part in piece.parts)
+        calls[piece.service, piece.route] = below
+        waiting.extend(piece.parts)
+    return CallTree((expected.service, expected.route), calls)
+
+
+def count_retries(tree: CallTree | None, runs: Counter[Piece]) -> int:
+    """Return the runs that neither the client's call nor a run above explains.
+
+    A run that was repeated explains the calls that it made anew.
+    """
+    if tree is None:
+        return 0
+    explained = Counter({tree.entry: 1})
+    for piece, calls in tree.calls.items():
+        for below, times in calls.items():
+            explained[below] += runs[piece] * times
+    return (runs - explained).total()
 
 
 def needs_short_service(evidence: Evidence, kind: Traffic) -> bool:
     """Return whether a kind of request needs the service that is short."""
-    services = {service for service, _ in pieces_of(evidence, kind)}
+    tree = call_tree(evidence, kind)
+    services = {service for service, _ in tree.calls} if tree else set()
     return not evidence.short_service or evidence.short_service in services
 
 
-def extra_runs(evidence: Evidence) -> list[int]:
-    """Return for each kind the most runs beyond one of each piece in one try."""
-    runs = entries_by_attempt(evidence)
+def most_retries(evidence: Evidence) -> list[int]:
+    """Return for each kind the most retries below one try of a client."""
+    entries = entries_by_attempt(evidence)
     most = [0] * len(evidence.plan.traffic)
-    pieces = [pieces_of(evidence, kind) for kind in evidence.plan.traffic]
+    trees = [call_tree(evidence, kind) for kind in evidence.plan.traffic]
     for record in evidence.records:
         for attempt in record.attempts:
-            found = Counter(
-                (service, entry.route) for service, entry in runs[attempt.attempt_id]
+            runs = Counter(
+                (service, entry.route) for service, entry in entries[attempt.attempt_id]
             )
-            beyond = found - pieces[record.traffic]
-            most[record.traffic] = max(most[record.traffic], sum(beyond.values()))
+            retries = count_retries(trees[record.traffic], runs)
+            most[record.traffic] = max(most[record.traffic], retries)
     return most
 
 
 @register_check
 def check_retries(evidence: Evidence) -> Verdict:
-    """Check that runs beyond the first stay within the allowance."""
-    most = extra_runs(evidence)
+    """Check that retries below one try of a client stay within the allowance."""
+    most = most_retries(evidence)
     pairs = list(zip(most, evidence.allowances, strict=True))
     held = all(extra <= allowance for extra, allowance in pairs)
-    figure = "more runs a call, at most / allowance: "
+    figure = "retries that ran, at most / allowance: "
     figure += ", ".join(
         f"{kind.purpose} {extra}/{allowance}"
         for kind, (extra, allowance) in zip(evidence.plan.traffic, pairs, strict=True)
--- a/buckthornshed/tests/test_load_judge.py
+++ b/buckthornshed/tests/test_load_judge.py
@@ -1,9 +1,17 @@
 """Tests that each check of a promise fails on evidence against it."""
 
+from collections import Counter
+
 import pytest
 
 from buckthornshed.load.fleet import TargetLedger
-from buckthornshed.load.judge import Evidence, judge, wasted_share
+from buckthornshed.load.judge import (
+    CallTree,
+    Evidence,
+    count_retries,
+    judge,
+    wasted_share,
+)
 from buckthornshed.load.plan import Phase, Plan, Traffic
 from buckthornshed.load.records import Attempt, RequestRecord, Result
 from buckthornshed.standins.behaviour import (
@@ -61,6 +69,16 @@
     assert held("retries", ledgers=ledgers(*two, entry(2, key="k3"))) is False
 
 
+def test_calls_of_a_repeated_run_are_no_retries_of_their_own():
+    front, middle, back = ("front", "GET /"), ("middle", "GET /"), ("back", "GET /")
+    calls = {front: Counter({middle: 1}), middle: Counter({back: 2}), back: Counter()}
+    tree = CallTree(front, calls)
+    assert count_retries(tree, Counter({front: 1, middle: 1, back: 2})) == 0
+    assert count_retries(tree, Counter({front: 1, middle: 3, back: 6})) == 2
+    assert count_retries(tree, Counter({front: 1, middle: 3, back: 7})) == 3
+    assert count_retries(tree, Counter({front: 2, middle: 1, back: 1})) == 1
+
+
 def test_browsing_that_outlasts_bookings():
     swapped = (record(1, 0, Result.REFUSED), record(2, 1, Result.WHOLE))
     assert held("outlast", records=swapped) is False
