Pack the program into one file that starts no process

Ruled out: the onefile form of PyInstaller, which ran as parent and child in a trial; zipapp, which needs an interpreter; a shell stub, whose tar is a child. Ruled out: unpacking for each start, which would leave a folder after each kill.

Conclusion: one file, one process, no Python on the path.

--- /dev/null
+++ b/binary/entry.py
@@ -0,0 +1,5 @@
+"""Start of the packed program."""
+
+from buckthornshed.cli.main import main
+
+main()
--- /dev/null
+++ b/binary/launcher.c
@@ -0,0 +1,269 @@
+/*
+ * Start of the single file: unpacks the program that is appended to this file and
+ * executes it in the same process. It starts no other process.
+ *
+ * Layout of the file: this program, a gzip-compressed ustar archive, the footer.
+ * The archive is unpacked once per user and build, under a name that holds the
+ * digest of the archive; later starts use what is there.
+ */
+
+#define _XOPEN_SOURCE 700
+
+#include <errno.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <limits.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/statvfs.h>
+#include <sys/vfs.h>
+#include <unistd.h>
+#include <zlib.h>
+
+#define PROGRAM "buckthornshed"
+#define MAGIC "BTSPACK1"
+#define MAGIC_BYTES 8
+#define DIGEST_DIGITS 16
+#define BLOCK_BYTES 512
+#define BUFFER_BYTES 65536
+#define TMPFS_TYPE 0x01021994
+#define RAMFS_TYPE 0x858458f6
+#define OPEN_DIRECTORIES 16
+#define NO_EXEC_FLAG 8 /* ST_NOEXEC, which POSIX does not name */
+#define EXIT_UNUSABLE 2
+
+/* The last bytes of the file; the size is little-endian. */
+struct footer {
+    char magic[MAGIC_BYTES];
+    char digest[DIGEST_DIGITS];
+    uint8_t archive_bytes[8];
+};
+
+/* A header block of the ustar format, POSIX.1-1988. */
+struct header {
+    char name[100];
+    char mode[8];
+    char owner[16];
+    char size[12];
+    char mtime[12];
+    char checksum[8];
+    char type;
+    char link[100];
+    char magic[8];
+    char names[64];
+    char device[16];
+    char prefix[155];
+    char padding[12];
+};
+
+static void fail(const char *format, ...)
+{
+    va_list arguments;
+
+    va_start(arguments, format);
+    fputs(PROGRAM ": ", stderr);
+    vfprintf(stderr, format, arguments);
+    fputc('\n', stderr);
+    va_end(arguments);
+    exit(EXIT_UNUSABLE);
+}
+
+static void join(char *path, const char *format, ...)
+{
+    va_list arguments;
+    int length;
+
+    va_start(arguments, format);
+    length = vsnprintf(path, PATH_MAX, format, arguments);
+    va_end(arguments);
+    if (length >= PATH_MAX)
+        fail("found a path of %d bytes, expected less than %d", length, PATH_MAX);
+}
+
+/* Opens the own file, reads the footer and goes to the start of the archive. */
+static int open_archive(struct footer *footer)
+{
+    int file = open("/proc/self/exe", O_RDONLY | O_CLOEXEC);
+    off_t end = lseek(file, -(off_t)sizeof *footer, SEEK_END);
+    uint64_t archive_bytes = 0;
+
+    if (file < 0 || end < 0 ||
+        read(file, footer, sizeof *footer) != (ssize_t)sizeof *footer)
+        fail("/proc/self/exe: %s", strerror(errno));
+    if (memcmp(footer->magic, MAGIC, MAGIC_BYTES) != 0)
+        fail("found no archive at the end of the file, expected one");
+    for (int place = 7; place >= 0; place--)
+        archive_bytes = archive_bytes << 8 | footer->archive_bytes[place];
+    if (lseek(file, end - (off_t)archive_bytes, SEEK_SET) < 0)
+        fail("found an archive of %ju bytes, expected less", (uintmax_t)archive_bytes);
+    return file;
+}
+
+static int is_usable(const char *directory, int in_memory)
+{
+    struct statfs kind;
+    struct statvfs flags;
+
+    if (directory == NULL || access(directory, W_OK | X_OK) != 0)
+        return 0;
+    if (statfs(directory, &kind) != 0 || statvfs(directory, &flags) != 0)
+        return 0;
+    if (flags.f_flag & NO_EXEC_FLAG)
+        return 0;
+    return !in_memory || kind.f_type == TMPFS_TYPE || kind.f_type == RAMFS_TYPE;
+}
+
+/* Returns where to unpack: storage in memory if there is any, else any storage. */
+static const char *choose_base(void)
+{
+    const char *chosen = getenv("BUCKTHORNSHED_UNPACK_DIR");
+    const char *bases[] = {getenv("XDG_RUNTIME_DIR"), "/run", "/tmp", "/dev/shm"};
+    const size_t count = sizeof bases / sizeof *bases;
+
+    if (chosen != NULL)
+        return chosen;
+    for (int in_memory = 1; in_memory >= 0; in_memory--)
+        for (size_t index = 0; index < count; index++)
+            if (is_usable(bases[index], in_memory))
+                return bases[index];
+    fail("found no directory to unpack in, expected one that is writable and "
+         "allows execution; set BUCKTHORNSHED_UNPACK_DIR");
+    return NULL;
+}
+
+/* Returns whether `path` was unpacked by this user and no other can write there. */
+static int is_unpacked(const char *path)
+{
+    struct stat found;
+
+    if (lstat(path, &found) != 0)
+        return 0;
+    if (!S_ISDIR(found.st_mode) || found.st_uid != geteuid() ||
+        (found.st_mode & (S_IRWXG | S_IRWXO)) != 0)
+        fail("%s: found something of another owner or mode, expected a directory "
+             "of mode 0700 of this user", path);
+    return 1;
+}
+
+static void read_exactly(gzFile archive, void *buffer, unsigned length)
+{
+    if (gzread(archive, buffer, length) != (int)length)
+        fail("found a damaged archive, expected a whole one");
+}
+
+static void write_file(gzFile archive, const char *path, mode_t mode, size_t size)
+{
+    static char buffer[BUFFER_BYTES];
+    int file = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode & 0700);
+
+    if (file < 0)
+        fail("%s: %s", path, strerror(errno));
+    for (size_t left = size; left > 0;) {
+        size_t part = left < sizeof buffer ? left : sizeof buffer;
+
+        read_exactly(archive, buffer, (unsigned)part);
+        errno = ENOSPC; /* A short write sets none. */
+        if (write(file, buffer, part) != (ssize_t)part)
+            fail("%s: %s", path, strerror(errno));
+        left -= part;
+    }
+    close(file);
+    if (size % BLOCK_BYTES != 0)
+        read_exactly(archive, buffer, BLOCK_BYTES - size % BLOCK_BYTES);
+}
+
+static void unpack_entry(gzFile archive, const struct header *entry, const char *base)
+{
+    char path[PATH_MAX];
+    char link[sizeof entry->link + 1] = "";
+    mode_t mode = (mode_t)strtoul(entry->mode, NULL, 8);
+    const char *slash = entry->prefix[0] != '\0' ? "/" : "";
+
+    join(path, "%s/%.155s%s%.100s", base, entry->prefix, slash, entry->name);
+    memcpy(link, entry->link, sizeof entry->link);
+    switch (entry->type) {
+    case '0':
+        write_file(archive, path, mode, strtoul(entry->size, NULL, 8));
+        return;
+    case '2':
+        if (symlink(link, path) != 0)
+            fail("%s: %s", path, strerror(errno));
+        return;
+    case '5':
+        if (mkdir(path, 0700) != 0 && errno != EEXIST)
+            fail("%s: %s", path, strerror(errno));
+        return;
+    default:
+        fail("%s: found entry type %c, expected 0, 2 or 5", path, entry->type);
+    }
+}
+
+static void unpack(int file, const char *base)
+{
+    gzFile archive = gzdopen(file, "rb");
+    struct header entry;
+    int left;
+
+    if (archive == NULL)
+        fail("found no memory, expected some to unpack");
+    for (;;) {
+        read_exactly(archive, &entry, sizeof entry);
+        if (entry.name[0] == '\0')
+            break;
+        unpack_entry(archive, &entry, base);
+    }
+    do /* To the end, where the checksum is. */
+        left = gzread(archive, &entry, sizeof entry);
+    while (left > 0);
+    if (left < 0)
+        fail("found a damaged archive, expected a whole one");
+    gzclose(archive);
+}
+
+static int remove_entry(const char *path, const struct stat *found, int kind,
+                        struct FTW *place)
+{
+    (void)found;
+    (void)kind;
+    (void)place;
+    return remove(path);
+}
+
+/* Unpacks beside `path` and renames, so that `path` is whole or absent. */
+static void create(int file, const char *path)
+{
+    char partial[PATH_MAX];
+
+    join(partial, "%s.XXXXXX", path);
+    if (mkdtemp(partial) == NULL)
+        fail("%s: %s", partial, strerror(errno));
+    unpack(file, partial);
+    if (rename(partial, path) == 0)
+        return;
+    /* Another start was faster: use what it unpacked. */
+    nftw(partial, remove_entry, OPEN_DIRECTORIES, FTW_DEPTH | FTW_PHYS);
+    if (!is_unpacked(path))
+        fail("%s: %s", path, strerror(errno));
+}
+
+int main(int count, char **arguments)
+{
+    struct footer footer;
+    char path[PATH_MAX];
+    char program[PATH_MAX];
+    int file = open_archive(&footer);
+
+    (void)count;
+    join(path, "%s/" PROGRAM "-%u-%.*s", choose_base(), (unsigned)geteuid(),
+         DIGEST_DIGITS, footer.digest);
+    if (!is_unpacked(path))
+        create(file, path);
+    join(program, "%s/" PROGRAM, path);
+    execv(program, arguments);
+    fail("%s: %s", program, strerror(errno));
+    return EXIT_UNUSABLE;
+}
--- /dev/null
+++ b/binary/probe.py
@@ -0,0 +1,168 @@
+"""Looks at the packed program as it runs: processes, signals, time and memory.
+
+Run with ``python binary/probe.py dist/buckthornshed``; exits with 1 if it starts
+another process, does not take SIGTERM or needs what a bare machine lacks.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+TIMEOUT_S = 60.0
+POLL_S = 0.002
+SETTLE_S = 2.0
+ENVIRONMENT = {"PATH": "/nonexistent"}
+
+SETTINGS = """\
+name = "stables-1"
+failure_domain = "pokhara-a"
+ingress = "127.0.0.1:{ingress}"
+egress = "127.0.0.1:{egress}"
+control = "127.0.0.1:{control}"
+admin = "127.0.0.1:{admin}"
+target = "127.0.0.1:{target}"
+platform = "http://127.0.0.1:{platform}"
+keys = ["00112233445566778899aabbccddeeff"]
+"""
+PORTS = ("ingress", "egress", "control", "admin", "target", "platform")
+
+
+class Seen(NamedTuple):
+    """What one run of a node showed."""
+
+    start_s: float
+    rss_kb: int
+    children: set[int]
+    exit_code: int
+
+
+def main(program: Path) -> int:
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        folder.chmod(0o700)
+        first = run_node(program, folder)
+        second = run_node(program, folder)
+        check_s = run_help(program, folder)
+        unpacked = [path for path in folder.iterdir() if path.is_dir()]
+        unpacked_bytes = sum(size_of(path) for path in unpacked)
+    print(f"file_bytes {program.stat().st_size}")
+    print(f"unpacked_bytes {unpacked_bytes}")
+    for label, seen in (("first", first), ("second", second)):
+        print(f"{label}_start_s {seen.start_s:.2f}")
+        print(f"{label}_rss_kb {seen.rss_kb}")
+        print(f"{label}_children {len(seen.children)}")
+        print(f"{label}_exit_code {seen.exit_code}")
+    print(f"help_s {check_s:.2f}")
+    runs = (first, second)
+    held = len(unpacked) == 1 and not any(
+        seen.children or seen.exit_code for seen in runs
+    )
+    print("held" if held else "BROKEN")
+    return 0 if held else 1
+
+
+def run_node(program: Path, folder: Path) -> Seen:
+    """Start a node, watch for children until it listens and after, stop it."""
+    ports = free_ports(len(PORTS))
+    settings = folder / "node.toml"
+    settings.write_text(SETTINGS.format(**dict(zip(PORTS, ports, strict=True))))
+    children: set[int] = set()
+    with (folder / "node.log").open("wb") as log:
+        started = time.monotonic()
+        node = subprocess.Popen(
+            [program, "node", settings],
+            env=ENVIRONMENT | {"BUCKTHORNSHED_UNPACK_DIR": str(folder)},
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+    try:
+        while not listens(ports[0]):
+            children |= set(others_in_session(node.pid))
+            expect_running(node, started, folder)
+            time.sleep(POLL_S)
+        start_s = time.monotonic() - started
+        settled = time.monotonic() + SETTLE_S
+        while time.monotonic() < settled:
+            children |= set(others_in_session(node.pid))
+            time.sleep(POLL_S)
+        rss_kb = read_rss_kb(node.pid)
+        node.send_signal(signal.SIGTERM)
+        return Seen(start_s, rss_kb, children, node.wait(TIMEOUT_S))
+    finally:
+        if node.poll() is None:
+            node.kill()
+            node.wait()
+
+
+def run_help(program: Path, folder: Path) -> float:
+    """Return how long the shortest command takes once the program is unpacked."""
+    started = time.monotonic()
+    subprocess.run(
+        [program, "--help"],
+        env=ENVIRONMENT | {"BUCKTHORNSHED_UNPACK_DIR": str(folder)},
+        stdout=subprocess.DEVNULL,
+        check=True,
+    )
+    return time.monotonic() - started
+
+
+def expect_running(
+    node: "subprocess.Popen[bytes]", started: float, folder: Path
+) -> None:
+    if node.poll() is None and time.monotonic() - started < TIMEOUT_S:
+        return
+    log = (folder / "node.log").read_text(errors="replace")
+    raise SystemExit(f"the node does not listen; exit code {node.poll()}\n{log}")
+
+
+def others_in_session(leader: int) -> Iterator[int]:
+    """Yield the processes that the leader of a session started, however deep."""
+    for entry in os.scandir("/proc"):
+        if not entry.name.isdigit() or int(entry.name) == leader:
+            continue
+        try:
+            stat = Path(entry.path, "stat").read_text()
+        except OSError:
+            continue
+        parent, _, session = stat.rpartition(")")[2].split()[1:4]
+        if leader in (int(parent), int(session)):
+            yield int(entry.name)
+
+
+def read_rss_kb(pid: int) -> int:
+    status = Path(f"/proc/{pid}/status").read_text()
+    (line,) = [line for line in status.splitlines() if line.startswith("VmRSS:")]
+    return int(line.split()[1])
+
+
+def listens(port: int) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+def free_ports(count: int) -> list[int]:
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+def size_of(folder: Path) -> int:
+    return sum(path.lstat().st_size for path in folder.rglob("*") if path.is_file())
+
+
+if __name__ == "__main__":
+    sys.exit(main(Path(sys.argv[1]).resolve()))
--- a/buckthornshed/cli/dump.py
+++ b/buckthornshed/cli/dump.py
@@ -95,7 +95,7 @@
         title = f"{above}{name}"
         rows = _rows(value)
         if rows is not None:
-            yield title, tabulate(rows, headers="keys", missingval=NOTHING)
+            yield title, _table(rows)
             continue
         single = {key: item for key, item in value.items() if _is_single(item)}
         if single:
@@ -124,6 +124,17 @@
     return [{"name": key} | item for key, item in value.items()] if same else None
 
 
+def _table(rows: list[State]) -> str:
+    cells = [{name: _table_cell(value) for name, value in row.items()} for row in rows]
+    return tabulate(cells, headers="keys", missingval=NOTHING)
+
+
+def _table_cell(value: object) -> object:
+    """Return a cell whose numbers `tabulate` aligns."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if is_number else _cell(value)
+
+
 def _name_table(values: Mapping[str, Any]) -> str:
     rows = [(name, _cell(value)) for name, value in values.items()]
     return tabulate(rows, tablefmt="plain", disable_numparse=True)
--- a/buckthornshed/tests/test_dump.py
+++ b/buckthornshed/tests/test_dump.py
@@ -15,7 +15,7 @@
     "neighbours": ["stables-2", "stables-3"],
     "admission": {"threshold": 70, "queue": {"length": 2, "bound": 30}},
     "tables": {"keys": {"size": 3, "bound": 10}, "replies": {"size": 0, "bound": 5}},
-    "peers": [{"name": "stables-2", "state": "live"}, {"name": "stables-3"}],
+    "peers": [{"name": "stables-2", "leaving": True}, {"name": "stables-3"}],
 }
 
 
@@ -70,6 +70,7 @@
     assert ["bound", "30"] in lines
     assert ["name", "size", "bound"] in lines
     assert ["keys", "3", "10"] in lines
+    assert ["stables-2", "yes"] in lines
     assert ["stables-3", "-"] in lines
 
 
