--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -14,15 +14,14 @@
 import msgspec
 
 from ..protocol.configuration import require_valid
-from ..protocol.platform_values import platform_values
-from ..protocol.published import encode_published
+from ..protocol.published import Published, publish
+from ..protocol.published_values import published_values
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
 from .processes import (
     FleetError,
     Ports,
     Process,
-    answers,
     logged_generations,
     start_process,
     wait_until_ready,
@@ -114,7 +113,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
-        self.published: bytes | None = None
+        self.published: Published | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -156,10 +155,11 @@
         FindingsError
             If the set has faults.
         """
-        value = encode_published(require_valid(objects), generation)
-        for key, body in platform_values(value, self.published).items():
+        checked = require_valid(objects)
+        values = published_values(checked, generation, self.published)
+        for key, body in values.items():
             await self.put_value(key, body)
-        self.published = value
+        self.published = publish(checked, generation)
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
@@ -222,13 +222,7 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        process = self.processes[f"{name}-node"]
-        before = len(logged_generations(process))
-
-        async def configured() -> bool:
-            return len(logged_generations(process)) > before
-
-        await wait_until_ready(process, configured)
+        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -238,7 +232,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
+        await wait_until_ready(self.processes[name], self.client, url)
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
