Refuse new clients at the edge of a leaving node after its notice

Cause: a leaving node went on taking requests of outside clients. Clients are now refused as draining after the notice, as callers are. Ruled out: closing the listener at the notice, for clients that have a connection open would see a reset in place of an answer.

--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -130,6 +130,8 @@
         self._observe(now, wall)
         if self.view is None or self.view.own is None:
             return [_turned_away(token, request, Reason.NO_CONFIGURATION)]
+        if not self.drain.accepts:
+            return [_turned_away(token, request, Reason.DRAINING)]
         if not self.pause.fresh:
             return [_turned_away(token, request, Reason.STALE_VIEW)]
         service = self.view.own["service"]
--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -47,7 +47,7 @@
 OWNER_ROUND_S = 0.2
 CLOCK_BOUND_S = 1.0
 WALL_S = 1.7e9
-DRAIN_S = 12.0
+DRAIN_S = 10.0
 HARD_ATTEMPTS = 4
 POLITE_ATTEMPTS = 2
 TEAR_SHARE = 0.2
@@ -188,6 +188,10 @@
             self.breaks[token] = on_break
         return token
 
+    def forget(self, token: int) -> None:
+        self.replies.pop(token, None)
+        self.breaks.pop(token, None)
+
     def wake(self) -> None:
         self.frozen = False
         waiting, self.inbox = self.inbox, []
@@ -325,7 +329,7 @@
         if process.alive and not process.frozen:
             self._refresh(process)
             self._ask_owners(process)
-            if process.core.drain.exits:
+            if self._is_drained(process):
                 self._exit(process)
         self.after(TICK_S, lambda: self._tick(process))
 
@@ -355,6 +359,15 @@
         self._between(other, asker.name, heard)
         return []
 
+    @staticmethod
+    def _is_drained(process: Process) -> bool:
+        """Return whether the process exits, by the rule of the transport."""
+        drain = process.core.drain
+        if not drain.exits:
+            return False
+        elapsed = process.now - (drain.stopped_at or 0.0)
+        return not process.replies or elapsed >= drain.deadline_s
+
     def _exit(self, process: Process) -> None:
         """End a planned stop; whatever still hangs on it was cut."""
         cut = len(process.breaks) + sum(
@@ -492,7 +505,7 @@
         token = receiver.peer_tokens.get(exchange)
         if token is None:
             return []
-        receiver.breaks.pop(token, None)
+        receiver.forget(token)
         return receiver.core.abandoned(receiver.now, receiver.wall, token)
 
     # Fake targets.
@@ -664,12 +677,16 @@
             return
         token = attempt.token
         if token is not None:
-            process.breaks.pop(token, None)
-            process.handle(
-                lambda: process.core.abandoned(process.now, process.wall, token)
-            )
+            process.handle(lambda: self._closed(process, token))
         self._told(client, attempt, GAVE_UP)
 
+    @staticmethod
+    def _closed(process: Process, token: int) -> list[Action]:
+        if token not in process.replies:
+            return []
+        process.forget(token)
+        return process.core.abandoned(process.now, process.wall, token)
+
     def _told(self, client: Client, attempt: Attempt, told: str | Answer) -> None:
         if attempt.ended is not None:
             return
--- a/buckthornshed/tests/test_node_outcomes.py
+++ b/buckthornshed/tests/test_node_outcomes.py
@@ -99,3 +99,13 @@
         answered = core.peer_answered(0.0, WALL, answer)
     assert [a.token for a in answered if isinstance(a, Reply)] == [2]
     assert ask_below(core, 3) == []
+
+
+def test_a_leaving_node_takes_no_client_after_its_notice():
+    core = make_core()
+    core.stop(0.0)
+    for now in (0.5, 1.0):
+        core.tick(now, WALL + now)
+    reason = Reason.DRAINING
+    assert ask(core, 1.1, request()) == (reason, Outcome.UNKNOWN)
+    assert ask(core, 1.1, request(keyed=False)) == (reason, Outcome.NOT_RUN)
