Spread port blocks of drivers, shorten the morning

Cause: drivers that do not hold blocks start at the same ports; a start met one of them. Blocks are tried from a place that follows from the process id.

--- a/buckthornshed/load/morning.py
+++ b/buckthornshed/load/morning.py
@@ -18,12 +18,12 @@
 SHORT_SERVICE = "stables"
 
 EVENTS = (
-    Event(5.0, "slow", SHORT_SERVICE, 3.0),
-    Event(7.0, "kill", "booking-2"),
-    Event(10.0, "mend", SHORT_SERVICE),
-    Event(12.0, "replace", "booking-2"),
-    Event(15.0, "publish"),
-    Event(17.0, "stop", "booking-3"),
+    Event(4.0, "slow", SHORT_SERVICE, 3.0),
+    Event(6.0, "kill", "booking-2"),
+    Event(9.0, "mend", SHORT_SERVICE),
+    Event(10.5, "replace", "booking-2"),
+    Event(13.0, "publish"),
+    Event(15.0, "stop", "booking-3"),
 )
 
 
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -75,7 +75,9 @@
     FleetError
         If all blocks are taken.
     """
-    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    for block in range(os.getpid(), os.getpid() + blocks):
+        first = FIRST_PORT + block % blocks * BLOCK_PORTS
         lock = open_port(first)
         if lock is not None:
             return lock, first + 1
