Say nothing of a key at a node without its configuration

Cause: a replaced node that had no configuration yet refused a repeat of a booking as not run, though its earlier incarnation had run it. Ruled out: holding the call until the configuration is there; an answer is due at once. Conclusion: only a table of keys in force, past its barrier, may deny a key.

--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/ingress.py
@@ -120,8 +120,7 @@
         if self.view is not None and self.admission is not None:
             policies = self.view.match(self.service, call.method, call.path)
         if policies is None:
-            reason = Reason.NO_ROUTE if self.admission else Reason.NO_CONFIGURATION
-            return [self._refuse(now, call, reason)]
+            return [self._turn_away(now, call)]
         keyed = not policies.repeatable
         if keyed:
             begun = self._begin(now, wall, call)
@@ -203,6 +202,13 @@
                 actions += self._expire(now, exchange, entry)
         return [*actions, *self._start_waiting(now)]
 
+    def _turn_away(self, now: float, call: Call) -> Answer:
+        """Refuse a call without a route; its key may have run before this start."""
+        reason = Reason.NO_ROUTE if self.admission else Reason.NO_CONFIGURATION
+        keyed = call.context.key is not None
+        outcome = Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
+        return self._refuse(now, call, reason, outcome)
+
     def _reason_against(self, now: float, call: Call) -> Reason | None:
         assert self.admission is not None
         if not self.drain.accepts:
--- a/buckthornshed/coordination/integrity.py
+++ b/buckthornshed/coordination/integrity.py
@@ -131,7 +131,15 @@
 others may know, the owner of that key; a key minted here may be minted anew.
 """
 
-UNPROVEN_REASONS = frozenset({Reason.KEY_UNPROVEN, Reason.STALE_VIEW})
+UNPROVEN_REASONS = frozenset(
+    {
+        Reason.KEY_UNPROVEN,
+        Reason.STALE_VIEW,
+        Reason.NO_CONFIGURATION,
+        Reason.NO_ROUTE,
+    }
+)
+"""Reasons by which a node did not begin a key and cannot tell of earlier ones."""
 
 
 class KeySource(Enum):
--- a/buckthornshed/tests/test_ingress.py
+++ b/buckthornshed/tests/test_ingress.py
@@ -1,9 +1,12 @@
 """Tests of what a node starts at its target and what it refuses."""
 
+from random import Random
+
 import pytest
 
 from buckthornshed.coordination.actions import CancelTarget, Reply, StartTarget
 from buckthornshed.coordination.keys import mint_key
+from buckthornshed.coordination.node import NodeCore
 from buckthornshed.protocol.messages import Fault
 from buckthornshed.protocol.outcome import Outcome, Reason
 
@@ -50,6 +53,21 @@
     assert reply.answer.outcome is Outcome.UNKNOWN
 
 
+def test_replaced_node_without_configuration_says_nothing_of_a_key(key):
+    core = NodeCore(
+        name="booking-1",
+        domain="east",
+        rng=Random(1),
+        now=1.0,
+        incarnation=int(WALL * 1e9),
+        drain_s=30.0,
+    )
+    keyed = only(core.peer_call(1.0, WALL, 1, booking(1, key)), Reply)
+    assert keyed.answer.outcome is Outcome.UNKNOWN
+    other = only(core.peer_call(1.0, WALL, 2, booking(2, None)), Reply)
+    assert other.answer.outcome is Outcome.NOT_RUN
+
+
 def test_other_work_is_cancelled_when_its_caller_goes_away():
     core = node("stables-1")
     start = only(core.peer_call(1.0, WALL, 1, call_to_stables()), StartTarget)
