--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/dissemination.py
@@ -7,19 +7,14 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum, auto
-from typing import Any
 
 from ..errors import BuckthornshedError
 from ..protocol.peer_messages import (
     NO_VERSION,
-    Busy,
-    Changes,
     Delta,
     Digest,
     PeerMessage,
-    Pull,
     Version,
-    WholeSet,
 )
 from .acceptance import Acceptance, Accepted, Rejected
 from .fleet_actions import (
@@ -32,10 +27,13 @@
     Send,
 )
 from .joining import Candidate, Joining, Step
-from .platform_watch import HEAD, SET, PlatformWatch
+from .peer_handlers import MESSAGE_HANDLERS
+from .platform_watch import HEAD, PlatformWatch
+from .push import Push
 from .readers import Live, Topology
-from .repair import PUSH_BYTES, Repair, chain_size
+from .repair import Repair
 from .survey import Survey
+from .value_handlers import value_handler
 
 __all__ = ["Dissemination", "Phase"]
 
@@ -106,7 +104,7 @@
         self.repair = Repair(formats=formats, log=self.acceptance.log, rng=rng)
         self.survey = Survey()
         self.peer_keys: dict[str, str] = {}
-        self.known: dict[str, int] = {}
+        self.push = Push(log=self.acceptance.log, rng=rng)
         self.neighbours: list[str] = []
         self.turn = 0
         self.last_tick = 0.0
@@ -125,6 +123,11 @@
         """The objects in force."""
         return self.acceptance.log.objects
 
+    @property
+    def has_set(self) -> bool:
+        """Whether a set is in force."""
+        return self.phase is not Phase.JOINING
+
     @property
     def fresh(self) -> bool:
         """Whether a set is in force and was refreshed since the last pause."""
@@ -144,7 +147,7 @@
 
     def receive(self, now: float, address: str, message: PeerMessage) -> list[Action]:
         """Take a message of the node at an address."""
-        handler = HANDLERS.get(type(message))
+        handler = MESSAGE_HANDLERS.get(type(message))
         if handler is None or address == self.address:
             return []
         return self.then(now, handler(self, now, address, message))
@@ -154,14 +157,14 @@
         self.joining.unreachable(now, address)
         self.survey.drop(address)
         self.repair.unreachable(now, address)
-        self.known.pop(address, None)
+        self.push.forget(address)
         return self.then(now, [])
 
     def value(self, now: float, key: str, version: int, body: bytes) -> list[Action]:
         """Take a value of the platform, with the platform's version of it."""
         self.platform_failing = False
         try:
-            actions = VALUES.get(key, Dissemination.take_delta)(self, now, body)
+            actions = value_handler(key)(self, now, body)
         except BuckthornshedError as error:
             self.watch.failed(now, key)
             actions = [Report("unreadable_value", self.version, f"{key}: {error}")]
@@ -202,7 +205,12 @@
         if self.phase is Phase.JOINING:
             return min(self.joining.due, self.last_tick + WAKE_GAP_S / 2)
         reader = self.topology.is_reader()
-        times = [self.digest_at, self.watch.due(self.goal(), reader=reader)]
+        times = [
+            self.digest_at,
+            self.push.due(),
+            self.repair.retry_at,
+            self.watch.due(self.goal(), reader=reader),
+        ]
         if self.acceptance.ready():
             times.append(self.acceptance.apply_at)
         if self.phase is Phase.REFRESHING:
@@ -243,12 +251,14 @@
 
     def run(self, now: float) -> list[Action]:
         """Apply what waits, exchange a digest and read, each when it is due."""
-        actions = self.apply(now)
+        actions = self.apply(now) + self.repair.retry(now)
         if now >= self.digest_at:
             actions += self.send_digest(now)
         reader = self.topology.is_reader()
         size = self.topology.size()
         actions += self.watch.reads(now, reader=reader, domain_size=size)
+        if now >= self.push.due():
+            actions += self.push.take(now, self.digest(now))
         return actions + self.watch.fetches(now, self.goal())
 
     def wake(self, now: float) -> list[Action]:
@@ -286,80 +296,10 @@
     def find_neighbours(self) -> None:
         """Work out the neighbours anew and forget what others are known to have."""
         self.neighbours = self.topology.addresses(self.topology.neighbours())
-        kept = self.known.keys() & set(self.neighbours)
-        self.known = {address: self.known[address] for address in kept}
-
-    def take_digest(self, now: float, address: str, message: Digest) -> list[Action]:
-        """Compare what another node has in force with what this one has."""
-        theirs = message.version
-        self.known[address] = theirs.generation
-        self.joining.survey.answer(address, theirs)
-        self.survey.answer(address, theirs)
-        actions: list[Action] = []
-        if message.reply:
-            actions.append(Send(address, self.digest(now), Priority.DIGEST))
-        if self.phase is Phase.JOINING:
-            return actions
-        if self.topology.in_own_domain(address):
-            self.watch.heard(now, message.source_age)
-        for version in (theirs, message.rival):
-            actions += self.acceptance.compare(version or NO_VERSION)
-        if theirs.generation > self.version.generation:
-            actions += self.repair.pull(now, address, self.version)
-        elif 0 < theirs.generation < self.version.generation:
-            actions += self.offer(now, address, theirs)
-        return actions
-
-    def offer(self, now: float, address: str, version: Version) -> list[Action]:
-        """Send a node that is behind the short chain it lacks, or a digest."""
-        chain = self.acceptance.log.since(version)
-        if chain is None or chain_size(chain) > PUSH_BYTES:
-            return [Send(address, self.digest(now), Priority.DIGEST)]
-        self.known[address] = self.version.generation
-        return [Send(address, Changes(chain), Priority.CONFIGURATION)]
-
-    def take_pull(self, now: float, address: str, message: Pull) -> list[Action]:
-        """Answer with a chain of deltas or the whole set."""
-        self.known[address] = message.version.generation
-        if message.version.generation >= self.version.generation:
-            return [Send(address, self.digest(now), Priority.DIGEST)]
-        return self.repair.reply(now, address, message.version)
-
-    def take_busy(self, now: float, address: str, message: Busy) -> list[Action]:
-        """Pull again later, from whichever neighbour shows up first."""
-        self.joining.busy(now, address, message.retry_after)
-        self.repair.busy(now, message.retry_after)
-        return []
+        self.push.keep_only(self.neighbours)
 
     # Sets and deltas.
 
-    def take_changes(self, now: float, address: str, message: Changes) -> list[Action]:
-        """Keep the deltas of another node until they can be applied."""
-        if self.phase is Phase.JOINING or not message.deltas:
-            return []
-        newest = message.deltas[-1].generation
-        self.known[address] = max(newest, self.known.get(address, 0))
-        self.repair.answered(now, address)
-        actions: list[Action] = [*self.acceptance.keep(message.deltas, address)]
-        if not self.acceptance.leads_to(newest):
-            actions += self.repair.pull(now, address, self.version)
-        return actions
-
-    def take_whole_set(
-        self, now: float, address: str, message: WholeSet
-    ) -> list[Action]:
-        """Put the whole set of another node in force if it is higher."""
-        self.repair.answered(now, address)
-        actions: list[Action] = [*self.acceptance.compare(message.version)]
-        if message.version.generation <= self.version.generation:
-            return actions
-        try:
-            return actions + self.take_set(now, message.body, address)
-        except BuckthornshedError as error:
-            detail = f"from {address}: {error}"
-            actions.append(Report("unreadable_value", message.version, detail))
-            return actions
-
     def take_set(self, now: float, body: bytes, source: str = "") -> list[Action]:
         """Take a whole set from the platform or another node.
 
@@ -372,8 +312,9 @@
         if self.phase is Phase.JOINING:
             return self.found(now, candidate)
         reports: list[Action] = [*self.acceptance.compare(candidate.version)]
+        base = self.version
         chain = self.acceptance.replace(candidate)
-        return reports + (self.in_force(now, chain, source) if chain else [])
+        return reports + (self.in_force(now, chain, source, base) if chain else [])
 
     def found(self, now: float, candidate: Candidate) -> list[Action]:
         """Ask the nodes that the first set names whether they have a higher one."""
@@ -384,39 +325,11 @@
         addresses = self.topology.addresses(names)
         return self.joining.found(now, candidate, addresses)
 
-    def take_head(self, now: float, body: bytes) -> list[Action]:
-        """Compare the head of the platform with what is in force.
-
-        Raises
-        ------
-        BuckthornshedError
-            If the value cannot be read.
-        """
-        head = self.formats.decode_head(body)
-        actions: list[Action] = [*self.acceptance.compare(head)]
-        if head.generation > self.version.generation:
-            primary = self.topology.primary(head.generation) == self.name
-            self.watch.learned(now, head, primary=primary)
-        elif head.generation < self.version.generation:
-            detail = f"the platform has generation {head.generation}"
-            actions.append(Report("platform_behind", self.version, detail))
-        return actions
-
-    def take_delta(self, now: float, body: bytes) -> list[Action]:
-        """Keep a delta of the platform until it can be applied.
-
-        Raises
-        ------
-        BuckthornshedError
-            If the value cannot be read.
-        """
-        return [*self.acceptance.keep([self.formats.decode_delta(body)], "")]
-
     def apply(self, now: float) -> list[Action]:
         """Put in force what the waiting deltas lead to."""
         result = self.acceptance.apply(now)
         if isinstance(result, Accepted):
-            return self.in_force(now, result.chain, result.source)
+            return self.in_force(now, *result)
         if isinstance(result, Rejected):
             return [result.report, *self.rejected(now, result)]
         return []
@@ -431,7 +344,7 @@
         return []
 
     def in_force(
-        self, now: float, chain: tuple[Delta, ...], source: str
+        self, now: float, chain: tuple[Delta, ...], source: str, base: Version
     ) -> list[Action]:
         """Announce the set that is now in force and pass it on."""
         changed: set[str] = set()
@@ -442,19 +355,7 @@
             Activate(self.version, self.objects, frozenset(changed)),
             Report("in_force", self.version),
         ]
-        return actions + self.push(now, chain, source)
-
-    def push(self, now: float, chain: tuple[Delta, ...], source: str) -> list[Action]:
-        """Pass a chain on to the neighbours that may lack it."""
-        message: PeerMessage = self.digest(now)
-        if chain_size(chain) <= PUSH_BYTES:
-            message = Changes(chain)
-        generation = self.version.generation
-        actions: list[Action] = []
-        for address in self.neighbours:
-            if address != source and self.known.get(address, 0) < generation:
-                self.known[address] = generation
-                actions.append(Send(address, message, Priority.CONFIGURATION))
+        self.push.plan(now, base, self.neighbours, source)
         return actions
 
     def configure(self, objects: Mapping[str, bytes], changed: Iterable[str]) -> None:
@@ -472,19 +373,6 @@
         self.topology.update(peers, removed)
 
 
-HANDLERS: dict[type, Callable[[Dissemination, float, str, Any], list[Action]]] = {
-    Digest: Dissemination.take_digest,
-    Changes: Dissemination.take_changes,
-    Pull: Dissemination.take_pull,
-    WholeSet: Dissemination.take_whole_set,
-    Busy: Dissemination.take_busy,
-}
-
-VALUES: dict[str, Callable[[Dissemination, float, bytes], list[Action]]] = {
-    HEAD: Dissemination.take_head,
-    SET: Dissemination.take_set,
-}
-
 PHASES: dict[Phase, Callable[[Dissemination, float], list[Action]]] = {
     Phase.JOINING: Dissemination.join,
     Phase.CURRENT: Dissemination.run,
--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -1,6 +1,7 @@
 """Idempotency keys: UUIDs of version 7, RFC 9562, which carry their mint time."""
 
 import hashlib
+import re
 from typing import NamedTuple, Protocol
 
 from ..errors import ContextError
@@ -12,19 +13,22 @@
     "RandomBits",
     "derive_key",
     "fingerprint",
+    "key_text",
     "mint_key",
+    "mint_raw",
     "parse_key",
 ]
 
 FINGERPRINT_BYTES = 16
 KEY_CHARACTERS = 36
-DASHES = (8, 13, 18, 23)
 RANDOM_BITS = 74
 LOW_BITS = 62
 VERSION = 7
 VARIANT = 0b10
 MILLISECONDS_MASK = (1 << 48) - 1
-HEXADECIMAL = frozenset("0123456789abcdef")
+CANONICAL = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 
 
 class RandomBits(Protocol):
@@ -54,7 +58,12 @@
 
 def mint_key(*, wall: float, rng: RandomBits) -> str:
     """Return a new key that was minted at ``wall`` seconds."""
-    return _format(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
+    return key_text(mint_raw(wall=wall, rng=rng))
+
+
+def mint_raw(*, wall: float, rng: RandomBits) -> bytes:
+    """Return the 16 bytes of a new key."""
+    return _pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
 
 
 def parse_key(text: str) -> ParsedKey:
@@ -66,7 +75,7 @@
         If ``text`` is not a UUID of version 7 in its canonical form.
     """
     lowered = text.lower()
-    if not _is_canonical(lowered):
+    if CANONICAL.fullmatch(lowered) is None:
         raise ContextError(
             subject="idempotency key",
             found=repr(text[:KEY_CHARACTERS]),
@@ -105,7 +114,7 @@
     seed = f"{service}\0{ordinal}\0{roll}".encode()
     digest = hashlib.blake2b(seed, digest_size=16, key=parsed.raw).digest()
     bits = int.from_bytes(digest, "big") & ((1 << RANDOM_BITS) - 1)
-    return _format(int.from_bytes(parsed.raw[:6], "big"), bits)
+    return key_text(_pack(int.from_bytes(parsed.raw[:6], "big"), bits))
 
 
 def fingerprint(call: Call) -> bytes:
@@ -124,25 +133,16 @@
     return digest.digest()
 
 
-def _is_canonical(text: str) -> bool:
-    if len(text) != KEY_CHARACTERS:
-        return False
-    if any(text[place] != "-" for place in DASHES):
-        return False
-    digits = text.replace("-", "")
-    return (
-        len(digits) == KEY_CHARACTERS - len(DASHES)
-        and HEXADECIMAL.issuperset(digits)
-        and digits[12] == "7"
-        and digits[16] in "89ab"
-    )
+def key_text(raw: bytes) -> str:
+    """Return the canonical form of the 16 bytes of a key."""
+    digits = raw.hex()
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
 
 
-def _format(milliseconds: int, bits: int) -> str:
+def _pack(milliseconds: int, bits: int) -> bytes:
     value = (milliseconds & MILLISECONDS_MASK) << 80
     value |= VERSION << 76
     value |= (bits >> LOW_BITS) << 64
     value |= VARIANT << LOW_BITS
     value |= bits & ((1 << LOW_BITS) - 1)
-    digits = f"{value:032x}"
-    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+    return value.to_bytes(16, "big")
--- a/buckthornshed/coordination/ranking.py
+++ b/buckthornshed/coordination/ranking.py
@@ -13,7 +13,7 @@
 __all__ = ["COLD_S", "COLD_WEIGHT", "FORGET_S", "TargetView"]
 
 LATENCY_WEIGHT = 0.1
-FORGET_S = 5.0
+FORGET_S = 10.0
 COLD_S = 10.0
 COLD_WEIGHT = 0.1
 SIGNAL_FADE_S = 1.0
@@ -28,6 +28,8 @@
 
     Parameters
     ----------
+    name : str
+        Its name.
     target : Target
         Its object of the configuration.
     distance : int
@@ -42,28 +44,34 @@
         "incarnation",
         "latency",
         "leaving",
+        "name",
         "record",
         "reported",
         "reported_at",
         "sent_since",
+        "silent_since",
         "slots",
         "target",
         "threshold",
     )
 
-    def __init__(self, *, target: Target, distance: int) -> None:
+    def __init__(self, *, name: str, target: Target, distance: int) -> None:
+        self.name = name
         self.target = target
         self.slots = target["slots"]
         self.distance = distance
         self.in_flight = 0
+        self.silent_since = 0.0
         self.record = FailureRecord()
         self.leaving = False
         self.incarnation = 0
         self.cold_since = -math.inf
         self._forget()
 
-    def sent(self) -> None:
+    def sent(self, now: float) -> None:
         """Count a call on its way."""
+        if self.in_flight == 0:
+            self.silent_since = now
         self.in_flight += 1
         self.sent_since += 1
 
@@ -74,6 +82,7 @@
         and must not make its target look fast.
         """
         self.in_flight = max(0, self.in_flight - 1)
+        self.silent_since = now
         self.record.succeeded()
         if signal.incarnation > self.incarnation:
             self._restarted(now, signal.incarnation)
@@ -95,7 +104,8 @@
         """Return the expected seconds of a further call.
 
         A target that has not answered for long looks a little better than the
-        others until one call is under way: that call finds out how it does now.
+        others until one call is under way: that call finds out how it does now. Calls
+        that wait without any answer count as being as slow as they are already.
 
         Parameters
         ----------
@@ -108,6 +118,8 @@
         if known == 0 and self.in_flight == 0:
             typical *= TRIAL_FACTOR
         latency = typical + known * (self.latency - typical)
+        if self.in_flight:
+            latency = max(latency, now - self.silent_since)
         load = self.load(now)
         queueing = FULL_FACTOR if load >= 1 else 1.0
         return max(latency, LATENCY_FLOOR_S) * (1 + load) * queueing
@@ -120,18 +132,24 @@
 
     def weight(self, now: float) -> float:
         """Return its part of the calls when costs are equal, in slots."""
+        if self.cold_since == -math.inf:
+            return self.slots
         warm = min(1.0, (now - self.cold_since) / COLD_S)
         return self.slots * max(COLD_WEIGHT, warm)
 
     def refuses(self, now: float, level: int) -> bool:
         """Return whether the target is known to refuse calls of ``level``."""
+        if not self.threshold:
+            return False
         age = now - self.reported_at
         kept = max(0.0, 1 - age / THRESHOLD_FADE_S)
         return level < self.threshold * kept
 
     def usable(self, now: float) -> bool:
         """Return whether the target may get a call."""
-        return not self.leaving and self.record.admits(now, self.in_flight)
+        if self.leaving:
+            return False
+        return not self.record.ejections or self.record.admits(now, self.in_flight)
 
     def _learn_latency(self, now: float, latency: float) -> None:
         known = self._recalled(now)
--- a/buckthornshed/load/runner.py
+++ b/buckthornshed/load/runner.py
@@ -1,6 +1,7 @@
 """Open-loop arrivals and impatient clients."""
 
 import asyncio
+import gc
 import random
 import time
 import uuid
@@ -11,6 +12,7 @@
 import msgspec
 
 from ..errors import SettingsError, UpstreamError
+from ..protocol.http import OUTCOME_HEADER
 from ..standins.asgi import Response
 from ..standins.behaviour import Deployment
 from ..standins.calls import DEADLINE_HEADER
@@ -112,6 +114,17 @@
                 raise SettingsError(
                     subject=kind.service, found="no entry", expected="an address"
                 )
+        # Pauses of the collector would be measured as latency of the system.
+        gc.disable()
+        try:
+            await self.run_plan()
+        finally:
+            gc.enable()
+        self.pool.close()
+        return self.records
+
+    async def run_plan(self) -> None:
+        """Generate arrivals, act on time and report progress."""
         self.origin = time.monotonic()
         async with asyncio.TaskGroup() as group:
             progress = group.create_task(self.report_progress())
@@ -119,8 +132,6 @@
                 group.create_task(self.act(action))
             await self.generate()
             progress.cancel()
-        self.pool.close()
-        return self.records
 
     async def act(self, action: TimedAction) -> None:
         """Do one timed action."""
@@ -219,8 +230,9 @@
             result = Result.WHOLE if fault is None else Result.WRONG
             return result, "", "", fault or ""
         problem = read_problem(response)
-        outcome = str(problem.get("outcome", ""))
-        reason = str(problem.get("reason", ""))
+        stated = dict(response.headers).get(OUTCOME_HEADER, b"").decode("latin-1")
+        outcome = str(problem.get("outcome", stated))
+        reason = str(problem.get("type", "")).rpartition(":")[2]
         refused = outcome == "not_run" or (
             not outcome and response.status in REFUSED_STATUSES
         )
