Publish the thresholds of the services below along each path

Cause: a node that reports its own threshold alone stops a doomed call one hop above the bottleneck. Ruled out: the greatest threshold of all services that a target may call by configuration; a path that seldom uses one of them would be refused for nothing. Two more: the return rate is now measured by ReturnTimes itself, so that an egress can have one for each service; and a service time that holds a pause of the process is not learned (a minute of standstill would have made the capacity look a thousand times smaller). Conclusion: ingress and egress need PathThresholds wired in.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -14,6 +14,7 @@
 
 from buckthornshed.coordination.admission import AdmissionController, level
 from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.path_thresholds import PathThresholds
 from buckthornshed.coordination.thresholds import DownstreamThresholds
 from buckthornshed.protocol.messages import CallContext
 
@@ -149,6 +150,7 @@
         self.control = AdmissionController(policy=POLICY, slots=self.shape.slots)
         self.queue: CallQueue = CallQueue(limit=POLICY["queue"])
         self.learned = DownstreamThresholds(entries=16)
+        self.paths = PathThresholds(downstream=self.learned, entries=1)
         self.exchanges = 0
         self.tick()
 
@@ -157,11 +159,13 @@
         self.clock.after(TICK_S, self.tick)
 
     def published(self) -> int:
-        below = self.learned.of_service(self.clock.now, "below")
-        return max(self.control.threshold, below)
+        own = self.control.threshold
+        return self.paths.published(self.clock.now, "path", own)
 
     def finished(self, seconds: float) -> None:
         self.control.finished(self.clock.now, seconds)
+        used = set() if self.below is None else {"below"}
+        self.paths.ended(self.clock.now, "path", used)
 
     def learn(self, result: Result) -> None:
         self.learned.learn(self.clock.now, "below", "one", result.threshold)
@@ -216,11 +220,19 @@
         return answer
 
 
+class OwnThreshold(Threshold):
+    """The same, but a node reports its own threshold alone."""
+
+    def published(self) -> int:
+        return self.control.threshold
+
+
 POLICIES = {
     "no control": NoControl,
     "per-hop retries": PerHopRetries,
     "fixed limit": FixedLimit,
     "CoDel": CoDel,
+    "own threshold": OwnThreshold,
     "threshold": Threshold,
 }
 
--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -34,18 +34,6 @@
 SERVICE_S = 1.0
 """Time constant of the mean service time when calls are rare."""
 
-FLOW_S = 1.0
-"""Time constant of the rate at which calls finish."""
-
-CALM_FLOW_S = 10.0
-"""Seconds over which the rate of calls offered in calm is averaged."""
-
-SPARE_LEAST = 0.05
-"""Least part of the rate of finished calls that is left to returning callers."""
-
-SPARE_LIMIT = 0.8
-"""Part of the rate of finished calls that the planned load may reach."""
-
 FIRST_SERVICE_TIME_S = 0.01
 """Service time that is assumed before any call has finished."""
 
@@ -103,16 +91,12 @@
         self.overloaded = False
         self.late_windows = 0
         self.demand = Demand()
+        self.learned_since = now
         self.last_update = now
         self.carried_since: float | None = None
         self.waiting = 0
         self.longest_wait = 0.0
-        self.finished_in_window = 0
-        self.refused_in_window = 0
-        self.finish_rate = 0.0
-        self.calm_rate = 0.0
-        self.calm_seconds = 0.0
-        self.returns.reset()
+        self.returns.reset(now)
 
     def decide(
         self, now: float, context: CallContext, waiting: int, running: int
@@ -134,6 +118,7 @@
         self.waiting = waiting
         importance = level(context.priority, context.request_id)
         self.demand.arrived(importance)
+        self.returns.offered(now)
         if not can_finish(now, context.deadline, self._least_service_time()):
             return Reason.DEADLINE
         if importance < self.threshold:
@@ -150,13 +135,16 @@
     def finished(self, now: float, service_time: float) -> None:
         """Note that a call ran for ``service_time`` seconds."""
         self._advance(now)
+        self.returns.finished(now)
+        if now - service_time < self.learned_since:
+            # Its time holds a pause of this process.
+            return
         if self.finished_calls == 0:
             self.service_time = self.shortest = service_time
         gap = max(0.0, now - self.last_finish)
         weight = max(SERVICE_WEIGHT, 1.0 - exp(-gap / SERVICE_S))
         self.last_finish = now
         self.finished_calls += 1
-        self.finished_in_window += 1
         self.service_time += weight * (service_time - self.service_time)
         rise = SERVICE_WEIGHT * (self.service_time - self.shortest)
         self.shortest = min(service_time, self.shortest + rise)
@@ -168,15 +156,8 @@
         self._advance(now)
 
     def retry_after(self, now: float, priority: int, rng: RandomSource) -> float:
-        """Return after how many seconds a refused caller may come back.
-
-        The callers who come back get what the load seen in calm leaves of the
-        rate at which calls finish now, also where a node below is the bottleneck.
-        """
-        self.refused_in_window += 1
-        least = SPARE_LEAST * self.finish_rate
-        spare = max(least, SPARE_LIMIT * self.finish_rate - self.calm_rate)
-        return self.returns.book(now, priority, spare, rng)
+        """Return after how many seconds a refused caller may come back."""
+        return self.returns.book(now, priority, rng)
 
     def _least_service_time(self) -> float:
         return self.shortest if self.finished_calls else 0.0
@@ -192,7 +173,6 @@
 
     def _update(self, now: float, elapsed: float) -> None:
         self.demand.roll(elapsed, self.threshold)
-        self._measure_flow(elapsed)
         delay = max(self.longest_wait, self.waiting / self.capacity)
         self.longest_wait = 0.0
         near = self.demand.total > NEAR_CAPACITY * self.capacity
@@ -204,18 +184,6 @@
         if self.overloaded:
             self._move(now)
 
-    def _measure_flow(self, elapsed: float) -> None:
-        finished = self.finished_in_window / elapsed
-        self.finish_rate += (1.0 - exp(-elapsed / FLOW_S)) * (
-            finished - self.finish_rate
-        )
-        if self.refused_in_window == 0 and not self.overloaded:
-            self.calm_seconds += elapsed
-            weight = elapsed / min(self.calm_seconds, CALM_FLOW_S)
-            self.calm_rate += weight * (self.demand.total - self.calm_rate)
-        self.finished_in_window = 0
-        self.refused_in_window = 0
-
     def _move(self, now: float) -> None:
         """Set the threshold at which the slots carry what is admitted."""
         wanted_queue = self.capacity * self.allowed_delay
--- a/buckthornshed/coordination/return_times.py
+++ b/buckthornshed/coordination/return_times.py
@@ -1,10 +1,14 @@
 """When refused callers are asked to come back.
 
-Each refusal books a place in a line that advances at the rate at which the target
-can take those that return, so that they do not come back all at once. More
-important ranks stand before less important ones.
+Each refusal books a place in a line that advances at the rate at which calls of
+those who return can be taken, so that they do not come back all at once. More
+important ranks stand before less important ones. The rate is measured: what the
+load of calm times leaves of the calls that finish now. It so follows the
+bottleneck, wherever in the chain that is.
 """
 
+from math import exp
+
 from ..state.random_source import RandomSource
 from .thresholds import RANKS
 
@@ -16,9 +20,24 @@
 JITTER = 0.25
 """Greatest deviation from the booked time, as a part of it."""
 
+WINDOW_S = 0.05
+"""Seconds over which calls are counted."""
+
+FLOW_S = 1.0
+"""Time constant of the rate at which calls finish."""
+
+CALM_FLOW_S = 10.0
+"""Seconds over which the rate of calls offered in calm is averaged."""
+
+SPARE_LEAST = 0.05
+"""Least part of the rate of finished calls that is left to returning callers."""
+
+SPARE_LIMIT = 0.8
+"""Part of the rate of finished calls that the planned load may reach."""
+
 
 class ReturnTimes:
-    """The lines of refused callers, one for each rank.
+    """The lines of refused callers, one for each rank, and their rate.
 
     Parameters
     ----------
@@ -31,14 +50,37 @@
     def __init__(self, *, least: float, greatest: float) -> None:
         self.least = least
         self.greatest = max(least, greatest)
-        self.reset()
+        self.reset(0.0)
 
-    def reset(self) -> None:
-        """Forget all who were refused."""
+    def reset(self, now: float) -> None:
+        """Forget all who were refused, and the rates."""
         self.lines = [0.0] * RANKS
-        self.advanced = 0.0
+        self.advanced = now
+        self.window = now
+        self.offered_calls = 0
+        self.finished_calls = 0
+        self.refused_calls = 0
+        self.finish_rate = 0.0
+        self.calm_rate = 0.0
+        self.calm_seconds = 0.0
+
+    @property
+    def spare(self) -> float:
+        """Calls a second that can be taken from callers who come back."""
+        left = SPARE_LIMIT * self.finish_rate - self.calm_rate
+        return max(LEAST_RATE, SPARE_LEAST * self.finish_rate, left)
+
+    def offered(self, now: float) -> None:
+        """Count a call, whether it is refused or not."""
+        self._roll(now)
+        self.offered_calls += 1
 
-    def book(self, now: float, priority: int, rate: float, rng: RandomSource) -> float:
+    def finished(self, now: float) -> None:
+        """Count a call that ran to its end."""
+        self._roll(now)
+        self.finished_calls += 1
+
+    def book(self, now: float, priority: int, rng: RandomSource) -> float:
         """Return after how many seconds a caller of rank ``priority`` returns.
 
         Parameters
@@ -47,18 +89,31 @@
             Seconds of the monotonic clock.
         priority : int
             Rank of the refused call.
-        rate : float
-            Calls a second that can be taken from those who come back.
         rng : RandomSource
             Source of the jitter.
         """
-        rate = max(rate, LEAST_RATE)
+        self._roll(now)
+        self.refused_calls += 1
+        rate = self.spare
         self._advance(now, rate)
         rank = min(max(priority, 0), RANKS - 1)
         for behind in range(rank, RANKS):
             self.lines[behind] += 1.0
-        booked = self.lines[rank] / rate
-        return self._spread(booked, rng)
+        return self._spread(self.lines[rank] / rate, rng)
+
+    def _roll(self, now: float) -> None:
+        """End the window of the counts when that is due."""
+        elapsed = now - self.window
+        if elapsed < WINDOW_S:
+            return
+        weight = 1.0 - exp(-elapsed / FLOW_S)
+        self.finish_rate += weight * (self.finished_calls / elapsed - self.finish_rate)
+        if self.refused_calls == 0:
+            self.calm_seconds += elapsed
+            weight = min(1.0, elapsed / min(self.calm_seconds, CALM_FLOW_S))
+            self.calm_rate += weight * (self.offered_calls / elapsed - self.calm_rate)
+        self.window = now
+        self.offered_calls = self.finished_calls = self.refused_calls = 0
 
     def _advance(self, now: float, rate: float) -> None:
         gone = rate * max(0.0, now - self.advanced)
--- a/buckthornshed/tests/test_admission.py
+++ b/buckthornshed/tests/test_admission.py
@@ -6,6 +6,7 @@
 
 from buckthornshed.coordination.admission import AdmissionController, level
 from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.path_thresholds import PathThresholds
 from buckthornshed.coordination.thresholds import LEVELS, DownstreamThresholds
 from buckthornshed.protocol.messages import NO_SIGNAL, CallContext
 from buckthornshed.protocol.outcome import Reason
@@ -112,6 +113,13 @@
     assert target.control.threshold == 0
 
 
+def test_the_time_of_a_call_that_ran_through_a_pause_is_not_learned():
+    target = Target(ordered=True)
+    serve(target, 56, 0.0, 5.0, seed=1)
+    target.control.finished(60.0, 55.0)
+    assert target.control.service_time == pytest.approx(SERVICE_S)
+
+
 def test_a_call_that_cannot_end_in_time_is_refused():
     control = AdmissionController(policy=POLICY, slots=SLOTS)
     for number in range(20):
@@ -142,6 +150,23 @@
         assert sum(second <= seconds < second + 1 for seconds in times) <= 24
 
 
+def test_a_path_publishes_the_thresholds_of_what_most_of_its_calls_use():
+    learned = DownstreamThresholds(entries=4)
+    learned.learn(0.0, "pricing", "pricing-1", 2000)
+    learned.learn(0.0, "notices", "notices-1", 3000)
+    paths = PathThresholds(downstream=learned, entries=4)
+    for number in range(10):
+        paths.ended(
+            0.0, "browse", {"pricing", "notices"} if number < 3 else {"pricing"}
+        )
+        paths.ended(0.0, "notice-board", set())
+    assert paths.published(0.1, "browse", 100) == 2000
+    assert paths.published(0.1, "browse", 2500) == 2500
+    assert paths.published(0.1, "notice-board", 100) == 100
+    assert paths.published(0.1, "unknown", 100) == 100
+    assert paths.published(5.0, "browse", 100) == 100
+
+
 def test_a_learned_threshold_holds_then_fades():
     learned = DownstreamThresholds(entries=2)
     learned.learn(0.0, "stables", "stables-1", 2000)
