Show for each promise that its scenario fails without the mechanism

12 tests remove one mechanism each, in the test: the allowance, the rank, the match of answers by exchange, the check for torn answers, the combination of outcomes, the key table, the barrier of a new start, the refusal of a leaving target and of its edge, the wait for what is in flight, the answers of peers, the messages between nodes. An answer to a request that is over now counts against own answers.

--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -228,6 +228,7 @@
         self.down_targets: set[str] = set()
         self.runs: list[Run] = []
         self.clients: list[Client] = []
+        self.strays: list[Answer] = []
         self.sends: Counter[bytes] = Counter()
         self.cuts: list[tuple[set[str], set[str]]] = []
         self.slow: dict[str, float] = {}
@@ -418,8 +419,13 @@
             case CancelTarget():
                 self._cancel_target(process, action.exchange)
             case Reply():
-                process.breaks.pop(action.token, None)
-                process.replies.pop(action.token)(action.answer)
+                on_reply = process.replies.get(action.token, self._stray)
+                process.forget(action.token)
+                on_reply(action.answer)
+
+    def _stray(self, answer: Answer) -> None:
+        """Note an answer to a request that is over; there must be none."""
+        self.strays.append(answer)
 
     def _send(self, process: Process, action: SendPeer) -> None:
         self.sends[action.call.context.request_id] += 1
--- a/buckthornshed/tests/scenarios/expectations.py
+++ b/buckthornshed/tests/scenarios/expectations.py
@@ -83,6 +83,7 @@
 
 @check
 def own(world: World) -> Iterator[str]:
+    yield from (f"answered twice: {answer}" for answer in world.strays)
     for client, _, answer in answers(world):
         service, _, prefix = ENTRIES[client.kind]
         wanted = expected_body(service, prefix, client.ident)
--- /dev/null
+++ b/buckthornshed/tests/test_scenarios_fail_first.py
@@ -0,0 +1,107 @@
+"""Each promise fails in a scenario when its mechanism is removed."""
+
+import pytest
+
+from ..coordination import idempotency
+from ..coordination.admission import AdmissionController
+from ..coordination.allowance import AllowanceAccount
+from ..coordination.drain import DrainState
+from ..coordination.egress import Egress
+from ..coordination.handover import OwnershipGate
+from ..coordination.idempotency import KeyTable
+from ..coordination.integrity import Sends
+from ..coordination.survey import Survey
+from ..protocol.outcome import Outcome
+from .scenarios import driver
+from .scenarios.driver import ScenarioExchange, World
+from .scenarios.expectations import judge
+from .scenarios.language import HERE, read
+
+
+def fails(name):
+    """Return the names of the expectations that fail."""
+    found = judge(World(read(HERE / f"{name}.scenario"), 0).run())
+    return {line.partition(":")[0] for line in found}
+
+
+@pytest.fixture
+def no_barrier(monkeypatch):
+    monkeypatch.setattr(idempotency, "barrier_after", lambda wall, bound: -1.0)
+    monkeypatch.setattr(OwnershipGate, "check", lambda self, key: None)
+
+
+def test_retries_without_an_allowance(monkeypatch):
+    monkeypatch.setattr(AllowanceAccount, "spend", lambda self: True)
+    assert "sends" in fails("retries_shed")
+
+
+def test_bookings_without_a_rank(monkeypatch):
+    decide = AdmissionController.decide
+
+    def decide_alike(self, now, context, waiting, running):
+        return decide(self, now, context._replace(priority=8), waiting, running)
+
+    monkeypatch.setattr(AdmissionController, "decide", decide_alike)
+    assert "outlast" in fails("priority_surge")
+
+
+def test_answers_matched_by_their_order(monkeypatch):
+    answered = Egress.answered
+
+    def answered_in_order(self, now, wall, answer):
+        oldest = next(iter(self.exchanges), answer.exchange)
+        return answered(self, now, wall, answer._replace(exchange=oldest))
+
+    monkeypatch.setattr(Egress, "answered", answered_in_order)
+    assert "own" in fails("keys_surge")
+
+
+def test_answers_without_the_check_of_flaws(monkeypatch):
+    monkeypatch.setattr(driver, "find_flaw", lambda **found: None)
+    assert "own" in fails("keys_tear_and_slow")
+
+
+def test_outcomes_without_what_happened_before(monkeypatch):
+    monkeypatch.setattr(Sends, "told", property(lambda self: Outcome.NOT_RUN))
+    assert "truth" in fails("keys_kill")
+
+
+def test_keys_without_a_table(monkeypatch):
+    monkeypatch.setattr(KeyTable, "repeat", lambda self, text, fingerprint: None)
+    assert "once" in fails("keys_slow")
+
+
+def test_keys_without_a_barrier(no_barrier):
+    assert "once" in fails("keys_kill_twice")
+
+
+def test_leaving_targets_that_accept(monkeypatch):
+    monkeypatch.setattr(DrainState, "accepts", property(lambda self: True))
+    assert "leaving" in fails("drain_freeze")
+
+
+def test_stops_that_do_not_wait(monkeypatch):
+    monkeypatch.setattr(
+        World,
+        "_is_drained",
+        staticmethod(lambda process: process.core.drain.stopped_at is not None),
+    )
+    assert "stops" in fails("drain_slow")
+
+
+def test_stops_with_an_edge_that_goes_on(monkeypatch):
+    monkeypatch.setattr(DrainState, "accepts", property(lambda self: True))
+    assert "stops" in fails("drain_steady")
+
+
+def test_generations_without_the_answers_of_peers(monkeypatch):
+    monkeypatch.setattr(Survey, "answer", lambda self, address, version: None)
+    assert "monotonic" in fails("configuration_platform_rolled_back")
+
+
+def test_generations_without_pushes_between_nodes(monkeypatch):
+    def silent(self, process, action):
+        self.at(self.now, lambda: None)
+
+    monkeypatch.setattr(ScenarioExchange, "send", silent)
+    assert "in_force" in fails("configuration_domain_without_platform")
