--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -1,6 +1,7 @@
 """Latency that two nodes add to a call, against the same chain without them.
 
-Both chains run at once and get the same open-loop arrivals:
+Both chains run at once and get the same open-loop arrivals; processor time tells the
+cost on a machine that is busy with other things:
 
     python benchmarks/added_latency.py --rate 240 --seconds 30
 """
@@ -117,8 +118,22 @@
                 )
                 for fleet in fleets
             ]
+            before = processor_s(fleets[0])
             await asyncio.gather(*(runner.run() for runner in runners))
-    return render(plan, *runners)
+            after = processor_s(fleets[0])
+    calls = len(runners[0].records)
+    spent = {name: (after[name] - before[name]) / calls for name in before}
+    return render(plan, *runners) + "\n" + render_processor(spent)
+
+
+def processor_s(fleet: Fleet) -> dict[str, float]:
+    """Return the processor time of each process so far."""
+    return {name: process.cpu_s() for name, process in fleet.processes.items()}
+
+
+def render_processor(spent: dict[str, float]) -> str:
+    rows = [[name, f"{1e3 * seconds:.3f}"] for name, seconds in spent.items()]
+    return tabulate(rows, ["process", "processor ms a call"])
 
 
 def render(plan: Plan, through: LoadRunner, direct: LoadRunner) -> str:
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -103,6 +103,12 @@
         """Return whether it still runs."""
         return self.running.returncode is None
 
+    def cpu_s(self) -> float:
+        """Return the processor time that it has used, seconds."""
+        stat = Path(f"/proc/{self.running.pid}/stat").read_text()
+        user, system = stat.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def kill(self) -> None:
         """End it at once."""
         os.kill(self.running.pid, signal.SIGKILL)
