Start the load once owners of keys are settled

Cause: keys minted before owners are settled, and for twice the clock bound after, are answered as unproven; the morning began in that time and lost its bookings.

--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -25,6 +25,7 @@
     logged_generations,
     start_process,
     wait_until_ready,
+    wait_until_settled,
 )
 
 __all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
@@ -138,6 +139,24 @@
         async with asyncio.TaskGroup() as group:
             for name in self.members:
                 group.create_task(self.start_member(name))
+        if self.nodes:
+            await self.wait_until_settled()
+
+    async def wait_until_settled(self) -> None:
+        """Wait until the owners of keys are known and keys minted now are young."""
+        async with asyncio.TaskGroup() as group:
+            for name, member in self.members.items():
+                if keeps_keys(self.objects, member.service):
+                    url = f"http://{member.admin}/dump"
+                    waiting = wait_until_settled(
+                        self.processes[f"{name}-node"], self.client, url
+                    )
+                    group.create_task(waiting)
+        bounds = (
+            policy.get("clock_bound_ms", 0)
+            for policy in self.objects["idempotency"].values()
+        )
+        await asyncio.sleep(2 * max(bounds, default=0) / 1e3)
 
     async def start_platform(self) -> None:
         """Start the platform and publish the set."""
@@ -339,6 +358,15 @@
     return allowance
 
 
+def keeps_keys(objects: Objects, service: str) -> bool:
+    """Return whether a service has work that may not be repeated."""
+    return any(
+        route["service"] == service
+        and not objects["idempotency"][route["idempotency"]]["repeatable"]
+        for route in objects["route"].values()
+    )
+
+
 def create_member(name: str, target: Mapping[str, Any], ports: Ports) -> Member:
     """Return an instance with addresses of its own."""
     addresses = [ports.take() for _ in range(6)]
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
     "logged_generations",
     "start_process",
     "wait_until_ready",
+    "wait_until_settled",
 ]
 
 READY_POLL_S = 0.05
@@ -170,14 +172,39 @@
     FleetError
         If the process ends, or does not answer in time.
     """
+    await poll(process, lambda: answers(client, url), f"nothing at {url}")
+
+
+async def wait_until_settled(
+    process: Process, client: httpx.AsyncClient, url: str
+) -> None:
+    """Wait until the dump of a node at ``url`` says that it owns its keys.
+
+    Raises
+    ------
+    FleetError
+        If the process ends, or does not get there in time.
+    """
+
+    async def is_owner() -> bool:
+        owner: bool = (await client.get(url)).json()["owner"]
+        return owner
+
+    await poll(process, is_owner, "keys without an owner")
+
+
+async def poll(
+    process: Process, condition: Callable[[], Awaitable[bool]], missing: str
+) -> None:
+    """Wait until a condition on a process holds."""
     try:
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await answers(client, url):
+            while not await condition():
                 if not process.alive():
                     raise not_ready(process, f"exit code {process.running.returncode}")
                 await asyncio.sleep(READY_POLL_S)
     except TimeoutError:
-        raise not_ready(process, f"nothing at {url}") from None
+        raise not_ready(process, missing) from None
 
 
 def logged_generations(process: Process) -> list[int]:
