Wire path thresholds and the questions of owners into the node

Cause: a call doomed deep below was stopped one hop above the bottleneck only, and no booking found a settled owner on real processes. Ruled out: asking all owners at once; a service of 100 targets would spend 32 KB/s on it, so four are asked each half second. Conclusion: returns are booked for each service at the egress as well.

--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -18,6 +18,7 @@
 )
 from .keys import parse_key
 from .ownership import mint_owned
+from .return_times import ReturnTimes
 from .routing import Router
 from .shift import provider_of
 from .thresholds import DownstreamThresholds, level
@@ -104,11 +105,13 @@
         self.thresholds = DownstreamThresholds(entries=THRESHOLD_ENTRIES)
         self.pending: dict[int, PendingCall] = {}
         self.exchanges: dict[int, PendingCall] = {}
+        self.returns: dict[str, ReturnTimes] = {}
         self.resends = 0
 
     def configure(self, now: float, view: View) -> None:
         """Bring a view into force; calls in flight go on."""
         self.view = view
+        self.returns = {}
         for service, router in self.routers.items():
             router.update(now, view.targets_of(service))
 
@@ -137,10 +140,11 @@
             sends=Sends(repeatable=policies.repeatable, key=key_source),
             provider=self._provider(call),
         )
+        self._returns(call.service).offered(now)
         if call.context.deadline <= now:
-            return [self._reply(pending, Reason.DEADLINE)]
-        if key_source is not KeySource.BROUGHT and self._is_doomed(now, call):
-            return [self._reply(pending, Reason.OVERLOAD)]
+            return [self._reply(now, pending, Reason.DEADLINE)]
+        if key_source is not KeySource.BROUGHT and self._is_doomed(now, call, policies):
+            return [self._reply(now, pending, Reason.OVERLOAD)]
         self.pending[token] = pending
         return self._dispatch(now, wall, pending)
 
@@ -160,7 +164,7 @@
             del self.pending[pending.token]
             if answer.reason is Reason.KEY_UNPROVEN and told is Outcome.NOT_RUN:
                 # The key was ours alone; its owner is not settled yet.
-                return [self._reply(pending, Reason.NO_TARGET)]
+                return [self._reply(now, pending, Reason.NO_TARGET)]
             final = answer._replace(outcome=told, unspent=pending.account.available)
             return [Reply(pending.token, final)]
         return self._resend(now, wall, pending)
@@ -179,7 +183,7 @@
         pending.sends.ended(hop_outcome(progress, event), reason)
         if not self._may_resend(now, pending, reason):
             del self.pending[pending.token]
-            return [self._reply(pending, reason)]
+            return [self._reply(now, pending, reason)]
         return self._resend(now, wall, pending)
 
     def abandoned(self, now: float, token: int) -> list[EgressAction]:
@@ -207,11 +211,11 @@
         request_id = call.context.request_id
         return provider_of(shift, request_id=request_id, account=account).provider
 
-    def _is_doomed(self, now: float, call: Call) -> bool:
-        """Whether all known targets of the service would refuse the call."""
+    def _is_doomed(self, now: float, call: Call, policies: RoutePolicies) -> bool:
+        """Whether all known targets, or nodes below them, would refuse the call."""
         context = call.context
         importance = level(context.priority, context.request_id)
-        return importance < self.thresholds.of_service(now, call.service)
+        return importance < self.thresholds.of_service(now, policies.name)
 
     def _dispatch(
         self, now: float, wall: float, pending: PendingCall
@@ -220,7 +224,7 @@
         target = self._choose(now, pending)
         if target is None:
             del self.pending[pending.token]
-            return [self._reply(pending, Reason.NO_TARGET)]
+            return [self._reply(now, pending, Reason.NO_TARGET)]
         exchange = self.rng.getrandbits(EXCHANGE_BITS)
         allowance = pending.account.lend(exchange, pending.account.share())
         context = pending.call.context._replace(exchange=exchange, allowance=allowance)
@@ -303,10 +307,14 @@
             fault = Fault(answer.exchange, started, "a fault of its target")
             router.failed(now, target, fault)
             return
+        if complete:
+            self._returns(service).finished(now)
         router.answered(now, target, answer.signal, latency)
         if answer.signal.draining:
             router.mark_leaving(now, target)
-        self.thresholds.learn(now, service, target, answer.signal.threshold)
+        self.thresholds.learn(
+            now, pending.policies.name, target, answer.signal.threshold
+        )
 
     def _may_resend(
         self, now: float, pending: PendingCall, reason: Reason | None
@@ -359,12 +367,15 @@
         outcome = hop_outcome(progress, HopEvent.EXPIRED)
         pending.sends.ended(outcome, Reason.DEADLINE)
         cancelled = self._cancel(now, pending)
-        return [*cancelled, self._reply(pending, Reason.DEADLINE)]
+        return [*cancelled, self._reply(now, pending, Reason.DEADLINE)]
 
-    def _reply(self, pending: PendingCall, reason: Reason) -> Reply:
+    def _reply(self, now: float, pending: PendingCall, reason: Reason) -> Reply:
         retry_after = None
         if REASONS[reason].retry_later:
-            retry_after = self._retry_after(pending.call.service)
+            priority = pending.call.context.priority
+            retry_after = self._returns(pending.call.service).book(
+                now, priority, self.rng
+            )
         answer = refusal(
             exchange=0,
             outcome=pending.sends.told,
@@ -374,11 +385,17 @@
         )
         return Reply(pending.token, answer)
 
-    def _retry_after(self, service: str) -> float:
-        assert self.view is not None
-        policy = self.view.admission_of(service)
-        least, greatest = policy["retry_after_min_s"], policy["retry_after_max_s"]
-        return self.rng.uniform(least, max(least, greatest))
+    def _returns(self, service: str) -> ReturnTimes:
+        """Return the lines of callers that this node refused for a service."""
+        found = self.returns.get(service)
+        if found is None:
+            assert self.view is not None
+            policy = self.view.admission_of(service)
+            found = ReturnTimes(
+                least=policy["retry_after_min_s"], greatest=policy["retry_after_max_s"]
+            )
+            self.returns[service] = found
+        return found
 
 
 def _target_of(owner: str) -> str:
--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/ingress.py
@@ -13,6 +13,7 @@
 from .idempotency import Begun, InProgress, KeyTable, Refused, Replay, Started
 from .integrity import HopEvent, Progress, hop_outcome
 from .keys import fingerprint
+from .path_thresholds import PathThresholds
 from .thresholds import level
 from .view import View
 
@@ -51,12 +52,14 @@
 
     call: Call
     account: AllowanceAccount
+    route: str
     keyed: bool
     arrived: float
     started_at: float | None = None
     orphan: bool = False
     shed_below: float | None = None
     below: set[int] = field(default_factory=set)
+    used: set[str] = field(default_factory=set)
     unanswered: dict[int, CallBelow] = field(default_factory=dict)
 
 
@@ -69,13 +72,23 @@
         Start time of this node, nanoseconds of the wall clock.
     drain : DrainState
         How the instance leaves.
+    paths : PathThresholds
+        What the calls of each route meet below.
     rng : random.Random
         Source of the jitter of return times.
     """
 
-    def __init__(self, *, incarnation: int, drain: DrainState, rng: "Random") -> None:
+    def __init__(
+        self,
+        *,
+        incarnation: int,
+        drain: DrainState,
+        paths: PathThresholds,
+        rng: "Random",
+    ) -> None:
         self.incarnation = incarnation
         self.drain = drain
+        self.paths = paths
         self.rng = rng
         self.view: View | None = None
         self.service = ""
@@ -102,10 +115,15 @@
         if current is None or (current.policy, current.slots) != (policy, self.slots):
             self.admission = AdmissionController(policy=policy, slots=self.slots)
 
-    def signal(self) -> NodeSignal:
-        """Return what the node reports of itself."""
+    @property
+    def threshold(self) -> int:
+        """The admission threshold for the target alone."""
+        return 0 if self.admission is None else self.admission.threshold
+
+    def signal(self, now: float, route: str) -> NodeSignal:
+        """Return what the node reports of itself to the callers of a route."""
         return NodeSignal(
-            threshold=0 if self.admission is None else self.admission.threshold,
+            threshold=self.paths.published(now, route, self.threshold),
             queue_delay=self.queue_delay,
             in_flight=self.running,
             draining=self.drain.draining,
@@ -125,10 +143,11 @@
         if keyed:
             begun = self._begin(now, wall, call)
             if not isinstance(begun, Started):
-                return [self._told(call, begun)]
+                return [self._told(now, call, begun, policies.name)]
         entry = RunningCall(
             call=call,
             account=AllowanceAccount(granted=call.context.allowance),
+            route=policies.name,
             keyed=keyed,
             arrived=now,
         )
@@ -144,6 +163,7 @@
         entry = self._end(now, exchange)
         if entry is None:
             return []
+        self.paths.ended(now, entry.route, entry.used)
         failed = status >= SERVER_ERROR
         event = HopEvent.TARGET_FAILED if failed else HopEvent.TARGET_ANSWERED
         answer = Answer(
@@ -153,7 +173,7 @@
             headers=headers,
             body=body,
             unspent=entry.account.close(),
-            signal=self.signal(),
+            signal=self.signal(now, entry.route),
         )
         if failed and entry.shed_below is not None:
             answer = answer._replace(
@@ -207,7 +227,7 @@
         reason = Reason.NO_ROUTE if self.admission else Reason.NO_CONFIGURATION
         keyed = call.context.key is not None
         outcome = Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
-        return self._refuse(now, call, reason, outcome)
+        return self._refuse(now, call, "", reason, outcome)
 
     def _reason_against(self, now: float, call: Call) -> Reason | None:
         assert self.admission is not None
@@ -222,14 +242,14 @@
             return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
         return self.keys.begin(now, wall, call.context.key, fingerprint(call))
 
-    def _told(self, call: Call, begun: Begun) -> Answer:
+    def _told(self, now: float, call: Call, begun: Begun, route: str) -> Answer:
         """Return what a call gets whose key was not begun for it."""
         context = call.context
         if isinstance(begun, Replay):
             return begun.answer._replace(
                 exchange=context.exchange,
                 unspent=context.allowance,
-                signal=self.signal(),
+                signal=self.signal(now, route),
             )
         assert isinstance(begun, InProgress | Refused)
         return refusal(
@@ -237,7 +257,7 @@
             outcome=begun.outcome,
             reason=begun.reason,
             unspent=context.allowance,
-            signal=self.signal(),
+            signal=self.signal(now, route),
         )
 
     def _take(self, now: float, entry: RunningCall) -> list[IngressAction]:
@@ -285,7 +305,11 @@
                 return []
             entry.orphan = True
             outcome = hop_outcome(Progress.STARTED, HopEvent.EXPIRED)
-            return [self._refuse(now, entry.call, Reason.DEADLINE, outcome, unspent=0)]
+            return [
+                self._refuse(
+                    now, entry.call, entry.route, Reason.DEADLINE, outcome, unspent=0
+                )
+            ]
         self._end(now, exchange)
         outcome = hop_outcome(Progress.STARTED, HopEvent.EXPIRED)
         answer = self._release(now, entry, Reason.DEADLINE, outcome)
@@ -322,12 +346,15 @@
             started = outcome is not Outcome.NOT_RUN
             self.keys.fail(now, _key(entry.call), started)
         unspent = entry.account.close()
-        return self._refuse(now, entry.call, reason, outcome, unspent=unspent)
+        return self._refuse(
+            now, entry.call, entry.route, reason, outcome, unspent=unspent
+        )
 
     def _refuse(
         self,
         now: float,
         call: Call,
+        route: str,
         reason: Reason,
         outcome: Outcome = Outcome.NOT_RUN,
         *,
@@ -343,7 +370,7 @@
             reason=reason,
             unspent=context.allowance if unspent is None else unspent,
             retry_after=retry_after,
-            signal=self.signal(),
+            signal=self.signal(now, route),
         )
 
 
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -20,6 +20,7 @@
 from .integrity import KeySource
 from .keys import derive_key, fingerprint, key_text
 from .ownership import owner_id
+from .path_thresholds import PathThresholds
 from .pause import PauseDetector
 from .view import RoutePolicies, View
 
@@ -29,6 +30,7 @@
 __all__ = ["NodeCore"]
 
 DEPTH_MAX = 32
+PATH_ENTRIES = 1_024
 ORDINAL_BYTES = 8
 STALE_RETRY_S = 1.0
 NANOSECONDS = 1e9
@@ -76,7 +78,10 @@
         self.pause = PauseDetector(now=now)
         self.edge = Edge(rng=rng)
         self.egress = Egress(name=name, domain=domain, rng=rng)
-        self.ingress = Ingress(incarnation=incarnation, drain=self.drain, rng=rng)
+        paths = PathThresholds(downstream=self.egress.thresholds, entries=PATH_ENTRIES)
+        self.ingress = Ingress(
+            incarnation=incarnation, drain=self.drain, paths=paths, rng=rng
+        )
         self.gate: OwnershipGate | None = None
         self.keys: KeyTable | None = None
         self.peers: dict[int, int] = {}
@@ -105,6 +110,11 @@
         """Take a reply; return whether this node acts as an owner from now on."""
         return self.gate is not None and self.gate.heard(wall, reply)
 
+    def owner_announcement(self) -> OwnerReply:
+        """Return what to tell the other owners once this node acts as one."""
+        assert self.gate is not None
+        return self.gate.announcement()
+
     def owner_peers(self) -> list[str]:
         """Return the names of the other targets that may own keys."""
         peers = () if self.gate is None else self.gate.peers
@@ -189,6 +199,7 @@
             return [_refused(token, Reason.RETRY_LIMIT)]
         call = self._call_below(now, running, service, request, policies)
         running.below.add(token)
+        running.used.add(policies.name)
         self.parents[token] = running
         source = KeySource.NONE if policies.repeatable else KeySource.BROUGHT
         sent = self.egress.send(
--- a/buckthornshed/transport/node_dump.py
+++ b/buckthornshed/transport/node_dump.py
@@ -57,7 +57,7 @@
         in_flight=ingress.running,
         slots=ingress.slots,
         queue=TableDump(entries=len(ingress.queue), bound=ingress.queue.limit),
-        threshold=ingress.signal().threshold,
+        threshold=ingress.threshold,
         queue_delay_s=ingress.queue_delay,
         egress_pending=len(egress.pending),
         resends=egress.resends,
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from ..coordination.fleet_actions import Activate, Report
+from ..coordination.handover import OwnerQuery, OwnerReply
 from ..coordination.node import NodeCore
 from ..coordination.node_formats import ActiveSet, node_formats
 from ..coordination.view import View
@@ -26,6 +27,8 @@
 
 TICK_S = 0.02
 SWEEP_TICKS = 50
+ASK_TICKS = 25
+ASKED_AT_ONCE = 4
 DRAIN_POLL_S = 0.05
 SEED_BITS = 256
 
@@ -70,12 +73,14 @@
             wall=self.wall,
         )
         self.active = ActiveSet()
+        self.asked = 0
         self.fleet = Fleet(
             settings=fleet_settings(settings, keys, incarnation),
             formats=node_formats(),
             rng=rng,
             on_active=self._activate,
             on_report=self._report,
+            on_owner=self._owner_message,
         )
         self.admin = AdminServer(
             address=settings["admin"],
@@ -104,7 +109,7 @@
         return Gauges(
             in_flight=ingress.running,
             queue_length=len(ingress.queue),
-            threshold=ingress.signal().threshold,
+            threshold=ingress.threshold,
             generation=0 if view is None else view.generation,
             drain_phase=self.core.drain.phase.value,
             control_bytes=sum(self.fleet.budget.sent_bytes.values()),
@@ -145,10 +150,35 @@
             self.data_path.tick()
             if not self.core.pause.fresh and self.fleet.fresh:
                 self.core.refreshed(self.clock())
+            if ticks % ASK_TICKS == 0:
+                self._ask_owners()
             ticks += 1
             if ticks % SWEEP_TICKS == 0:
                 self.data_path.sweep()
 
+    def _ask_owners(self) -> None:
+        """Ask a few of the other owners what they hold, until this node is one."""
+        query = self.core.owner_query()
+        if query is None:
+            return
+        peers = self.core.owner_peers()
+        for _ in range(min(ASKED_AT_ONCE, len(peers))):
+            self.asked += 1
+            self.fleet.tell(peers[self.asked % len(peers)], query)
+
+    def _owner_message(self, sender: str, message: OwnerQuery | OwnerReply) -> None:
+        if isinstance(message, OwnerQuery):
+            reply = self.core.owner_asked(message)
+            if reply is not None:
+                self.fleet.tell(sender, reply)
+            return
+        if not self.core.owner_heard(self.wall(), message):
+            return
+        log_event("owner_settled", node=self.settings["name"])
+        announcement = self.core.owner_announcement()
+        for peer in self.core.owner_peers():
+            self.fleet.tell(peer, announcement)
+
     def _activate(self, action: Activate) -> None:
         active = self.active.take(action)
         view = View(
