Admit at least half of the capacity while a long queue drains

Cause: with a slow target the correction for a long queue could exceed the capacity and set the threshold above every level; bookings were then refused for a window although the ordered queue lets them pass anyway.

--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -28,6 +28,9 @@
 DRAIN_S = 0.2
 """Seconds in which a queue that is too long or too short is brought right."""
 
+LEAST_ADMITTED = 0.5
+"""Least part of the capacity that is admitted, however long the queue."""
+
 SERVICE_WEIGHT = 0.02
 """Least weight of one call in the mean service time."""
 
@@ -189,7 +192,8 @@
         wanted_queue = self.capacity * self.allowed_delay
         wanted_queue = min(wanted_queue, self.policy["queue"] / 2)
         refill = (wanted_queue - self.waiting) / DRAIN_S
-        self.threshold = self.demand.threshold_for(max(0.0, self.capacity + refill))
+        floor = LEAST_ADMITTED * self.capacity
+        self.threshold = self.demand.threshold_for(max(floor, self.capacity + refill))
         if self.threshold > 0:
             self.carried_since = None
         elif self.carried_since is None:
