Test that a long queue refuses no bookings

Cause: the floor of the admitted rate had no test. Ruled out: nothing. Conclusion: the floor is held by a test.

--- a/buckthornshed/tests/test_admission.py
+++ b/buckthornshed/tests/test_admission.py
@@ -7,7 +7,12 @@
 from buckthornshed.coordination.admission import AdmissionController, level
 from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
 from buckthornshed.coordination.path_thresholds import PathThresholds
-from buckthornshed.coordination.thresholds import LEVELS, DownstreamThresholds
+from buckthornshed.coordination.thresholds import (
+    BUCKETS,
+    LEVELS,
+    RANKS,
+    DownstreamThresholds,
+)
 from buckthornshed.protocol.messages import NO_SIGNAL, CallContext
 from buckthornshed.protocol.outcome import Reason
 from buckthornshed.state.objects import Admission
@@ -104,6 +109,13 @@
     assert target.control.threshold == 0
 
 
+def test_a_long_queue_does_not_refuse_bookings():
+    target = Target(ordered=True)
+    serve(target, 120, 0.0, 5.0, seed=1)
+    target.control.tick(5.1, waiting=10_000)
+    assert 0 < target.control.threshold <= (RANKS - 1) * BUCKETS
+
+
 def test_a_threshold_from_before_a_pause_is_discarded():
     target = Target(ordered=True)
     serve(target, 400, 0.0, 5.0, seed=1)
