--- /dev/null
+++ b/buckthornshed/load/processes.py
@@ -0,0 +1,194 @@
+"""Processes of the demo and the benches: start, wait, signal, stop."""
+
+import asyncio
+import os
+import re
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+
+from ..errors import BuckthornshedError
+
+__all__ = [
+    "FleetError",
+    "Ports",
+    "Process",
+    "logged_generations",
+    "start_process",
+    "wait_until_ready",
+]
+
+READY_POLL_S = 0.05
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+BLOCK_PORTS = 200
+IN_FORCE = re.compile(r"event=configuration_in_force\b.*\bgeneration=(\d+)")
+LOOPBACK = "127.0.0.1"
+
+
+class FleetError(BuckthornshedError):
+    """A process of the fleet did not start, or ended by itself."""
+
+
+class Ports:
+    """Hands out free loopback ports below the ephemeral range.
+
+    It takes them from a block whose first port it holds, so that several drivers
+    on one machine keep out of each other's way.
+    """
+
+    def __init__(self) -> None:
+        self.lock, self.next = lock_block()
+        self.end = self.next + BLOCK_PORTS - 1
+
+    def take(self) -> str:
+        """Return the next free address.
+
+        Raises
+        ------
+        FleetError
+            If the block is used up.
+        """
+        while self.next < self.end:
+            port = self.next
+            self.next += 1
+            listener = open_port(port)
+            if listener is not None:
+                listener.close()
+                return f"{LOOPBACK}:{port}"
+        raise FleetError(
+            subject="ports", found="none free", expected=f"one below {self.end}"
+        )
+
+
+def lock_block() -> tuple[socket.socket, int]:
+    """Return the held first port of a block as a socket, and the port after it.
+
+    Raises
+    ------
+    FleetError
+        If all blocks are taken.
+    """
+    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+        lock = open_port(first)
+        if lock is not None:
+            return lock, first + 1
+    raise FleetError(subject="ports", found="no free block", expected="one")
+
+
+def open_port(port: int) -> socket.socket | None:
+    """Return a socket that listens at a loopback port, None if it is taken."""
+    try:
+        return socket.create_server((LOOPBACK, port))
+    except OSError:
+        return None
+
+
+class Process(NamedTuple):
+    """A process with the file that takes its output."""
+
+    name: str
+    running: asyncio.subprocess.Process
+    log: Path
+
+    def alive(self) -> bool:
+        """Return whether it still runs."""
+        return self.running.returncode is None
+
+    def kill(self) -> None:
+        """End it at once."""
+        os.kill(self.running.pid, signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Pause it."""
+        os.kill(self.running.pid, signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on."""
+        os.kill(self.running.pid, signal.SIGCONT)
+
+    async def stop(self) -> int:
+        """Ask it to stop by SIGTERM and return its exit code.
+
+        A process that does not end in time is killed.
+        """
+        if self.alive():
+            os.kill(self.running.pid, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await self.running.wait()
+        except TimeoutError:
+            self.kill()
+            return await self.running.wait()
+
+
+def program(command: str) -> list[str]:
+    """Return what starts a command of this program in another process."""
+    if getattr(sys, "frozen", False):
+        return [sys.executable, command]
+    start = f"from buckthornshed.cli.{command} import {command.title()} as command"
+    return [sys.executable, "-c", f"import cappa; {start}; cappa.invoke(command)"]
+
+
+async def start_process(
+    name: str, command: str, arguments: list[str], *, folder: Path
+) -> Process:
+    """Start a command of this program; its output goes to a file."""
+    log = folder / f"{name}.log"
+    with log.open("ab") as output:
+        running = await asyncio.create_subprocess_exec(
+            *program(command),
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+        )
+    return Process(name, running, log)
+
+
+async def wait_until_ready(
+    process: Process, client: httpx.AsyncClient, url: str
+) -> None:
+    """Wait until ``url`` answers with 200.
+
+    Raises
+    ------
+    FleetError
+        If the process ends, or does not answer in time.
+    """
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await answers(client, url):
+                if not process.alive():
+                    raise not_ready(process, f"exit code {process.running.returncode}")
+                await asyncio.sleep(READY_POLL_S)
+    except TimeoutError:
+        raise not_ready(process, f"nothing at {url}") from None
+
+
+def logged_generations(process: Process) -> list[int]:
+    """Return the generations that a node logged as in force, in order."""
+    return [int(found) for found in IN_FORCE.findall(process.log.read_text())]
+
+
+async def answers(client: httpx.AsyncClient, url: str) -> bool:
+    """Return whether ``url`` answers with 200."""
+    try:
+        response = await client.get(url)
+    except httpx.HTTPError:
+        return False
+    return response.status_code == httpx.codes.OK
+
+
+def not_ready(process: Process, found: str) -> FleetError:
+    """Return the error of a process that did not become ready."""
+    tail = process.log.read_text(errors="replace")[-2000:]
+    return FleetError(
+        subject=process.name, found=f"{found}; log: {tail}", expected="a ready process"
+    )
