Bind a minted key to the choice of its one sender

Cause: keys that an edge mints needed a settled owner like those of clients, so no booking ran when all owners restarted and one stayed away, nor in a failure domain that was cut off with its owner replaced. But one node alone sends such a key, so no view has to agree on its owner. An edge refuses marked keys that a client brings.

Ruled out: minting until the hash gives a wanted owner (the two faults above), and telling minted keys to clients for repeats (another edge would send them elsewhere).

Conclusion: only clients that bring a key pay for a missing owner.

--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/idempotency.py
@@ -13,7 +13,7 @@
 from ..protocol.messages import Answer
 from ..protocol.outcome import Outcome, Reason
 from ..state.table import BoundedTable
-from .keys import ParsedKey, parse_key
+from .keys import ParsedKey, is_marked, parse_key
 
 __all__ = [
     "ANSWER_BYTES",
@@ -111,12 +111,15 @@
     """Return why a key that a client sends cannot be used, or None.
 
     The edge calls this before it sends a key anywhere. A key that another edge may
-    have admitted by its own clock is refused as ``UNKNOWN``.
+    have admitted by its own clock, or that a node minted for itself, is refused as
+    ``UNKNOWN``.
     """
     try:
         key = parse_key(text)
     except ContextError:
         return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
+    if is_marked(key.raw):
+        return Refused(Reason.KEY_INVALID, Outcome.UNKNOWN)
     ahead = key.minted - wall
     if ahead <= clock_bound:
         return None
@@ -138,7 +141,8 @@
     started_wall : float
         Wall clock at the start of this incarnation, seconds.
     gate : Gate or None
-        Whether this node is the settled owner; None for a sole, fixed owner.
+        Whether this node is the settled owner of keys that clients bring; None for
+        a sole, fixed owner. A marked key needs none: one node alone sends it.
     answer_bytes : int
         Longest body that is kept for repeats.
     kept_bytes : int
@@ -269,7 +273,9 @@
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
         if key.minted <= self.barrier:
             return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
-        return self.gate.check(key) if self.gate is not None else None
+        if self.gate is None or is_marked(key.raw):
+            return None
+        return self.gate.check(key)
 
     def _keep(self, text: str, entry: Entry, answer: Answer) -> None:
         size = len(answer.body) + sum(
--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -1,4 +1,9 @@
-"""Idempotency keys: UUIDs of version 7, RFC 9562, which carry their mint time."""
+"""Idempotency keys: UUIDs of version 7, RFC 9562, which carry their mint time.
+
+A key that a node mints bears a mark, a digest of its other bits: it is known to one
+sender alone, which sends it to one target alone. A key that a client brings must not
+bear it, for others may send that key too.
+"""
 
 import hashlib
 import re
@@ -13,16 +18,18 @@
     "RandomBits",
     "derive_key",
     "fingerprint",
+    "is_marked",
     "key_text",
     "mint_key",
-    "mint_raw",
     "parse_key",
+    "random_key",
 ]
 
 FINGERPRINT_BYTES = 16
 KEY_CHARACTERS = 36
 RANDOM_BITS = 74
 LOW_BITS = 62
+MARK_BYTES = 4
 VERSION = 7
 VARIANT = 0b10
 MILLISECONDS_MASK = (1 << 48) - 1
@@ -57,13 +64,20 @@
 
 
 def mint_key(*, wall: float, rng: RandomBits) -> str:
-    """Return a new key that was minted at ``wall`` seconds."""
-    return key_text(mint_raw(wall=wall, rng=rng))
+    """Return a new marked key that a node minted at ``wall`` seconds."""
+    return key_text(_mark(_pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))))
+
+
+def random_key(*, wall: float, rng: RandomBits) -> str:
+    """Return a new key without a mark, as a client mints it."""
+    while is_marked(raw := _pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))):
+        pass
+    return key_text(raw)
 
 
-def mint_raw(*, wall: float, rng: RandomBits) -> bytes:
-    """Return the 16 bytes of a new key."""
-    return _pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
+def is_marked(raw: bytes) -> bool:
+    """Return whether a node minted the key with the bytes ``raw``."""
+    return _mark(raw) == raw
 
 
 def parse_key(text: str) -> ParsedKey:
@@ -86,7 +100,7 @@
     return ParsedKey(text=lowered, raw=raw, minted=minted)
 
 
-def derive_key(parent: str, service: str, ordinal: int, roll: int = 0) -> str:
+def derive_key(parent: str, service: str, ordinal: int) -> str:
     """Return the key of a call that work under ``parent`` makes.
 
     Parameters
@@ -97,13 +111,12 @@
         Service that is called.
     ordinal : int
         Number of the call among those of this work.
-    roll : int
-        Tells apart the candidates of one call, see ``ownership.derive_owned``.
 
     Returns
     -------
     str
-        The same key for the same arguments, with the mint time of ``parent``.
+        The same marked key for the same arguments, with the mint time of ``parent``.
+        Work under a key runs at most once, so one node alone derives it.
 
     Raises
     ------
@@ -111,10 +124,10 @@
         If ``parent`` is not a key.
     """
     parsed = parse_key(parent)
-    seed = f"{service}\0{ordinal}\0{roll}".encode()
+    seed = f"{service}\0{ordinal}".encode()
     digest = hashlib.blake2b(seed, digest_size=16, key=parsed.raw).digest()
     bits = int.from_bytes(digest, "big") & ((1 << RANDOM_BITS) - 1)
-    return key_text(_pack(int.from_bytes(parsed.raw[:6], "big"), bits))
+    return key_text(_mark(_pack(int.from_bytes(parsed.raw[:6], "big"), bits)))
 
 
 def fingerprint(call: Call) -> bytes:
@@ -139,6 +152,12 @@
     return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
 
 
+def _mark(raw: bytes) -> bytes:
+    """Return the key with its last bytes replaced by the mark."""
+    kept = raw[:-MARK_BYTES]
+    return kept + hashlib.blake2b(kept, digest_size=MARK_BYTES).digest()
+
+
 def _pack(milliseconds: int, bits: int) -> bytes:
     value = (milliseconds & MILLISECONDS_MASK) << 80
     value |= VERSION << 76
--- a/buckthornshed/tests/properties/test_at_most_once_removed.py
+++ b/buckthornshed/tests/properties/test_at_most_once_removed.py
@@ -187,6 +187,23 @@
     repeat(machine, request, edge=1)
 
 
+class TrustsMarks(AtMostOnce):
+    """An edge takes a key that another node minted for itself."""
+
+    def check_at_edge(self, key, wall):
+        return None
+
+
+def bring_a_key_that_a_node_minted(machine):
+    while True:
+        machine.new_request_without_key(edge=0, which=0, at_once=True)
+        request = machine.requests[-1]
+        if machine.owner(request.key, 0) != request.bound:
+            break
+    machine.keys.append(request.key)
+    machine.repeat_request(which=0, edge=1, at_once=True)
+
+
 class LastWordOnly(AtMostOnce):
     """The outcome of the last send is told, whatever earlier ones may have done."""
 
@@ -223,6 +240,7 @@
         (freeze_the_owner_after_a_run, LiveView),
         (add_a_target_that_the_owners_do_not_know, NoHandover),
         (replace_an_owner_between_its_reply_and_the_last, OneRound),
+        (bring_a_key_that_a_node_minted, TrustsMarks),
         (send_again_while_the_first_is_delayed, LastWordOnly),
     ],
 )
