--- a/buckthornshed/tests/properties/test_at_most_once_machine.py
+++ b/buckthornshed/tests/properties/test_at_most_once_machine.py
@@ -8,11 +8,10 @@
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from hypothesis.stateful import precondition, rule
 
-from buckthornshed.coordination.handover import OwnerQuery, OwnershipGate
+from buckthornshed.coordination.handover import OwnerQuery
 from buckthornshed.coordination.idempotency import (
-    KeyTable,
     Refused,
     Replay,
     Started,
@@ -24,85 +23,25 @@
 from buckthornshed.protocol.messages import Answer
 from buckthornshed.protocol.outcome import Outcome, Reason
 
-from .at_most_once_parts import Node, Request
-
-BOUND = 1.0
-LIFETIME = 60.0
-ENTRIES = 2
-EDGES = 3
-FIRST_OWNERS = ("a", "b")
-LATER_OWNERS = ("c", "d")
-INDEX = st.integers(min_value=0, max_value=2**16)
-AHEAD = st.sampled_from([0.0, 0.0, 0.0, 0.0, -3.0, 0.9, 1.9, 3.0])
-MOSTLY = st.sampled_from([True, True, True, False])
-SELDOM = st.sampled_from([False, False, False, True])
-DISASTERS = st.sampled_from(
-    ["freeze", "kill", "kill", "replace", "add", "retire", "lose", "duplicate"]
+from .at_most_once_parts import (
+    AHEAD,
+    BOUND,
+    DISASTERS,
+    EDGES,
+    FIRST_OWNERS,
+    INDEX,
+    LATER_OWNERS,
+    MOSTLY,
+    OFFSET,
+    SELDOM,
+    Node,
+    Request,
+    World,
 )
-OFFSET = st.floats(min_value=-BOUND / 2, max_value=BOUND / 2)
-
-
-class AtMostOnce(RuleBasedStateMachine):
-    """Edges and owners of one service."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 1_000.0
-        self.incarnations = 0
-        self.exchanges = 0
-        self.minted = 0
-        self.sets = [OwnerSet(owners=FIRST_OWNERS)]
-        self.retired: set[str] = set()
-        self.nodes: dict[str, Node] = {}
-        self.keys: list[str] = []
-        self.requests: list[Request] = []
-        self.calls: list[tuple[Node, Request, int]] = []
-        self.control: list[tuple[Node, object]] = []
-        self.runs: dict[str, int] = {}
-        self.edge_views = [0] * EDGES
-        self.edge_offsets = [-BOUND / 2, 0.0, BOUND / 2]
-        for name in FIRST_OWNERS:
-            self.nodes[name] = Node(world=self, name=name, generation=0, offset=0.0)
-        for _ in range(3):
-            self.settle_all()
-        self.now += 3 * BOUND
-
-    def make_gate(self, name, incarnation):
-        return OwnershipGate(own=name, incarnation=incarnation, clock_bound=BOUND)
-
-    def make_table(self, wall, gate):
-        return KeyTable(
-            entries=ENTRIES,
-            lifetime=LIFETIME,
-            clock_bound=BOUND,
-            started_wall=wall,
-            gate=gate,
-        )
-
-    def owner(self, key, edge):
-        return self.sets[self.edge_views[edge]].owner_of(parse_key(key).raw)
 
-    def pick(self, items, index):
-        return items[index % len(items)] if items else None
 
-    def awake(self):
-        return [node for node in self.nodes.values() if node.alive and not node.frozen]
-
-    def settle_all(self):
-        for node in self.awake():
-            self.ask(node)
-        while self.control:
-            self.deliver_control(0)
-
-    def ask(self, node):
-        query = node.gate.query()
-        for peer in node.gate.peers if query else ():
-            self.post(peer, query)
-
-    def post(self, name, message):
-        node = self.nodes.get(name)
-        if node is not None and node.alive:
-            self.control.append((node, message))
+class AtMostOnce(World):
+    """What clients, edges, owners and operators do."""
 
     @rule(seconds=st.floats(min_value=0.01, max_value=4.0))
     def wait(self, seconds):
--- a/buckthornshed/tests/properties/test_at_most_once_removed.py
+++ b/buckthornshed/tests/properties/test_at_most_once_removed.py
@@ -11,7 +11,8 @@
 from buckthornshed.coordination.ownership import OwnerSet
 from buckthornshed.protocol.outcome import Outcome
 
-from .test_at_most_once_machine import BOUND, ENTRIES, FIRST_OWNERS, AtMostOnce
+from .at_most_once_parts import BOUND, ENTRIES, FIRST_OWNERS
+from .test_at_most_once_machine import AtMostOnce
 
 
 def book(machine, edge=0, ahead=0.0):
