Turn a node that was paused not fresh at once; measure real sets on one node

Cause: another task could read the state of a woken process before its first tick; nodes that start together asked each other once a second only. Ruled out: a lock around the state (one task owns it).

--- /dev/null
+++ b/benchmarks/fleet_sets.py
@@ -0,0 +1,134 @@
+"""Measure what one node pays for published sets at growing sizes.
+
+One node joins from the platform and takes single changes as deltas, with the real
+formats, digest and check. Sizes are those of the target scaled down.
+
+Run ``python benchmarks/fleet_sets.py``.
+"""
+
+import argparse
+import json
+import random
+import time
+import tracemalloc
+from pathlib import Path
+from statistics import median
+
+from tabulate import tabulate
+
+from buckthornshed.coordination.dissemination import Dissemination
+from buckthornshed.coordination.fleet_actions import Activate
+from buckthornshed.coordination.published_formats import published_formats
+from buckthornshed.protocol.canonical import canonical_bytes
+from buckthornshed.protocol.encoded_sets import (
+    decode_object,
+    encode_objects,
+    encode_set,
+)
+from buckthornshed.protocol.peer_messages import Changes, Delta, Version
+from buckthornshed.state.objects import ConfigurationSet
+
+try:
+    from .configuration import Size, synthetic_set
+except ImportError:
+    from configuration import Size, synthetic_set  # type: ignore[no-redef]
+
+SIZES = (Size(82, 710), Size(274, 2_367), Size(820, 7_100))
+CHANGES = 20
+DAY_S = 86_400
+CHANGES_A_DAY = 23_000
+
+
+def joined(objects: ConfigurationSet, body: bytes) -> Dissemination:
+    """Return a node that has a set in force."""
+    name, target = next(iter(objects["target"].items()))
+    node = Dissemination(
+        name=name,
+        domain=target["failure_domain"],
+        address=target["control"],
+        seeds=(),
+        formats=published_formats(),
+        live=lambda other: True,
+        rng=random.Random(1),
+    )
+    node.start(0.0)
+    node.value(0.1, "set", 1, body)
+    # No peer answers the survey.
+    node.tick(1.5)
+    assert node.has_set
+    return node
+
+
+def changed(
+    node: Dissemination, number: int, kind: str, field: str, digest_of: object
+) -> Delta:
+    """Return a delta that changes one object."""
+    key = sorted(key for key in node.objects if key.startswith(kind))[number]
+    fields = decode_object(key, node.objects[key])
+    fields[field] += 1
+    after = {**node.objects, key: canonical_bytes(fields)}
+    generation = node.version.generation
+    digest = digest_of(after)  # type: ignore[operator]
+    return Delta(generation, generation + 1, digest, {key: after[key]}, ())
+
+
+def change_times(node: Dissemination, kind: str, field: str) -> float:
+    """Return the processor milliseconds of a change of one object."""
+    times = []
+    digest_of = published_formats().digest
+    source = node.topology.addresses(node.topology.neighbours())[0]
+    for number in range(CHANGES):
+        delta = changed(node, number, kind, field, digest_of)
+        now = 1_000.0 * (1 + node.version.generation)
+        node.last_tick = now
+        begun = time.process_time()
+        actions = node.receive(now, source, Changes((delta,)))
+        times.append((time.process_time() - begun) * 1e3)
+        assert any(isinstance(action, Activate) for action in actions)
+    return median(times)
+
+
+def measure(size: Size) -> dict[str, float]:
+    """Return the figures of one size."""
+    objects = synthetic_set(size)
+    encoded = encode_objects(objects)
+    body = encode_set(1, encoded)
+    begun = time.process_time()
+    node = joined(objects, body)
+    join_ms = (time.process_time() - begun) * 1e3
+    target_ms = change_times(node, "target/", "slots")
+    route_ms = change_times(node, "route/", "deadline_ms")
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    again = joined(objects, body)
+    held = tracemalloc.get_traced_memory()[0] - before
+    peak = tracemalloc.get_traced_memory()[1] - before
+    tracemalloc.stop()
+    assert again.version == Version(1, again.version.digest)
+    worst = max(target_ms, route_ms)
+    return {
+        "targets": size.targets,
+        "objects": len(encoded),
+        "set_bytes": len(body),
+        "join_ms": join_ms,
+        "target_change_ms": target_ms,
+        "route_change_ms": route_ms,
+        "core_percent_a_day": worst / 1e3 * CHANGES_A_DAY / DAY_S * 100,
+        "held_mb": held / 1e6,
+        "peak_mb": peak / 1e6,
+    }
+
+
+def main() -> None:
+    """Run the benchmark and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", type=Path)
+    arguments = parser.parse_args()
+    rows = [measure(size) for size in SIZES]
+    print(tabulate(rows, headers="keys", floatfmt=".3g"))
+    if arguments.json:
+        arguments.json.write_text(json.dumps(rows, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/buckthornshed/coordination/joining.py
+++ b/buckthornshed/coordination/joining.py
@@ -39,7 +39,7 @@
 PULL_TIMEOUT_S = 3.0
 """How long a set of another node is awaited."""
 
-ASK_PAUSE_S = 1.0
+ASK_PAUSE_S = 0.4
 """Pause between two surveys of nodes that have no set."""
 
 
--- a/buckthornshed/transport/fleet.py
+++ b/buckthornshed/transport/fleet.py
@@ -12,7 +12,7 @@
 from anyio.abc import TaskGroup
 
 from ..coordination.control_budget import ControlBudget
-from ..coordination.dissemination import Dissemination
+from ..coordination.dissemination import WAKE_GAP_S, Dissemination
 from ..coordination.fleet_actions import (
     Action,
     Activate,
@@ -193,8 +193,12 @@
 
     @property
     def fresh(self) -> bool:
-        """Whether a set is in force and was refreshed since the last pause."""
-        return self.dissemination.fresh
+        """Whether a set is in force and was refreshed since the last pause.
+
+        After a pause it turns false at once, also before the owner's next tick.
+        """
+        paused = anyio.current_time() - self.dissemination.last_tick > WAKE_GAP_S
+        return self.dissemination.fresh and not paused
 
     def state(self, name: str) -> PeerState:
         """Return what is known of a node."""
