--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -13,9 +13,19 @@
 import httpx
 import msgspec
 
+from ..protocol.configuration import require_valid
+from ..protocol.published import Published, publish
+from ..protocol.published_values import published_values
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
-from .processes import FleetError, Ports, Process, start_process, wait_until_ready
+from .processes import (
+    FleetError,
+    Ports,
+    Process,
+    logged_generations,
+    start_process,
+    wait_until_ready,
+)
 
 __all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
 
@@ -103,6 +113,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
+        self.published: Published | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -137,8 +148,18 @@
             await self.publish_next()
 
     async def publish(self, objects: Objects, *, generation: int) -> None:
-        """Publish a set, as an operator does."""
-        await self.put_value("set", msgspec.json.encode(objects))
+        """Publish a set, as an operator does.
+
+        Raises
+        ------
+        FindingsError
+            If the set has faults.
+        """
+        checked = require_valid(objects)
+        values = published_values(checked, generation, self.published)
+        for key, body in values.items():
+            await self.put_value(key, body)
+        self.published = publish(checked, generation)
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
@@ -146,9 +167,13 @@
         await self.publish(self.objects, generation=self.generation)
         return self.generation
 
-    async def generations_in_force(self) -> dict[str, list[int]]:
-        """Return the generation in force at each node."""
-        return {}
+    def generations_in_force(self) -> dict[str, list[int]]:
+        """Return the generations that each node had in force, in order."""
+        return {
+            name: logged_generations(process)
+            for name, process in self.processes.items()
+            if name.endswith("-node") and process.alive()
+        }
 
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
