--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -75,7 +75,9 @@
     FleetError
         If all blocks are taken.
     """
-    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    for block in range(os.getpid(), os.getpid() + blocks):
+        first = FIRST_PORT + block % blocks * BLOCK_PORTS
         lock = open_port(first)
         if lock is not None:
             return lock, first + 1
@@ -101,6 +103,12 @@
         """Return whether it still runs."""
         return self.running.returncode is None
 
+    def cpu_s(self) -> float:
+        """Return the processor time that it has used, seconds."""
+        stat = Path(f"/proc/{self.running.pid}/stat").read_text()
+        user, system = stat.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def kill(self) -> None:
         """End it at once."""
         os.kill(self.running.pid, signal.SIGKILL)
