Bound what an absent collector adds to a stop

Ruled out: leaving the thread behind, which would lose the last counts also when the collector is there.

Conclusion: the exporter gets 2 s for a try, and warnings of libraries become events of the log, one line of pairs each.

--- a/buckthornshed/transport/logs.py
+++ b/buckthornshed/transport/logs.py
@@ -16,7 +16,9 @@
 
 PLAIN = re.compile(r"[A-Za-z0-9_.:/@+-]+")
 FIELDS = "%(asctime)s %(levelname)s"
-RENAMED = {"asctime": "time", "levelname": "level"}
+LIBRARY_FIELDS = f"{FIELDS} %(name)s %(message)s"
+RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+LIBRARY_EVENT = {"event": "library_message"}
 
 
 class KeyValueFormatter(JsonFormatter):
@@ -36,13 +38,17 @@
 def configure_logging(
     *, form: Literal["keyvalue", "json"] = "keyvalue", level: str = "INFO"
 ) -> None:
-    """Send the records of the package to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(FORMATTERS[form](FIELDS, rename_fields=RENAMED))
+    """Send the records of the package, and warnings of libraries, to standard error."""
+    formatter = FORMATTERS[form]
     logger = logging.getLogger("buckthornshed")
-    logger.handlers = [handler]
+    logger.handlers = [_handler(formatter(FIELDS, rename_fields=RENAMED))]
     logger.setLevel(level)
     logger.propagate = False
+    libraries = formatter(
+        LIBRARY_FIELDS, rename_fields=RENAMED, static_fields=LIBRARY_EVENT
+    )
+    logging.getLogger().handlers = [_handler(libraries)]
+    logging.getLogger().setLevel(logging.WARNING)
 
 
 def log_event(event: str, *, level: int = logging.INFO, **fields: object) -> None:
@@ -51,6 +57,12 @@
     logging.getLogger("buckthornshed").log(level, {"event": event, **fields})
 
 
+def _handler(formatter: logging.Formatter) -> logging.Handler:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    return handler
+
+
 def _quoted(value: object) -> str:
     text = str(value)
     return text if PLAIN.fullmatch(text) else json.dumps(text, ensure_ascii=False)
--- a/buckthornshed/transport/metrics.py
+++ b/buckthornshed/transport/metrics.py
@@ -36,6 +36,9 @@
     1.0,
 )
 OTLP_INTERVAL_MS = 10_000
+OTLP_TIMEOUT_S = 2.0
+"""Bounds what a collector that is away adds to the stop of a node."""
+
 OTLP_PATH = "/v1/metrics"
 NO_REASON = "none"
 NO_PRIORITY = -1
@@ -145,7 +148,7 @@
         return generate_latest(self.registry)
 
     def close(self) -> None:
-        """Send what is left by OTLP and end its thread."""
+        """Send what is left by OTLP, at most 2 s long, and end its thread."""
         self.provider.shutdown()
 
     def _register_counters(self) -> None:
@@ -236,7 +239,9 @@
     )
     from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
 
-    exporter = OTLPMetricExporter(endpoint=base_url.rstrip("/") + OTLP_PATH)
+    exporter = OTLPMetricExporter(
+        endpoint=base_url.rstrip("/") + OTLP_PATH, timeout=OTLP_TIMEOUT_S
+    )
     return PeriodicExportingMetricReader(
         exporter, export_interval_millis=OTLP_INTERVAL_MS
     )
