Send a key that one node alone knows to one target

Cause: keys minted at the edge and derived below were sent to their owner by hash; the keys of one sender are now marked and need no owner that all agree on, so the egress keeps each to its first target until that denies the run. Ruled out: marked keys below work that may run at several nodes; each would choose a target of its own, so those keys stay unmarked and go to their owner.

--- a/benchmarks/fleet_sets.py
+++ b/benchmarks/fleet_sets.py
@@ -14,11 +14,11 @@
 from pathlib import Path
 from statistics import median
 
+from buckthornshed.coordination.published_formats import published_formats
 from tabulate import tabulate
 
 from buckthornshed.coordination.dissemination import Dissemination
 from buckthornshed.coordination.fleet_actions import Activate
-from buckthornshed.coordination.published_formats import published_formats
 from buckthornshed.protocol.canonical import canonical_bytes
 from buckthornshed.protocol.encoded_sets import (
     decode_object,
--- a/buckthornshed/coordination/edge.py
+++ b/buckthornshed/coordination/edge.py
@@ -7,7 +7,7 @@
 from .allowance import AllowanceAccount, ClientRepeats, ClientTurn
 from .idempotency import Refused, check_new_key
 from .integrity import KeySource
-from .keys import mint_raw, parse_key
+from .keys import mint_key, mint_raw, parse_key
 from .view import RoutePolicies
 
 if TYPE_CHECKING:
@@ -69,7 +69,7 @@
             deadline=deadline,
             allowance=granted,
             depth=0,
-            key=key,
+            key=key or self._own_key(wall, policies),
             caller="",
         )
         account = self._account(now, token, key, granted, deadline)
@@ -81,6 +81,10 @@
         if turn is not None:
             self.repeats.end(now, *turn)
 
+    def _own_key(self, wall: float, policies: RoutePolicies) -> str | None:
+        """Return the key of unrepeatable work that came without one."""
+        return None if policies.repeatable else mint_key(wall=wall, rng=self.rng)
+
     def _identity(self, wall: float, key: str | None) -> bytes:
         """Return the identity of a request; a client's repeats share theirs.
 
--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -16,8 +16,7 @@
     Sends,
     hop_outcome,
 )
-from .keys import parse_key
-from .ownership import mint_owned
+from .keys import is_marked, parse_key
 from .return_times import ReturnTimes
 from .routing import Router
 from .shift import provider_of
@@ -75,6 +74,7 @@
     account: AllowanceAccount
     sends: Sends
     provider: str | None
+    bound: dict[tuple[str, str], str]
     tried: list[str] = field(default_factory=list)
     target: str = ""
     exchange: int | None = None
@@ -130,8 +130,13 @@
         policies: RoutePolicies,
         account: AllowanceAccount,
         key_source: KeySource,
+        bound: dict[tuple[str, str], str] | None = None,
     ) -> list[EgressAction]:
-        """Send a call under the driver's token."""
+        """Send a call under the driver's token.
+
+        `bound` keeps the target of each service and key that this node alone sends,
+        over all calls that may send them.
+        """
         pending = PendingCall(
             token=token,
             call=call,
@@ -139,6 +144,7 @@
             account=account,
             sends=Sends(repeatable=policies.repeatable, key=key_source),
             provider=self._provider(call),
+            bound={} if bound is None else bound,
         )
         self._returns(call.service).offered(now)
         if call.context.deadline <= now:
@@ -158,6 +164,7 @@
         self._learn(now, pending, answer)
         by_owner = not pending.policies.repeatable
         told = pending.sends.ended(answer.outcome, answer.reason, by_owner=by_owner)
+        self._release_denied(pending)
         if answer.outcome is Outcome.COMPLETE or not self._may_resend(
             now, pending, answer.reason
         ):
@@ -181,6 +188,7 @@
         event = HopEvent.FAULT_SENT if fault.started else HopEvent.FAULT_UNSENT
         reason = Reason.ANSWER_LOST if fault.started else Reason.NO_TARGET
         pending.sends.ended(hop_outcome(progress, event), reason)
+        self._release_denied(pending)
         if not self._may_resend(now, pending, reason):
             del self.pending[pending.token]
             return [self._reply(now, pending, reason)]
@@ -220,7 +228,6 @@
     def _dispatch(
         self, now: float, wall: float, pending: PendingCall
     ) -> list[EgressAction]:
-        self._renew_key(now, wall, pending)
         target = self._choose(now, pending)
         if target is None:
             del self.pending[pending.token]
@@ -231,30 +238,13 @@
         pending.exchange = exchange
         pending.target = target
         pending.sent_at = now
+        self._bind(pending)
         if target not in pending.tried:
             pending.tried.append(target)
         self.exchanges[exchange] = pending
         self._router(now, pending.call.service).sent(now, target)
         return [SendPeer(exchange, target, pending.call._replace(context=context))]
 
-    def _renew_key(self, now: float, wall: float, pending: PendingCall) -> None:
-        """Mint the key of unrepeatable work that came without one.
-
-        Whoever mints a key chooses its owner with it: a target that the router
-        would choose. After a refusal as not run nobody else knows the former key.
-        """
-        if pending.sends.key is not KeySource.MINTED:
-            return
-        if pending.sends.outcome is not Outcome.NOT_RUN:
-            return
-        assert self.view is not None
-        wanted = self._routed(now, pending, fallback=True)
-        owners = self.view.owners_of(pending.call.service)
-        names = [owner for owner in owners.owners if _target_of(owner) == wanted]
-        key = mint_owned(wall=wall, rng=self.rng, owners=owners, wanted=names)
-        context = pending.call.context._replace(key=key)
-        pending.call = pending.call._replace(context=context)
-
     def _choose(self, now: float, pending: PendingCall) -> str | None:
         if pending.policies.repeatable:
             return self._routed(now, pending, fallback=True)
@@ -262,10 +252,25 @@
         key = pending.call.context.key
         if key is None:
             return None
-        owners = self.view.owners_of(pending.call.service)
-        owner = owners.owner_of(parse_key(key).raw)
+        raw = parse_key(key).raw
+        if is_marked(raw):
+            bound = pending.bound.get((pending.call.service, key))
+            return bound or self._routed(now, pending, fallback=True)
+        owner = self.view.owners_of(pending.call.service).owner_of(raw)
         return None if owner is None else _target_of(owner)
 
+    def _bind(self, pending: PendingCall) -> None:
+        """Keep to one target for a key that nobody else sends."""
+        key = pending.call.context.key
+        if key is not None:
+            pending.bound[pending.call.service, key] = pending.target
+
+    def _release_denied(self, pending: PendingCall) -> None:
+        """Let a key go elsewhere that its target did not run."""
+        key = pending.call.context.key
+        if key is not None and pending.sends.told is Outcome.NOT_RUN:
+            pending.bound.pop((pending.call.service, key), None)
+
     def _routed(
         self, now: float, pending: PendingCall, *, fallback: bool
     ) -> str | None:
--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/ingress.py
@@ -60,6 +60,7 @@
     shed_below: float | None = None
     below: set[int] = field(default_factory=set)
     used: set[str] = field(default_factory=set)
+    bound: dict[tuple[str, str], str] = field(default_factory=dict)
     unanswered: dict[int, CallBelow] = field(default_factory=dict)
 
 
--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/keys.py
@@ -21,6 +21,7 @@
     "is_marked",
     "key_text",
     "mint_key",
+    "mint_raw",
     "parse_key",
     "random_key",
 ]
@@ -75,6 +76,11 @@
     return key_text(raw)
 
 
+def mint_raw(*, wall: float, rng: RandomBits) -> bytes:
+    """Return the 16 bytes of a new identity in the form of a key."""
+    return _pack(int(wall * 1000), rng.getrandbits(RANDOM_BITS))
+
+
 def is_marked(raw: bytes) -> bool:
     """Return whether a node minted the key with the bytes ``raw``."""
     return _mark(raw) == raw
@@ -100,7 +106,7 @@
     return ParsedKey(text=lowered, raw=raw, minted=minted)
 
 
-def derive_key(parent: str, service: str, ordinal: int) -> str:
+def derive_key(parent: str, service: str, ordinal: int, *, marked: bool = True) -> str:
     """Return the key of a call that work under ``parent`` makes.
 
     Parameters
@@ -111,12 +117,13 @@
         Service that is called.
     ordinal : int
         Number of the call among those of this work.
+    marked : bool
+        Whether one node alone derives it, as below work that runs at most once.
 
     Returns
     -------
     str
-        The same marked key for the same arguments, with the mint time of ``parent``.
-        Work under a key runs at most once, so one node alone derives it.
+        The same key for the same arguments, with the mint time of ``parent``.
 
     Raises
     ------
@@ -127,7 +134,8 @@
     seed = f"{service}\0{ordinal}".encode()
     digest = hashlib.blake2b(seed, digest_size=16, key=parsed.raw).digest()
     bits = int.from_bytes(digest, "big") & ((1 << RANDOM_BITS) - 1)
-    return key_text(_mark(_pack(int.from_bytes(parsed.raw[:6], "big"), bits)))
+    raw = _pack(int.from_bytes(parsed.raw[:6], "big"), bits)
+    return key_text(_mark(raw) if marked else _unmarked(raw))
 
 
 def fingerprint(call: Call) -> bytes:
@@ -158,6 +166,11 @@
     return kept + hashlib.blake2b(kept, digest_size=MARK_BYTES).digest()
 
 
+def _unmarked(raw: bytes) -> bytes:
+    """Return the key, with one bit turned if it bears the mark by chance."""
+    return raw[:-1] + bytes([raw[-1] ^ is_marked(raw)])
+
+
 def _pack(milliseconds: int, bits: int) -> bytes:
     value = (milliseconds & MILLISECONDS_MASK) << 80
     value |= VERSION << 76
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -4,25 +4,23 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-import xxhash
-
+from ..errors import ContextError
 from ..protocol.http import Request, forwardable
 from ..protocol.messages import Answer, Call, Fault, Pairs, refusal
 from ..protocol.outcome import REASONS, Outcome, Reason
 from .actions import Action, CancelPeer, Reply, SendPeer
-from .deadlines import deadline_below
+from .calls_below import call_below, choose_key, may_ask
 from .drain import DrainState
 from .edge import Edge, key_of
 from .egress import Egress
 from .handover import OwnerQuery, OwnerReply, OwnershipGate
 from .idempotency import KeyTable, Refused
-from .ingress import CallBelow, Ingress, RunningCall
+from .ingress import Ingress, RunningCall
 from .integrity import KeySource
-from .keys import derive_key, fingerprint, key_text
 from .ownership import owner_id
 from .path_thresholds import PathThresholds
 from .pause import PauseDetector
-from .view import RoutePolicies, View
+from .view import View
 
 if TYPE_CHECKING:
     from random import Random
@@ -31,7 +29,6 @@
 
 DEPTH_MAX = 32
 PATH_ENTRIES = 1_024
-ORDINAL_BYTES = 8
 STALE_RETRY_S = 1.0
 NANOSECONDS = 1e9
 
@@ -195,13 +192,27 @@
         policies = self.view.match(service, request.method, request.path)
         if policies is None:
             return [_refused(token, Reason.NO_ROUTE)]
-        if not _may_ask(running, token, service, request):
+        call = call_below(
+            now,
+            running,
+            caller=self.name,
+            service=service,
+            request=request,
+            policies=policies,
+        )
+        brought = key_of(request)
+        try:
+            choice = choose_key(running, call, brought, repeatable=policies.repeatable)
+        except ContextError:
+            return [_refused(token, Reason.KEY_INVALID)]
+        if isinstance(choice, Refused):
+            return [_refused(token, choice.reason, outcome=choice.outcome)]
+        if not may_ask(running, token, service, request, brought):
             return [_refused(token, Reason.RETRY_LIMIT)]
-        call = self._call_below(now, running, service, request, policies)
+        call = call._replace(context=call.context._replace(key=choice.key))
         running.below.add(token)
         running.used.add(policies.name)
         self.parents[token] = running
-        source = KeySource.NONE if policies.repeatable else KeySource.BROUGHT
         sent = self.egress.send(
             now,
             wall,
@@ -209,7 +220,8 @@
             call,
             policies=policies,
             account=running.account,
-            key_source=source,
+            key_source=choice.source,
+            bound=running.bound,
         )
         return self._run(now, wall, sent)
 
@@ -309,44 +321,6 @@
         self.keys.lifetime = max(self.keys.lifetime, lifetime)
         self.gate.update(wall, view.generation, view.owners_of(service))
 
-    def _call_below(
-        self,
-        now: float,
-        running: RunningCall,
-        service: str,
-        request: Request,
-        policies: RoutePolicies,
-    ) -> Call:
-        above = running.call.context
-        latest = now + policies.route["deadline_ms"] / 1e3
-        call = Call(
-            context=above._replace(
-                deadline=min(deadline_below(now, above.deadline), latest),
-                depth=above.depth + 1,
-                caller=self.name,
-            ),
-            service=service,
-            method=request.method,
-            path=request.path,
-            headers=forwardable(request.headers),
-            body=request.body,
-        )
-        key = key_of(request)
-        if key is None and policies.repeatable:
-            return call._replace(context=call.context._replace(key=None))
-        key = key or self._derived_key(call)
-        return call._replace(context=call.context._replace(key=key))
-
-    def _derived_key(self, call: Call) -> str:
-        """Return the key of a call below, the same for the same call.
-
-        A target that repeats a call by itself thereby repeats its key; two calls
-        that are alike but meant twice need keys of their own.
-        """
-        parent = call.context.key or key_text(call.context.request_id)
-        ordinal = int.from_bytes(fingerprint(call)[:ORDINAL_BYTES], "big")
-        return derive_key(parent, call.service, ordinal)
-
     def _abandon_call(self, now: float, wall: float, exchange: int) -> list[Action]:
         entry = self.ingress.calls.get(exchange)
         below: list[Action] = []
@@ -410,22 +384,6 @@
         self._forget(now, reply.token)
 
 
-def _may_ask(running: RunningCall, token: int, service: str, request: Request) -> bool:
-    """Whether a target may make a call; takes one from the allowance for a repeat."""
-    asked = CallBelow(
-        service=service,
-        method=request.method,
-        path=request.path,
-        key=key_of(request),
-        body_hash=xxhash.xxh3_64_intdigest(request.body),
-    )
-    repeated = asked in running.unanswered.values()
-    if repeated and not running.account.spend():
-        return False
-    running.unanswered[token] = asked
-    return True
-
-
 def _turned_away(token: int, request: Request, reason: Reason) -> Reply:
     """Refuse a client before any send; a key it brings may have run elsewhere."""
     outcome = Outcome.NOT_RUN if key_of(request) is None else Outcome.UNKNOWN
--- a/buckthornshed/integration/keys.py
+++ b/buckthornshed/integration/keys.py
@@ -3,7 +3,7 @@
 import time
 from random import SystemRandom
 
-from ..coordination.keys import mint_key
+from ..coordination.keys import random_key
 
 __all__ = ["create_key"]
 
@@ -15,4 +15,4 @@
 
     A client makes one for each piece of work and keeps it for its repeats.
     """
-    return mint_key(wall=time.time(), rng=SOURCE)
+    return random_key(wall=time.time(), rng=SOURCE)
--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -24,7 +24,7 @@
 )
 from ...coordination.deadlines import deadline_of, remaining_ms
 from ...coordination.integrity import find_flaw
-from ...coordination.keys import mint_key
+from ...coordination.keys import random_key
 from ...coordination.node import NodeCore
 from ...coordination.view import View
 from ...protocol.configuration import read_set
@@ -631,7 +631,7 @@
         key = None
         if not self.scenario.keyless and ENTRIES[kind][1] == b"POST":
             offset = self.rng.uniform(-0.4, 0.4)
-            key = mint_key(wall=WALL_S + self.now + offset, rng=self.rng)
+            key = random_key(wall=WALL_S + self.now + offset, rng=self.rng)
         client = Client(f"c{next(self.idents)}", kind, self.now, key)
         self.clients.append(client)
         self._attempt(client)
--- a/buckthornshed/tests/test_egress.py
+++ b/buckthornshed/tests/test_egress.py
@@ -1,6 +1,7 @@
 """Tests of what a node sends again, where, and what it tells."""
 
 from buckthornshed.coordination.actions import CancelPeer, Reply, SendPeer, StartTarget
+from buckthornshed.coordination.keys import mint_key, random_key
 from buckthornshed.protocol.messages import Answer, Fault
 from buckthornshed.protocol.outcome import Outcome, Reason
 
@@ -151,3 +152,55 @@
     core = repeatable_booking()
     reply = only(core.local_call(1.0, WALL, 2, -1, "stables", browse()), Reply)
     assert reply.answer.reason is Reason.BAD_REQUEST
+
+
+def unrepeatable_below():
+    """Return a node with a booking under way, whose call below may run once."""
+    core = node("booking-1", routed_set(browse={"idempotency": "once"}))
+    key = random_key(wall=WALL, rng=core.rng)
+    book = call_to_stables(exchange=9, key=key, priority=0, deadline=60.0, allowance=9)
+    book = book._replace(service="booking", method=b"POST", path=b"/bookings")
+    only(core.peer_call(1.0, WALL, 1, book), StartTarget)
+    return core
+
+
+def test_repeat_of_unrepeatable_work_goes_to_its_first_target_alone():
+    core = unrepeatable_below()
+    first = only(core.local_call(1.0, WALL, 2, 9, "stables", browse()), SendPeer)
+    send, now, targets, keys = first, 1.0, [], set()
+    for token in range(3, 8):
+        now += 0.2
+        lost = refusal_of(send, Outcome.UNKNOWN, Reason.ANSWER_LOST)
+        actions = core.peer_answered(now, WALL, lost) or core.tick(now + 0.1, WALL)
+        if isinstance(actions[0], Reply):
+            actions = core.local_call(now, WALL, token, 9, "stables", browse())
+        if not isinstance(actions[0], SendPeer):
+            break
+        send = actions[0]
+        targets.append(send.target)
+        keys.add(send.call.context.key)
+    assert len(targets) >= 3
+    assert set(targets) == {first.target}
+    assert keys == {first.call.context.key}
+
+
+def test_unrepeatable_work_that_was_denied_goes_elsewhere():
+    core = unrepeatable_below()
+    first = only(core.local_call(1.0, WALL, 2, 9, "stables", browse()), SendPeer)
+    answer = refusal_of(first, Outcome.NOT_RUN, Reason.DRAINING, draining=True)
+    again = only(core.peer_answered(1.01, WALL, answer), SendPeer)
+    assert again.target != first.target
+    assert again.call.context.key == first.call.context.key
+
+
+def test_marked_key_below_repeatable_work_is_refused():
+    objects = routed_set(
+        book={"idempotency": "repeatable", "retry": "some"},
+        browse={"idempotency": "once"},
+    )
+    core = node("booking-1", objects)
+    parent = booking_with_call_below(core)
+    marked = mint_key(wall=WALL, rng=core.rng).encode()
+    request = browse()._replace(headers=((b"idempotency-key", marked),))
+    reply = only(core.local_call(1.0, WALL, 2, parent, "stables", request), Reply)
+    assert reply.answer.reason is Reason.KEY_INVALID
--- a/buckthornshed/tests/test_node_outcomes.py
+++ b/buckthornshed/tests/test_node_outcomes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ..coordination.actions import Reply, StartTarget
-from ..coordination.keys import mint_key
+from ..coordination.keys import random_key
 from ..coordination.node import NodeCore
 from ..coordination.view import View
 from ..protocol.http import KEY_HEADER, Request
@@ -31,7 +31,7 @@
 
 
 def request(path=b"/bookings", *, keyed=True):
-    key = mint_key(wall=WALL, rng=random.Random(2)).encode()
+    key = random_key(wall=WALL, rng=random.Random(2)).encode()
     return Request(b"POST", path, ((KEY_HEADER, key),) if keyed else (), b"")
 
 
