Keep the table of keys over a change of policy

Cause: a table made anew, or a longer lifetime, would let a key run again whose entry was dropped under the former policy. Conclusion: the bounds change in place; what may have been dropped is refused as unproven. Three tests, of which one repeats a dropped key under a longer lifetime.

--- a/buckthornshed/coordination/handover.py
+++ b/buckthornshed/coordination/handover.py
@@ -126,6 +126,13 @@
         self._restart_rounds()
         self._settle_if_heard()
 
+    def widen(self, clock_bound: float) -> None:
+        """Take a greater clock bound; a smaller one holds from the next start."""
+        extra = 2 * max(0.0, clock_bound - self.clock_bound)
+        self.clock_bound = max(self.clock_bound, clock_bound)
+        self.barrier += extra
+        self.moves = [Move(each.owners, each.barrier + extra) for each in self.moves]
+
     def query(self) -> OwnerQuery | None:
         """Return the question for all ``peers``, to be repeated until settled."""
         if self.settled or self.own not in self.owners.owners:
--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/idempotency.py
@@ -171,6 +171,25 @@
         self.answered: dict[str, int] = {}
         self.answered_bytes = 0
 
+    def configure(
+        self, wall: float, *, entries: int, lifetime: float, clock_bound: float
+    ) -> None:
+        """Take new bounds and keep what the table holds.
+
+        A node keeps one table for all policies of its service, with the greatest of
+        each bound: a key must not escape its entry by a change of policy.
+        """
+        self._advance(wall)
+        longer = lifetime - self.lifetime
+        if longer > 0:
+            self.barrier = max(self.barrier, self.wall - self.lifetime)
+            for entry in self.held.entries():
+                self.held.put(entry.key, entry.value, expires=entry.expires + longer)
+        self.barrier += 2 * max(0.0, clock_bound - self.clock_bound)
+        self.held.size = entries
+        self.lifetime = lifetime
+        self.clock_bound = clock_bound
+
     def woke(self, wall: float) -> None:
         """Treat a pause that ended at ``wall`` as a new start for unknown keys."""
         self._advance(wall)
--- a/buckthornshed/tests/test_handover.py
+++ b/buckthornshed/tests/test_handover.py
@@ -44,6 +44,13 @@
     assert gate.check(key_of("a", owners, 12.1)) is None
 
 
+def test_greater_clock_bound_raises_the_barrier():
+    gate = make_gate("a", OwnerSet(owners=("a",)))
+    gate.widen(3 * BOUND)
+    gate.widen(BOUND)
+    assert (gate.barrier, gate.clock_bound) == (16.0, 3.0)
+
+
 def test_all_new_owners_settle_together_and_keep_to_their_keys():
     a, b = make_gate("a", PAIR), make_gate("b", PAIR)
     settle(a, b)
--- a/buckthornshed/tests/test_idempotency.py
+++ b/buckthornshed/tests/test_idempotency.py
@@ -156,3 +156,24 @@
     assert begin(table, key_of(START + 5)) == Refused(
         Reason.STALE_VIEW, Outcome.UNKNOWN
     )
+
+
+def test_longer_lifetime_keeps_keys_and_admits_none_that_was_dropped():
+    table = make_table()
+    dropped, kept = key_of(START + 5), key_of(START + 50)
+    begin(table, dropped)
+    begin(table, kept, wall=START + 50)
+    wall = START + 5 + LIFETIME
+    options = {"lifetime": 3 * LIFETIME, "clock_bound": 2 * BOUND}
+    table.configure(wall, entries=9, **options)
+    unproven = Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
+    assert begin(table, dropped, wall=wall) == unproven
+    assert begin(table, kept, wall=START + 50 + 2 * LIFETIME) == InProgress()
+    assert begin(table, kept, wall=START + 50 + 3 * LIFETIME) == unproven
+    assert table.held.size == 9
+
+
+def test_greater_clock_bound_raises_the_barrier():
+    table = make_table()
+    table.configure(START, entries=4, lifetime=LIFETIME, clock_bound=3 * BOUND)
+    assert table.barrier == START + 6 * BOUND
