Count as cut by a stop what was lost at the stopped instance

Cause: a client's try that was refused at another instance, killed and not yet back, counted as cut by the planned stop. What counts now is a try lost at the address of the stopped instance, an answer lost between nodes around the stop (new), and a run at the stopped target that did not end while its client waited, as before. Dumps of all nodes are kept at the end of a run.

--- a/buckthornshed/load/experiment.py
+++ b/buckthornshed/load/experiment.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from ..protocol.outcome import Reason
 from ..standins.behaviour import Deployment, read_deployment
 from .fleet import Fleet
 from .judge import Evidence, Verdict, judge, wasted_share
@@ -74,26 +75,37 @@
         await ACTIONS[event.action](self, event)
 
     def cut(self) -> tuple[str, ...]:
-        """Return the tries that a planned stop cut.
+        """Return the tries that a planned stop cut, each with what was seen.
 
-        These are tries that were lost, and tries whose run at the stopped target
-        did not end though the client still waited.
+        These are tries that were lost at the stopped instance, tries whose answer
+        was lost between nodes around the stop, and tries whose run at the stopped
+        target did not end though the client still waited.
         """
         cut = []
         for name, start, end in self.stops:
+            entries = self.fleet.addresses_of(name)
             tries = self.tries_between(start, end)
-            cut += [one for one in tries if tries[one].result is Result.LOST]
-            for ledger in self.fleet.ledgers():
-                cut += [
-                    entry.request
-                    for entry in ledger.entries
-                    if ledger.name == name
-                    and entry.outcome in ("running", "cancelled")
-                    and entry.request in tries
-                    and tries[entry.request].result is not Result.TIMEOUT
-                ]
+            cut += [
+                f"{one} {attempt.reason or attempt.detail}"
+                for one, attempt in tries.items()
+                if (attempt.result is Result.LOST and attempt.address in entries)
+                or attempt.reason == Reason.ANSWER_LOST
+            ]
+            cut += self.runs_cut(name, tries)
         return tuple(cut)
 
+    def runs_cut(self, name: str, tries: dict[str, Attempt]) -> list[str]:
+        """Return the tries whose run at a target did not end for its client."""
+        return [
+            f"{entry.request} run {entry.outcome} at {name}"
+            for ledger in self.fleet.ledgers()
+            if ledger.name == name
+            for entry in ledger.entries
+            if entry.outcome in ("running", "cancelled")
+            and entry.request in tries
+            and tries[entry.request].result is not Result.TIMEOUT
+        ]
+
     def tries_between(self, start: float, end: float) -> dict[str, Attempt]:
         """Return the tries that were in flight in a stretch of the run."""
         return {
@@ -179,6 +191,7 @@
         runner, script = prepare(fleet, plan, deployment, events, report)
         await runner.run()
         generations = fleet.generations_in_force()
+        await fleet.save_dumps()
     evidence = Evidence(
         plan=plan,
         deployment=deployment,
--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -194,6 +194,19 @@
             if name.endswith("-node") and process.alive()
         }
 
+    async def save_dumps(self) -> None:
+        """Write the dump of each node that runs to the folder."""
+        for name, member in self.members.items():
+            process = self.processes.get(f"{name}-node")
+            if process is not None and process.alive():
+                response = await self.client.get(f"http://{member.admin}/dump")
+                (self.folder / f"{name}-dump.json").write_bytes(response.content)
+
+    def addresses_of(self, name: str) -> tuple[str, str]:
+        """Return the addresses at which clients may have called an instance."""
+        member = self.members[name]
+        return member.ingress, member.target
+
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
         url = f"http://{self.platform_control}/values/{key}"
--- a/buckthornshed/load/judge.py
+++ b/buckthornshed/load/judge.py
@@ -38,7 +38,7 @@
     exit_codes : dict
         Of the processes that were stopped as planned.
     cut : tuple of str
-        Requests that a planned stop cut.
+        Tries that a planned stop cut, with what was seen.
     generations : dict
         For each node, the generations that were seen in force, in order.
     generation : int
--- a/buckthornshed/load/records.py
+++ b/buckthornshed/load/records.py
@@ -24,6 +24,8 @@
     ----------
     attempt_id : str
         The id that it carried.
+    address : str
+        Where it was sent.
     start, end : float
         Seconds from the start of the run.
     result : Result
@@ -37,6 +39,7 @@
     """
 
     attempt_id: str
+    address: str
     start: float
     end: float
     result: Result
--- a/buckthornshed/load/runner.py
+++ b/buckthornshed/load/runner.py
@@ -211,13 +211,15 @@
         except UpstreamError as error:
             end = self.elapsed()
             result = Result.TIMEOUT if end - start >= timeout_s else Result.LOST
-            lost = Attempt(attempt_id, start, end, result, 0, "", "", str(error))
+            lost = Attempt(
+                attempt_id, address, start, end, result, 0, "", "", str(error)
+            )
             return lost, 0.0
         end = self.elapsed()
         result, outcome, reason, detail = self.judge(kind, attempt_id, response)
         status = response.status
         attempt = Attempt(
-            attempt_id, start, end, result, status, outcome, reason, detail
+            attempt_id, address, start, end, result, status, outcome, reason, detail
         )
         return attempt, retry_after_s(response)
 
--- a/buckthornshed/tests/test_load_judge.py
+++ b/buckthornshed/tests/test_load_judge.py
@@ -39,7 +39,7 @@
 
 def record(number, kind, result, *, outcome=""):
     name = f"r{number}"
-    attempt = Attempt(f"{name}.0", 1.0, 2.0, result, 200, outcome, "", "")
+    attempt = Attempt(f"{name}.0", "", 1.0, 2.0, result, 200, outcome, "", "")
     return RequestRecord(name, kind, "", 1.0, (attempt,))
 
 
--- a/buckthornshed/tests/test_load_summary.py
+++ b/buckthornshed/tests/test_load_summary.py
@@ -30,7 +30,7 @@
 
 def record(arrival, *results, latency=0.1):
     attempts = tuple(
-        Attempt(f"r.{index}", arrival, arrival + latency, result, 200, "", "", "")
+        Attempt(f"r.{index}", "", arrival, arrival + latency, result, 200, "", "", "")
         for index, result in enumerate(results)
     )
     return RequestRecord("r", 0, "", arrival, attempts)
