Give a call that took no time a least service time

Cause: a call that began and finished at one reading of the clock set the mean service time to 0, and the next tick divided by it: the node ended.

--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -46,6 +46,9 @@
 SPARE_LIMIT = 0.8
 """Part of the rate of finished calls that the planned load may reach."""
 
+LEAST_SERVICE_TIME_S = 1e-6
+"""Service time of a call that began and finished at one reading of the clock."""
+
 FIRST_SERVICE_TIME_S = 0.01
 """Service time that is assumed before any call has finished."""
 
@@ -150,6 +153,7 @@
     def finished(self, now: float, service_time: float) -> None:
         """Note that a call ran for ``service_time`` seconds."""
         self._advance(now)
+        service_time = max(service_time, LEAST_SERVICE_TIME_S)
         if self.finished_calls == 0:
             self.service_time = self.shortest = service_time
         gap = max(0.0, now - self.last_finish)
--- a/buckthornshed/tests/test_admission.py
+++ b/buckthornshed/tests/test_admission.py
@@ -152,3 +152,10 @@
     assert learned.of_service(2.0, "stables") == 0
     assert (learned.of_service(0.1, "farrier"), learned.refused_full) == (0, 1)
     assert not learned.services
+
+
+def test_a_call_may_finish_at_the_reading_of_the_clock_at_which_it_began():
+    control = AdmissionController(policy=POLICY, slots=SLOTS)
+    control.finished(1.0, 0.0)
+    control.tick(1.1, 0)
+    assert control.capacity > 0
