Tell unknown when a target's repeat is refused for want of allowance

Cause: the refusal told not run, but the call that it repeats may have run below. Found by the machine of whole nodes: two reservations alike under one booking, the first runs, a third is refused. After: unknown; the test checks it.

--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -186,7 +186,7 @@
         if policies is None:
             return [_refused(token, Reason.NO_ROUTE)]
         if not _may_ask(running, token, service, request):
-            return [_refused(token, Reason.RETRY_LIMIT)]
+            return [_refused(token, Reason.RETRY_LIMIT, outcome=Outcome.UNKNOWN)]
         call = self._call_below(now, running, service, request, policies)
         running.below.add(token)
         self.parents[token] = running
--- a/buckthornshed/tests/test_node_outcomes.py
+++ b/buckthornshed/tests/test_node_outcomes.py
@@ -75,7 +75,8 @@
 def ask_below(core, token, body=b""):
     asked = Request(b"GET", b"/stalls", (), body)
     actions = core.local_call(0.0, WALL, token, 7, "stables", asked)
-    return [a.answer.reason for a in actions if isinstance(a, Reply)]
+    replies = [a.answer for a in actions if isinstance(a, Reply)]
+    return [(answer.reason, answer.outcome) for answer in replies]
 
 
 def test_a_target_that_repeats_a_call_spends_the_allowance():
@@ -84,7 +85,7 @@
     assert ask_below(core, 2) == []
     assert ask_below(core, 3, body=b"another") == []
     assert ask_below(core, 4) == []
-    assert ask_below(core, 5) == [Reason.RETRY_LIMIT]
+    assert ask_below(core, 5) == [(Reason.RETRY_LIMIT, Outcome.UNKNOWN)]
 
 
 def test_a_call_that_was_answered_whole_may_be_made_again():
