--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -37,6 +37,9 @@
 SERVICE_S = 1.0
 """Time constant of the mean service time when calls are rare."""
 
+LEAST_SERVICE_TIME_S = 1e-6
+"""Service time of a call that began and finished at one reading of the clock."""
+
 FIRST_SERVICE_TIME_S = 0.01
 """Service time that is assumed before any call has finished."""
 
@@ -142,6 +145,7 @@
         if now - service_time < self.learned_since:
             # Its time holds a pause of this process.
             return
+        service_time = max(service_time, LEAST_SERVICE_TIME_S)
         if self.finished_calls == 0:
             self.service_time = self.shortest = service_time
         gap = max(0.0, now - self.last_finish)
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -208,7 +208,7 @@
         if isinstance(choice, Refused):
             return [_refused(token, choice.reason, outcome=choice.outcome)]
         if not may_ask(running, token, service, request, brought):
-            return [_refused(token, Reason.RETRY_LIMIT)]
+            return [_refused(token, Reason.RETRY_LIMIT, outcome=Outcome.UNKNOWN)]
         call = call._replace(context=call.context._replace(key=choice.key))
         running.below.add(token)
         running.used.add(policies.name)
