--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/admission.py
@@ -14,6 +14,7 @@
 from ..state.random_source import RandomSource
 from .deadlines import can_finish
 from .demand import Demand
+from .pause import PAUSE_S
 from .return_times import ReturnTimes
 from .thresholds import level
 
@@ -22,9 +23,6 @@
 UPDATE_INTERVAL_S = 0.05
 """Seconds between two moves of the threshold."""
 
-PAUSE_GAP_S = 1.0
-"""A gap between two events after which all that was learned is discarded."""
-
 DRAIN_S = 0.2
 """Seconds in which a queue that is too long or too short is brought right."""
 
@@ -166,7 +164,7 @@
         return self.shortest if self.finished_calls else 0.0
 
     def _advance(self, now: float) -> None:
-        if self.last_event is None or now - self.last_event > PAUSE_GAP_S:
+        if self.last_event is None or now - self.last_event > PAUSE_S:
             self.reset(now)
         self.last_event = now
         elapsed = now - self.last_update
--- a/buckthornshed/coordination/deadlines.py
+++ b/buckthornshed/coordination/deadlines.py
@@ -13,7 +13,6 @@
     "expired",
     "remaining",
     "remaining_ms",
-    "was_paused",
 ]
 
 MARGIN_FRACTION = 0.02
@@ -68,13 +67,3 @@
         The longest deadline of the route, in seconds; more is cut to it.
     """
     return now + min(max(0, left_ms) / 1000, longest)
-
-
-def was_paused(now: float, last_tick: float, interval: float) -> bool:
-    """Return whether this process stood still since ``last_tick``.
-
-    True when more than three intervals passed since a tick that comes once in
-    ``interval`` seconds. What was learned of others before is then out of date,
-    and waiting calls are checked against their deadlines before any starts.
-    """
-    return now - last_tick > 3 * interval
--- a/buckthornshed/tests/test_deadlines.py
+++ b/buckthornshed/tests/test_deadlines.py
@@ -24,8 +24,3 @@
     assert deadlines.can_finish(1.0, 2.0, 1.0)
     assert not deadlines.can_finish(1.0, 2.0, 1.1)
     assert not deadlines.can_finish(2.0, 2.0, 0.0)
-
-
-def test_a_gap_of_more_than_three_ticks_is_a_pause():
-    assert not deadlines.was_paused(1.0, 0.0, 0.5)
-    assert deadlines.was_paused(2.0, 0.0, 0.5)
