--- a/benchmarks/fleet_sets.py
+++ b/benchmarks/fleet_sets.py
@@ -18,7 +18,7 @@
 
 from buckthornshed.coordination.dissemination import Dissemination
 from buckthornshed.coordination.fleet_actions import Activate
-from buckthornshed.coordination.published_formats import published_formats
+from buckthornshed.coordination.node_formats import node_formats
 from buckthornshed.protocol.canonical import canonical_bytes
 from buckthornshed.protocol.encoded_sets import (
     decode_object,
@@ -47,7 +47,7 @@
         domain=target["failure_domain"],
         address=target["control"],
         seeds=(),
-        formats=published_formats(),
+        formats=node_formats(),
         live=lambda other: True,
         rng=random.Random(1),
     )
@@ -75,7 +75,7 @@
 def change_times(node: Dissemination, kind: str, field: str) -> float:
     """Return the processor milliseconds of a change of one object."""
     times = []
-    digest_of = published_formats().digest
+    digest_of = node_formats().digest
     source = node.topology.addresses(node.topology.neighbours())[0]
     for number in range(CHANGES):
         delta = changed(node, number, kind, field, digest_of)
