Say which address a node cannot listen at

Cause: a node whose address was in use ended in a traceback, and settings at fault were printed by a writer that wraps lines and takes brackets for markup. Both are now typed errors with exit code 2, printed as the other commands print theirs.

Ruled out: catching errors at each listener; they come bare from two of them and in groups from the other two, so the command takes both at one place.

Conclusion: no start of a node that an operator can mend ends in a traceback.

--- a/buckthornshed/cli/node.py
+++ b/buckthornshed/cli/node.py
@@ -1,5 +1,6 @@
 """The command ``buckthornshed node``."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -7,33 +8,66 @@
 import anyio
 import cappa
 
-from ..errors import SettingsError
+from ..errors import BuckthornshedError
 from ..transport.logs import configure_logging
 from ..transport.node_process import NodeProcess
-from ..transport.settings import load_settings
+from ..transport.settings import NodeSettings, load_settings
+from .exits import ExitCode, errors_exit_with
 
-__all__ = ["Node"]
+__all__ = ["AddressError", "Node"]
 
-EXIT_SETTINGS = 2
+
+class AddressError(BuckthornshedError):
+    """An address of the settings cannot be listened at."""
 
 
 @cappa.command(name="node", help="Run the node beside one target instance.")
-@dataclass
+@dataclass(kw_only=True)
 class Node:
-    """Arguments of the command."""
+    """Run the node beside one target instance.
+
+    Exits with 0 after a drain, 2 if the settings or an address cannot be used.
+    """
 
     settings: Annotated[Path, cappa.Arg(help="TOML file with the settings.")]
 
     def __call__(self) -> None:
-        """Run until SIGTERM; exit with 2 if the settings cannot be used."""
-        try:
+        """Run until SIGTERM or SIGINT, then drain."""
+        with errors_exit_with(ExitCode.UNUSABLE):
             settings = load_settings(self.settings)
-        except SettingsError as error:
-            raise cappa.Exit(str(error), code=EXIT_SETTINGS) from error
         configure_logging(
             form=settings.get("log_format", "keyvalue"),
             level=settings.get("log_level", "INFO"),
         )
-        anyio.run(
-            NodeProcess(settings=settings).run, backend_options={"use_uvloop": True}
-        )
+        with errors_exit_with(ExitCode.UNUSABLE):
+            run_node(settings)
+
+
+def run_node(settings: NodeSettings) -> None:
+    """Run a node until it is drained.
+
+    Raises
+    ------
+    AddressError
+        If an address cannot be listened at.
+    """
+    process = NodeProcess(settings=settings)
+    refused: list[OSError] = []
+    try:
+        anyio.run(process.run, backend_options={"use_uvloop": True})
+    except* OSError as group:
+        refused += _leaves(group)
+    if refused:
+        raise AddressError(
+            subject="settings",
+            found="; ".join(sorted(str(error) for error in refused)),
+            expected="addresses that can be listened at",
+        ) from refused[0]
+
+
+def _leaves(group: ExceptionGroup[OSError]) -> Iterator[OSError]:
+    for error in group.exceptions:
+        if isinstance(error, ExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
--- a/buckthornshed/tests/test_logs.py
+++ b/buckthornshed/tests/test_logs.py
@@ -5,16 +5,7 @@
 
 from buckthornshed.transport.logs import configure_logging, log_event
 
-
-@pytest.fixture(autouse=True)
-def restored_loggers():
-    loggers = [logging.getLogger(), logging.getLogger("buckthornshed")]
-    before = [(each.handlers, each.level, each.propagate) for each in loggers]
-    yield
-    for each, (handlers, level, propagate) in zip(loggers, before, strict=True):
-        each.handlers = handlers
-        each.setLevel(level)
-        each.propagate = propagate
+pytestmark = pytest.mark.usefixtures("restored_loggers")
 
 
 def logged(capsys):
