Close the connections of a leaving node in order

Cause: a drained node closed its listeners and exited with connections open, so that a response not yet flushed, or a request of a keep-alive caller, could be cut. Ruled out: a longer linger; it moves the moment only. Conclusion: callers reconnect elsewhere before the exit, and the exit waits for the writes.

--- a/buckthornshed/transport/data_path.py
+++ b/buckthornshed/transport/data_path.py
@@ -89,6 +89,17 @@
             Reply: self._reply,
         }
 
+    def stop_accepting(self) -> None:
+        """Close the listening sockets, and each connection once it is idle."""
+        for listener in (self.ingress, self.egress):
+            listener.stop_accepting()
+            listener.close_idle()
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that still have something to write."""
+        return len(self.ingress.connections) + len(self.egress.connections)
+
     def sweep(self) -> None:
         """Close what has been idle or incomplete for too long."""
         self.pool.sweep()
@@ -228,11 +239,16 @@
             return
         self.metrics.count_call(action.answer.outcome, action.answer.reason)
         head_only = connection.method == b"HEAD"
+        # Callers of a leaving node go elsewhere with their next request; its target
+        # keeps its connections until nothing runs there.
+        close = self.core.drain.draining and connection.listener is self.ingress
         if from_node:
-            data = peer_response(action.answer, self.codec, head_only=head_only)
+            data = peer_response(
+                action.answer, self.codec, head_only=head_only, close=close
+            )
         else:
-            data = client_response(action.answer, head_only=head_only)
-        connection.respond(data)
+            data = client_response(action.answer, head_only=head_only, close=close)
+        connection.respond(data, close=close)
 
     def _target_answer(self, exchange: int, raw: RawAnswer) -> None:
         headers = forwardable(raw.headers)
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -30,6 +30,7 @@
 ASK_TICKS = 25
 ASKED_AT_ONCE = 4
 DRAIN_POLL_S = 0.05
+CLOSE_LIMIT_S = 2.0
 SEED_BITS = 256
 
 NOTICE_LEVELS = {"in_force": logging.DEBUG}
@@ -133,8 +134,10 @@
         self.fleet.leave(callers)
         while not self._is_drained():
             await anyio.sleep(DRAIN_POLL_S)
-        self.data_path.ingress.stop_accepting()
-        self.data_path.egress.stop_accepting()
+        self.data_path.stop_accepting()
+        with anyio.move_on_after(CLOSE_LIMIT_S):
+            while self.data_path.open_connections:
+                await anyio.sleep(DRAIN_POLL_S)
 
     def _is_drained(self) -> bool:
         drain = self.core.drain
