Tell tries that were never sent from tries that were lost

Cause: clients whose list still named an instance that had left were refused a connection; nothing of theirs was in flight, yet the check counted 6 of them as cut. They are unreachable now; a try that was sent and lost counts as before.

--- a/buckthornshed/load/experiment.py
+++ b/buckthornshed/load/experiment.py
@@ -77,7 +77,7 @@
     def cut(self) -> tuple[str, ...]:
         """Return the tries that a planned stop cut, each with what was seen.
 
-        These are tries that were lost at the stopped instance, tries whose answer
+        These are tries that were sent to the stopped instance and lost, tries whose answer
         was lost between nodes around the stop, and tries whose run at the stopped
         target did not end though the client still waited.
         """
--- a/buckthornshed/load/records.py
+++ b/buckthornshed/load/records.py
@@ -14,6 +14,7 @@
     REFUSED = "refused"
     FAILED = "failed"
     LOST = "lost"
+    UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
 
 
--- a/buckthornshed/load/runner.py
+++ b/buckthornshed/load/runner.py
@@ -16,7 +16,7 @@
 from ..standins.asgi import Response
 from ..standins.behaviour import Deployment
 from ..standins.calls import DEADLINE_HEADER
-from ..standins.http_client import ClientPool, encode_request
+from ..standins.http_client import ClientPool, UnreachableError, encode_request
 from .plan import Plan, Traffic
 from .records import Attempt, RequestRecord, Result
 from .verify import expected_answer, find_fault
@@ -211,6 +211,8 @@
         except UpstreamError as error:
             end = self.elapsed()
             result = Result.TIMEOUT if end - start >= timeout_s else Result.LOST
+            if isinstance(error, UnreachableError):
+                result = Result.UNREACHABLE
             lost = Attempt(
                 attempt_id, address, start, end, result, 0, "", "", str(error)
             )
--- a/buckthornshed/standins/http_client.py
+++ b/buckthornshed/standins/http_client.py
@@ -10,7 +10,7 @@
 from ..errors import UpstreamError
 from .asgi import Response, parse_address
 
-__all__ = ["ClientPool", "encode_request"]
+__all__ = ["ClientPool", "UnreachableError", "encode_request"]
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -26,6 +26,10 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+class UnreachableError(UpstreamError):
+    """No connection could be made, so nothing was sent."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection with at most one exchange in flight."""
 
@@ -123,7 +127,7 @@
         try:
             _, opened = await loop.create_connection(ClientConnection, host, port)
         except OSError as error:
-            raise UpstreamError(
+            raise UnreachableError(
                 subject=address, found=repr(error), expected="a connection"
             ) from error
         return opened
--- a/buckthornshed/tests/test_load_summary.py
+++ b/buckthornshed/tests/test_load_summary.py
@@ -94,6 +94,17 @@
     return asyncio.run(check())
 
 
+def test_instance_that_is_gone_is_unreachable_and_loses_nothing():
+    async def check():
+        async with open_target() as (_, address):
+            pass
+        plan = SHORT._replace(client=ClientHabits(30_000.0, 0))
+        return await LoadRunner(plan=plan, entries={"stables": (address,)}).run()
+
+    results = {one.attempts[-1].result for one in asyncio.run(check())}
+    assert results == {Result.UNREACHABLE}
+
+
 SHORT = PLAN._replace(
     phase=(Phase("calm", 0.2),), client=ClientHabits(30_000.0, 2, 0.0)
 )
