--- a/buckthornshed/coordination/handover.py
+++ b/buckthornshed/coordination/handover.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..protocol.outcome import Outcome, Reason
+from ..protocol.peer_messages import OwnerQuery, OwnerReply
 from .idempotency import Refused, barrier_after
 from .keys import ParsedKey
 from .ownership import OwnerSet
@@ -23,51 +24,6 @@
 MOVED = Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
 
 
-class OwnerQuery(NamedTuple):
-    """A node that wants to act as owner asks another owner what it holds.
-
-    Parameters
-    ----------
-    asker : str
-        Identity of the asking owner.
-    round : int
-        Number of the round of questions.
-    """
-
-    asker: str
-    round: int
-
-
-class OwnerReply(NamedTuple):
-    """What one owner holds at the moment of the reply.
-
-    Parameters
-    ----------
-    round : int
-        The round that it answers; 0 for an announcement.
-    owner : str
-        Identity of the answering owner.
-    incarnation : int
-        Its start time.
-    generation : int
-        Generation of its configuration.
-    digest : int
-        Digest of its owner set.
-    settled : bool
-        Whether it acts as owner.
-    members : tuple of str
-        The owners that it knows to have been settled at some time.
-    """
-
-    round: int
-    owner: str
-    incarnation: int
-    generation: int
-    digest: int
-    settled: bool
-    members: tuple[str, ...]
-
-
 class Move(NamedTuple):
     """A set that was left behind, and the newest mint time that it may have run."""
 
@@ -126,6 +82,13 @@
         self._restart_rounds()
         self._settle_if_heard()
 
+    def widen(self, clock_bound: float) -> None:
+        """Take a greater clock bound; a smaller one holds from the next start."""
+        extra = 2 * max(0.0, clock_bound - self.clock_bound)
+        self.clock_bound = max(self.clock_bound, clock_bound)
+        self.barrier += extra
+        self.moves = [Move(each.owners, each.barrier + extra) for each in self.moves]
+
     def query(self) -> OwnerQuery | None:
         """Return the question for all ``peers``, to be repeated until settled."""
         if self.settled or self.own not in self.owners.owners:
--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -14,18 +14,18 @@
 import msgspec
 
 from ..protocol.configuration import require_valid
-from ..protocol.platform_values import platform_values
-from ..protocol.published import encode_published
+from ..protocol.published import Published, publish
+from ..protocol.published_values import published_values
 from ..standins.ledger import Entry, read_journal
 from .plan import Plan, Traffic
 from .processes import (
     FleetError,
     Ports,
     Process,
-    answers,
     logged_generations,
     start_process,
     wait_until_ready,
+    wait_until_settled,
 )
 
 __all__ = ["Fleet", "Member", "TargetLedger", "read_objects"]
@@ -114,7 +114,7 @@
         self.processes: dict[str, Process] = {}
         self.journals: dict[Path, Member] = {}
         self.generation = 0
-        self.published: bytes | None = None
+        self.published: Published | None = None
         self.stopped: set[str] = set()
         # hypercorn closes an idle connection after 5 s, which races with its reuse.
         once = httpx.Limits(max_keepalive_connections=0)
@@ -139,6 +139,24 @@
         async with asyncio.TaskGroup() as group:
             for name in self.members:
                 group.create_task(self.start_member(name))
+        if self.nodes:
+            await self.wait_until_settled()
+
+    async def wait_until_settled(self) -> None:
+        """Wait until the owners of keys are known and keys minted now are young."""
+        async with asyncio.TaskGroup() as group:
+            for name, member in self.members.items():
+                if keeps_keys(self.objects, member.service):
+                    url = f"http://{member.admin}/dump"
+                    waiting = wait_until_settled(
+                        self.processes[f"{name}-node"], self.client, url
+                    )
+                    group.create_task(waiting)
+        bounds = (
+            policy.get("clock_bound_ms", 0)
+            for policy in self.objects["idempotency"].values()
+        )
+        await asyncio.sleep(2 * max(bounds, default=0) / 1e3)
 
     async def start_platform(self) -> None:
         """Start the platform and publish the set."""
@@ -156,10 +174,11 @@
         FindingsError
             If the set has faults.
         """
-        value = encode_published(require_valid(objects), generation)
-        for key, body in platform_values(value, self.published).items():
+        checked = require_valid(objects)
+        values = published_values(checked, generation, self.published)
+        for key, body in values.items():
             await self.put_value(key, body)
-        self.published = value
+        self.published = publish(checked, generation)
 
     async def publish_next(self) -> int:
         """Publish the set again under the next generation and return that."""
@@ -222,13 +241,7 @@
         settings = self.folder / f"{name}-node.toml"
         settings.write_text(node_settings(member, self.platform))
         await self.start_one(f"{name}-node", "node", [str(settings)])
-        process = self.processes[f"{name}-node"]
-        before = len(logged_generations(process))
-
-        async def configured() -> bool:
-            return len(logged_generations(process)) > before
-
-        await wait_until_ready(process, configured)
+        await self.wait(f"{name}-node", f"http://{member.admin}/ready")
 
     async def start_one(self, name: str, command: str, arguments: list[str]) -> None:
         """Start a process and keep it by name."""
@@ -238,7 +251,7 @@
 
     async def wait(self, name: str, url: str) -> None:
         """Wait until a process answers."""
-        await wait_until_ready(self.processes[name], lambda: answers(self.client, url))
+        await wait_until_ready(self.processes[name], self.client, url)
 
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
@@ -345,6 +358,15 @@
     return allowance
 
 
+def keeps_keys(objects: Objects, service: str) -> bool:
+    """Return whether a service has work that may not be repeated."""
+    return any(
+        route["service"] == service
+        and not objects["idempotency"][route["idempotency"]]["repeatable"]
+        for route in objects["route"].values()
+    )
+
+
 def create_member(name: str, target: Mapping[str, Any], ports: Ports) -> Member:
     """Return an instance with addresses of its own."""
     addresses = [ports.take() for _ in range(6)]
--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -18,10 +18,10 @@
     "FleetError",
     "Ports",
     "Process",
-    "answers",
     "logged_generations",
     "start_process",
     "wait_until_ready",
+    "wait_until_settled",
 ]
 
 READY_POLL_S = 0.05
@@ -29,7 +29,7 @@
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
-PORTS_OF_DEPLOYMENT = 256
+BLOCK_PORTS = 200
 IN_FORCE = re.compile(r"event=configuration_in_force\b.*\bgeneration=(\d+)")
 LOOPBACK = "127.0.0.1"
 
@@ -41,18 +41,13 @@
 class Ports:
     """Hands out free loopback ports below the ephemeral range.
 
-    Deployments that run side by side start at different ports, for a port is free
-    until its process listens.
-
-    Parameters
-    ----------
-    first : int, optional
-        Where to start; by default a place that follows from the process id.
+    It takes them from a block whose first port it holds, so that several drivers
+    on one machine keep out of each other's way.
     """
 
-    def __init__(self, *, first: int | None = None) -> None:
-        spread = os.getpid() * PORTS_OF_DEPLOYMENT % (LAST_PORT - FIRST_PORT) // 2
-        self.next = FIRST_PORT + spread if first is None else first
+    def __init__(self) -> None:
+        self.lock, self.next = lock_block()
+        self.end = self.next + BLOCK_PORTS - 1
 
     def take(self) -> str:
         """Return the next free address.
@@ -60,25 +55,43 @@
         Raises
         ------
         FleetError
-            If the range is used up.
+            If the block is used up.
         """
-        while self.next < LAST_PORT:
+        while self.next < self.end:
             port = self.next
             self.next += 1
-            if is_free(port):
+            listener = open_port(port)
+            if listener is not None:
+                listener.close()
                 return f"{LOOPBACK}:{port}"
         raise FleetError(
-            subject="ports", found="none free", expected=f"one below {LAST_PORT}"
+            subject="ports", found="none free", expected=f"one below {self.end}"
         )
 
 
-def is_free(port: int) -> bool:
-    """Return whether a loopback port can be listened at."""
+def lock_block() -> tuple[socket.socket, int]:
+    """Return the held first port of a block as a socket, and the port after it.
+
+    Raises
+    ------
+    FleetError
+        If all blocks are taken.
+    """
+    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    for block in range(os.getpid(), os.getpid() + blocks):
+        first = FIRST_PORT + block % blocks * BLOCK_PORTS
+        lock = open_port(first)
+        if lock is not None:
+            return lock, first + 1
+    raise FleetError(subject="ports", found="no free block", expected="one")
+
+
+def open_port(port: int) -> socket.socket | None:
+    """Return a socket that listens at a loopback port, None if it is taken."""
     try:
-        socket.create_server((LOOPBACK, port)).close()
+        return socket.create_server((LOOPBACK, port))
     except OSError:
-        return False
-    return True
+        return None
 
 
 class Process(NamedTuple):
@@ -92,6 +105,12 @@
         """Return whether it still runs."""
         return self.running.returncode is None
 
+    def cpu_s(self) -> float:
+        """Return the processor time that it has used, seconds."""
+        stat = Path(f"/proc/{self.running.pid}/stat").read_text()
+        user, system = stat.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def kill(self) -> None:
         """End it at once."""
         os.kill(self.running.pid, signal.SIGKILL)
@@ -144,23 +163,48 @@
 
 
 async def wait_until_ready(
-    process: Process, ready: Callable[[], Awaitable[bool]]
+    process: Process, client: httpx.AsyncClient, url: str
 ) -> None:
-    """Wait until ``ready`` returns true.
+    """Wait until ``url`` answers with 200.
 
     Raises
     ------
     FleetError
-        If the process ends, or is not ready in time.
+        If the process ends, or does not answer in time.
     """
+    await poll(process, lambda: answers(client, url), f"nothing at {url}")
+
+
+async def wait_until_settled(
+    process: Process, client: httpx.AsyncClient, url: str
+) -> None:
+    """Wait until the dump of a node at ``url`` says that it owns its keys.
+
+    Raises
+    ------
+    FleetError
+        If the process ends, or does not get there in time.
+    """
+
+    async def is_owner() -> bool:
+        owner: bool = (await client.get(url)).json()["owner"]
+        return owner
+
+    await poll(process, is_owner, "keys without an owner")
+
+
+async def poll(
+    process: Process, condition: Callable[[], Awaitable[bool]], missing: str
+) -> None:
+    """Wait until a condition on a process holds."""
     try:
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await ready():
+            while not await condition():
                 if not process.alive():
                     raise not_ready(process, f"exit code {process.running.returncode}")
                 await asyncio.sleep(READY_POLL_S)
     except TimeoutError:
-        raise not_ready(process, f"no sign after {READY_TIMEOUT_S} s") from None
+        raise not_ready(process, missing) from None
 
 
 def logged_generations(process: Process) -> list[int]:
