Take no word of an owner that has not looked at its keys

Cause: a new incarnation without a configuration refuses each call as not run. The sender took that for the word of the owner of a brought key, and told the client not run, though the incarnation before had run it. Ruled out: answering unknown at the node, for below a key that one sender alone knows the refusal does prove that nothing ran.

--- a/buckthornshed/coordination/integrity.py
+++ b/buckthornshed/coordination/integrity.py
@@ -141,6 +141,9 @@
 )
 """Reasons by which a node did not begin a key and cannot tell of earlier ones."""
 
+BEFORE_KEYS = frozenset({Reason.NO_CONFIGURATION, Reason.NO_ROUTE})
+"""Reasons for which a node refuses a call before it looks at its table of keys."""
+
 
 class KeySource(Enum):
     """Where the key of a call comes from, and so who may have sent it before.
@@ -191,7 +194,7 @@
         if self.key is KeySource.MINTED and reason in UNPROVEN_REASONS:
             outcome = Outcome.NOT_RUN
         if outcome is Outcome.NOT_RUN:
-            self.denied = self.denied or by_owner
+            self.denied = self.denied or (by_owner and reason not in BEFORE_KEYS)
         self.outcome = COMBINED.get((self.outcome, outcome), self.outcome)
         return self.told
 
--- a/buckthornshed/tests/test_integrity.py
+++ b/buckthornshed/tests/test_integrity.py
@@ -152,3 +152,9 @@
     assert sends.told is NOT_RUN
     assert sends.ended(FAILED) is FAILED
     assert sends.resend is Resend.ANYWHERE
+
+
+@pytest.mark.parametrize("reason", [Reason.NO_CONFIGURATION, Reason.NO_ROUTE])
+def test_an_owner_that_did_not_look_at_its_keys_denies_nothing(reason):
+    sends = Sends(repeatable=False, key=KeySource.BROUGHT)
+    assert sends.ended(NOT_RUN, reason, by_owner=True) is UNKNOWN
