Follow changes of key policies, and bind keys to instances

Cause: a changed lifetime was written into the table of keys directly, which could let a dropped key run again; a key bound to a name followed that name to another address; a lost announcement of an owner made a later restart wait for all owners. Ruled out: a table for each policy; there is one for each node. Before/after: the table is told by configure and widen / owner identities are bound and announcements repeated each 5 s to one owner in turn.

--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -17,6 +17,7 @@
     hop_outcome,
 )
 from .keys import is_marked, parse_key
+from .ownership import owner_id
 from .return_times import ReturnTimes
 from .routing import Router
 from .shift import provider_of
@@ -255,7 +256,9 @@
         raw = parse_key(key).raw
         if is_marked(raw):
             bound = pending.bound.get((pending.call.service, key))
-            return bound or self._routed(now, pending, fallback=True)
+            if bound is None:
+                return self._routed(now, pending, fallback=True)
+            return self._still_there(pending.call.service, bound)
         owner = self.view.owners_of(pending.call.service).owner_of(raw)
         return None if owner is None else _target_of(owner)
 
@@ -263,7 +266,20 @@
         """Keep to one target for a key that nobody else sends."""
         key = pending.call.context.key
         if key is not None:
-            pending.bound[pending.call.service, key] = pending.target
+            service = pending.call.service
+            pending.bound[service, key] = self._owner_id(service, pending.target)
+
+    def _owner_id(self, service: str, target: str) -> str:
+        assert self.view is not None
+        return owner_id(target, self.view.targets_of(service)[target]["address"])
+
+    def _still_there(self, service: str, owner: str) -> str | None:
+        """Return the target of an owner, unless another instance took its name."""
+        assert self.view is not None
+        name = _target_of(owner)
+        if name not in self.view.targets_of(service):
+            return None
+        return name if self._owner_id(service, name) == owner else None
 
     def _release_denied(self, pending: PendingCall) -> None:
         """Let a key go elsewhere that its target did not run."""
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -304,6 +304,7 @@
             return
         clock_bound = max(policy["clock_bound_ms"] for policy in policies) / 1e3
         lifetime = float(max(policy["lifetime_s"] for policy in policies))
+        entries = max(policy["entries"] for policy in policies)
         if self.gate is None or self.keys is None:
             assert view.own is not None
             self.gate = OwnershipGate(
@@ -312,13 +313,16 @@
                 clock_bound=clock_bound,
             )
             self.keys = KeyTable(
-                entries=max(policy["entries"] for policy in policies),
+                entries=entries,
                 lifetime=lifetime,
                 clock_bound=clock_bound,
                 started_wall=self.incarnation / NANOSECONDS,
                 gate=self.gate,
             )
-        self.keys.lifetime = max(self.keys.lifetime, lifetime)
+        self.keys.configure(
+            wall, entries=entries, lifetime=lifetime, clock_bound=clock_bound
+        )
+        self.gate.widen(clock_bound)
         self.gate.update(wall, view.generation, view.owners_of(service))
 
     def _abandon_call(self, now: float, wall: float, exchange: int) -> list[Action]:
--- a/buckthornshed/load/experiment.py
+++ b/buckthornshed/load/experiment.py
@@ -77,9 +77,9 @@
     def cut(self) -> tuple[str, ...]:
         """Return the tries that a planned stop cut, each with what was seen.
 
-        These are tries that were sent to the stopped instance and lost, tries whose answer
-        was lost between nodes around the stop, and tries whose run at the stopped
-        target did not end though the client still waited.
+        These are tries that were sent to the stopped instance and lost, tries whose
+        answer was lost between nodes around the stop, and tries whose run at the
+        stopped target did not end though the client still waited.
         """
         cut = []
         for name, start, end in self.stops:
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -29,6 +29,8 @@
 SWEEP_TICKS = 50
 ASK_TICKS = 25
 ASKED_AT_ONCE = 4
+ANNOUNCED_EACH = 10
+"""Rounds of half a second between two announcements of a settled owner."""
 DRAIN_POLL_S = 0.05
 CLOSE_LIMIT_S = 2.0
 SEED_BITS = 256
@@ -162,13 +164,21 @@
     def _ask_owners(self) -> None:
         """Ask a few of the other owners what they hold, until this node is one."""
         query = self.core.owner_query()
+        peers = self.core.owner_peers()
         if query is None:
+            self._announce(peers)
             return
-        peers = self.core.owner_peers()
         for _ in range(min(ASKED_AT_ONCE, len(peers))):
             self.asked += 1
             self.fleet.tell(peers[self.asked % len(peers)], query)
 
+    def _announce(self, peers: list[str]) -> None:
+        """Tell one of the other owners now and then that this node is one."""
+        self.asked += 1
+        if peers and self.asked % ANNOUNCED_EACH == 0:
+            turn = self.asked // ANNOUNCED_EACH
+            self.fleet.tell(peers[turn % len(peers)], self.core.owner_announcement())
+
     def _owner_message(self, sender: str, message: OwnerQuery | OwnerReply) -> None:
         if isinstance(message, OwnerQuery):
             reply = self.core.owner_asked(message)
