Keep the word of a denial: older attempts of the key end

Cause: an owner that refused a repeat of a key as not run forgot the key, and a send of it by another edge, still under way, ran afterwards. Ruled out: unknown for each refused key, and holding the key as taken; both keep a client from starting again after Retry-After. Two tests follow the new rule: a repeat after an unreachable target has to be issued after the denial, as the test now checks both ways, and a script clears the table of denials that its own refusals filled, so that the removed mechanism still shows. Conclusion: the context carries when an attempt was issued; denials are a bounded table, and when it is full the caller is told unknown.

--- a/buckthornshed/coordination/edge.py
+++ b/buckthornshed/coordination/edge.py
@@ -71,6 +71,7 @@
             depth=0,
             key=key or self._own_key(wall, policies),
             caller="",
+            issued=wall,
         )
         account = self._account(now, token, key, granted, deadline)
         return Minted(context, account, source)
--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/egress.py
@@ -344,6 +344,9 @@
         sends, policies = pending.sends, pending.policies
         if reason not in RESENDABLE or sends.resend is Resend.NOWHERE:
             return False
+        if sends.key is KeySource.BROUGHT and sends.denied:
+            # Its owner starts an attempt that the client issues from now on alone.
+            return False
         if reason is Reason.KEY_UNPROVEN and sends.key is not KeySource.MINTED:
             return False
         after_failure = policies.retry.get("after", "failure") == "failure"
--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/idempotency.py
@@ -7,6 +7,7 @@
 """
 
 from enum import Enum, auto
+from math import inf
 from typing import NamedTuple, Protocol
 
 from ..errors import ContextError
@@ -168,6 +169,7 @@
         self.barrier = barrier_after(started_wall, clock_bound)
         self.wall = started_wall
         self.held: BoundedTable[str, Entry] = BoundedTable(entries=entries)
+        self.denials: BoundedTable[str, float] = BoundedTable(entries=entries)
         self.answered: dict[str, int] = {}
         self.answered_bytes = 0
 
@@ -185,8 +187,12 @@
             self.barrier = max(self.barrier, self.wall - self.lifetime)
             for entry in self.held.entries():
                 self.held.put(entry.key, entry.value, expires=entry.expires + longer)
+            for denial in list(self.denials.entries()):
+                expires = denial.expires + longer
+                self.denials.put(denial.key, denial.value, expires=expires)
         self.barrier += 2 * max(0.0, clock_bound - self.clock_bound)
         self.held.size = entries
+        self.denials.size = entries
         self.lifetime = lifetime
         self.clock_bound = clock_bound
 
@@ -203,7 +209,14 @@
         entry = self.held.get(text.lower())
         return None if entry is None else _repeat(entry, fingerprint)
 
-    def begin(self, now: float, wall: float, text: str, fingerprint: bytes) -> Begun:
+    def begin(
+        self,
+        now: float,
+        wall: float,
+        text: str,
+        fingerprint: bytes,
+        issued: float = inf,
+    ) -> Begun:
         """Say what an exchange with the key ``text`` may do.
 
         Parameters
@@ -216,12 +229,18 @@
             The key.
         fingerprint : bytes
             Digest of what the call asks for, see ``keys.fingerprint``.
+        issued : float
+            When the client's attempt reached its edge, wall clock there. An attempt
+            from before a denial of the key was told must not start any more.
         """
         found = self._find(wall, text, fingerprint)
         if not isinstance(found, ParsedKey):
             return found
+        if self._is_denied(found.text, issued):
+            return Refused(Reason.KEY_UNPROVEN, Outcome.UNKNOWN)
         if self.held.full:
-            return Refused(Reason.KEY_TABLE_FULL, Outcome.NOT_RUN)
+            told = Outcome.NOT_RUN if self._note_denial(found) else Outcome.UNKNOWN
+            return Refused(Reason.KEY_TABLE_FULL, told)
         entry = Entry(fingerprint=fingerprint)
         self.held.put(found.text, entry, expires=found.minted + self.lifetime)
         return Started(found.text)
@@ -266,22 +285,41 @@
         entry.outcome = answer.outcome
         self._keep(text.lower(), entry, answer)
 
-    def fail(self, now: float, text: str, started: bool) -> None:
+    def fail(self, now: float, text: str, started: bool) -> bool:
         """Record that the work ended without an answer.
 
         Only work whose first byte cannot have reached the target (``started`` is
-        False) may be begun again.
+        False) may be begun again, by an attempt that is issued from now on. Returns
+        whether the caller may be told so; not when too many denials are remembered.
         """
         entry = self.held.get(text.lower())
         if entry is None or entry.phase is not Phase.RUNNING:
-            return
+            return False
         if started:
             entry.phase = Phase.LOST
-        else:
-            self.held.pop(text.lower())
+            return False
+        self.held.pop(text.lower())
+        return self._note_denial(parse_key(text))
+
+    def _note_denial(self, key: ParsedKey) -> bool:
+        """Remember that a key is told not to have run; False if there is no room.
+
+        A marked key has one sender, which sends it again only after the denial.
+        """
+        if is_marked(key.raw):
+            return True
+        if self.denials.full and key.text not in self.denials:
+            return False
+        self.denials.put(key.text, self.wall, expires=key.minted + self.lifetime)
+        return True
+
+    def _is_denied(self, text: str, issued: float) -> bool:
+        denied = self.denials.get(text)
+        return denied is not None and issued <= denied + 2 * self.clock_bound
 
     def _advance(self, wall: float) -> None:
         self.wall = max(self.wall, wall)
+        self.denials.expire(self.wall)
         for expired in self.held.expire(self.wall):
             self._forget_answer(expired.key, expired.value)
 
--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/ingress.py
@@ -241,7 +241,10 @@
     def _begin(self, now: float, wall: float, call: Call) -> Begun:
         if self.keys is None or call.context.key is None:
             return Refused(Reason.KEY_INVALID, Outcome.NOT_RUN)
-        return self.keys.begin(now, wall, call.context.key, fingerprint(call))
+        context = call.context
+        return self.keys.begin(
+            now, wall, call.context.key, fingerprint(call), context.issued
+        )
 
     def _told(self, now: float, call: Call, begun: Begun, route: str) -> Answer:
         """Return what a call gets whose key was not begun for it."""
@@ -345,7 +348,8 @@
         """Give back the key of a call that ends without an answer of the target."""
         if entry.keyed and self.keys is not None:
             started = outcome is not Outcome.NOT_RUN
-            self.keys.fail(now, _key(entry.call), started)
+            denied = self.keys.fail(now, _key(entry.call), started)
+            outcome = outcome if denied or started else Outcome.UNKNOWN
         unspent = entry.account.close()
         return self._refuse(
             now, entry.call, entry.route, reason, outcome, unspent=unspent
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -293,6 +293,8 @@
 
     def _observe(self, now: float, wall: float) -> None:
         """Take note of a pause before anything else is decided."""
+        if self.keys is not None:
+            self.keys.wall = max(self.keys.wall, wall)
         if self.pause.observe(now) is not None:
             self.ingress.fresh = False
             if self.keys is not None:
--- a/buckthornshed/protocol/messages.py
+++ b/buckthornshed/protocol/messages.py
@@ -44,6 +44,8 @@
         Idempotency key of work that may not be repeated.
     caller : str
         Name of the target whose node sends, or an empty string at the edge.
+    issued : float
+        When the client's attempt reached its edge, seconds of the edge's wall clock.
     """
 
     request_id: bytes
@@ -54,6 +56,7 @@
     depth: int
     key: str | None
     caller: str
+    issued: float = 0.0
 
 
 class Call(NamedTuple):
--- a/buckthornshed/protocol/wire_context.py
+++ b/buckthornshed/protocol/wire_context.py
@@ -33,6 +33,7 @@
     depth: int
     key: str | None
     caller: str
+    issued: float
     receiver: str
 
 
@@ -81,6 +82,7 @@
                     context.depth,
                     context.key,
                     context.caller,
+                    context.issued,
                     receiver,
                 )
             ),
@@ -115,6 +117,7 @@
             depth=parts.depth,
             key=parts.key,
             caller=parts.caller,
+            issued=parts.issued,
         )
 
     def encode_answer(self, answer: Answer) -> bytes:
--- a/buckthornshed/tests/properties/test_at_most_once_removed.py
+++ b/buckthornshed/tests/properties/test_at_most_once_removed.py
@@ -216,6 +216,9 @@
 def send_again_while_the_first_is_delayed(machine):
     for _ in range(10):
         book(machine)
+    for each in machine.nodes.values():
+        # The refusals above fill the table of denials, without which none is told.
+        each.table.denials.live.clear()
     machine.new_request(edge=0, ahead=0.0)
     late = machine.requests[-1]
     node, _, _ = machine.calls[0]
--- a/buckthornshed/tests/test_ingress.py
+++ b/buckthornshed/tests/test_ingress.py
@@ -129,7 +129,11 @@
     fault = Fault(start.exchange, False, "refused")
     reply = only(core.target_failed(1.1, WALL, fault), Reply)
     assert reply.answer.outcome is Outcome.NOT_RUN
-    only(core.peer_call(1.2, WALL, 2, booking(2, key)), StartTarget)
+    early = booking(2, key)
+    reply = only(core.peer_call(1.2, WALL + 0.1, 2, early), Reply)
+    assert reply.answer.outcome is Outcome.UNKNOWN
+    later = early._replace(context=early.context._replace(issued=WALL + 2.0))
+    only(core.peer_call(1.3, WALL + 2.0, 3, later), StartTarget)
 
 
 def test_lost_answer_of_keyed_work_is_unknown_and_not_run_again(key):
