--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -194,6 +194,19 @@
             if name.endswith("-node") and process.alive()
         }
 
+    async def save_dumps(self) -> None:
+        """Write the dump of each node that runs to the folder."""
+        for name, member in self.members.items():
+            process = self.processes.get(f"{name}-node")
+            if process is not None and process.alive():
+                response = await self.client.get(f"http://{member.admin}/dump")
+                (self.folder / f"{name}-dump.json").write_bytes(response.content)
+
+    def addresses_of(self, name: str) -> tuple[str, str]:
+        """Return the addresses at which clients may have called an instance."""
+        member = self.members[name]
+        return member.ingress, member.target
+
     async def put_value(self, key: str, value: bytes) -> None:
         """Put a value on the platform."""
         url = f"http://{self.platform_control}/values/{key}"
@@ -256,7 +269,8 @@
     async def stop_member(self, name: str) -> dict[str, int]:
         """Stop an instance as planned: its node first, then its target.
 
-        Returns the exit codes of both.
+        Returns the exit codes of both. The next set that is published states that
+        the instance is retired, so that others own its keys.
         """
         control = self.members[name].target_control
         await self.list_instance(name, "leaving")
@@ -268,6 +282,7 @@
         url = f"http://{self.platform_control}/instances/{name}"
         (await self.client.delete(url)).raise_for_status()
         self.stopped.add(name)
+        self.objects["target"][name]["retired"] = True
         return codes
 
     async def stop(self) -> dict[str, int]:
--- a/buckthornshed/load/runner.py
+++ b/buckthornshed/load/runner.py
@@ -16,7 +16,7 @@
 from ..standins.asgi import Response
 from ..standins.behaviour import Deployment
 from ..standins.calls import DEADLINE_HEADER
-from ..standins.http_client import ClientPool, encode_request
+from ..standins.http_client import ClientPool, UnreachableError, encode_request
 from .plan import Plan, Traffic
 from .records import Attempt, RequestRecord, Result
 from .verify import expected_answer, find_fault
@@ -211,13 +211,17 @@
         except UpstreamError as error:
             end = self.elapsed()
             result = Result.TIMEOUT if end - start >= timeout_s else Result.LOST
-            lost = Attempt(attempt_id, start, end, result, 0, "", "", str(error))
+            if isinstance(error, UnreachableError):
+                result = Result.UNREACHABLE
+            lost = Attempt(
+                attempt_id, address, start, end, result, 0, "", "", str(error)
+            )
             return lost, 0.0
         end = self.elapsed()
         result, outcome, reason, detail = self.judge(kind, attempt_id, response)
         status = response.status
         attempt = Attempt(
-            attempt_id, start, end, result, status, outcome, reason, detail
+            attempt_id, address, start, end, result, status, outcome, reason, detail
         )
         return attempt, retry_after_s(response)
 
@@ -226,7 +230,10 @@
     ) -> tuple[Result, str, str, str]:
         """Return result, outcome, reason and detail of an answer."""
         if response.status == 200:
-            fault = find_fault(response.body, attempt_id, self.expected[kind])
+            own_ids = [attempt_id]
+            if self.plan.traffic[kind].keyed:
+                own_ids = ids_until(attempt_id)
+            fault = find_fault(response.body, own_ids, self.expected[kind])
             result = Result.WHOLE if fault is None else Result.WRONG
             return result, "", "", fault or ""
         problem = read_problem(response)
@@ -256,6 +263,12 @@
             before = now
 
 
+def ids_until(attempt_id: str) -> list[str]:
+    """Return the ids of a try and of the earlier ones of its request."""
+    request_id, _, number = attempt_id.rpartition(".")
+    return [f"{request_id}.{index}" for index in range(int(number) + 1)]
+
+
 def build_request(traffic: Traffic, attempt_id: str, key: str) -> bytes:
     """Return the bytes of one try."""
     headers = [(b"x-request-id", attempt_id.encode())]
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -29,7 +29,10 @@
 SWEEP_TICKS = 50
 ASK_TICKS = 25
 ASKED_AT_ONCE = 4
+ANNOUNCED_EACH = 10
+"""Rounds of half a second between two announcements of a settled owner."""
 DRAIN_POLL_S = 0.05
+CLOSE_LIMIT_S = 2.0
 SEED_BITS = 256
 
 NOTICE_LEVELS = {"in_force": logging.DEBUG}
@@ -133,8 +136,10 @@
         self.fleet.leave(callers)
         while not self._is_drained():
             await anyio.sleep(DRAIN_POLL_S)
-        self.data_path.ingress.stop_accepting()
-        self.data_path.egress.stop_accepting()
+        self.data_path.stop_accepting()
+        with anyio.move_on_after(CLOSE_LIMIT_S):
+            while self.data_path.open_connections:
+                await anyio.sleep(DRAIN_POLL_S)
 
     def _is_drained(self) -> bool:
         drain = self.core.drain
@@ -159,13 +164,21 @@
     def _ask_owners(self) -> None:
         """Ask a few of the other owners what they hold, until this node is one."""
         query = self.core.owner_query()
+        peers = self.core.owner_peers()
         if query is None:
+            self._announce(peers)
             return
-        peers = self.core.owner_peers()
         for _ in range(min(ASKED_AT_ONCE, len(peers))):
             self.asked += 1
             self.fleet.tell(peers[self.asked % len(peers)], query)
 
+    def _announce(self, peers: list[str]) -> None:
+        """Tell one of the other owners now and then that this node is one."""
+        self.asked += 1
+        if peers and self.asked % ANNOUNCED_EACH == 0:
+            turn = self.asked // ANNOUNCED_EACH
+            self.fleet.tell(peers[turn % len(peers)], self.core.owner_announcement())
+
     def _owner_message(self, sender: str, message: OwnerQuery | OwnerReply) -> None:
         if isinstance(message, OwnerQuery):
             reply = self.core.owner_asked(message)
