--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -75,7 +75,9 @@
         self.pause = PauseDetector(now=now)
         self.edge = Edge(rng=rng)
         self.egress = Egress(name=name, domain=domain, rng=rng)
-        paths = PathThresholds(downstream=self.egress.thresholds, entries=PATH_ENTRIES)
+        paths = PathThresholds(
+            downstream=self.egress.choice.thresholds, entries=PATH_ENTRIES
+        )
         self.ingress = Ingress(
             incarnation=incarnation, drain=self.drain, paths=paths, rng=rng
         )
@@ -85,6 +87,11 @@
         self.peer_exchanges: dict[int, int] = {}
         self.parents: dict[int, RunningCall] = {}
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is under way, so that ticks are due often."""
+        return bool(self.egress.pending or self.ingress.calls)
+
     # Configuration, ownership and life cycle.
 
     def configure(self, now: float, wall: float, view: View) -> None:
@@ -92,7 +99,7 @@
         self.view = view
         if view.own is not None:
             self._configure_keys(wall, view, view.own["service"])
-        self.egress.configure(now, view)
+        self.egress.choice.configure(now, view)
         self.ingress.configure(view, self.keys)
 
     def owner_query(self) -> OwnerQuery | None:
@@ -120,9 +127,13 @@
     def stop(self, now: float) -> list[str]:
         """Begin to drain; return the callers to tell."""
         callers = self.drain.stop(now)
-        self.egress.leaving = True
+        self.egress.choice.leaving = True
         return callers
 
+    def mark_leaving(self, now: float, target: str) -> None:
+        """Send no new work to a target that said that it leaves."""
+        self.egress.choice.mark_leaving(now, target)
+
     def refreshed(self, asked: float) -> None:
         """Note that the view was confirmed by answers to questions put at `asked`."""
         self.pause.refreshed(asked)
--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -773,7 +773,7 @@
     world.drained[name] = world.now
 
     def told(other: Process) -> list[Action]:
-        other.core.egress.mark_leaving(other.now, name)
+        other.core.mark_leaving(other.now, name)
         return []
 
     for caller in process.core.stop(process.now):
--- a/buckthornshed/transport/fleet.py
+++ b/buckthornshed/transport/fleet.py
@@ -161,6 +161,8 @@
         Called with each event that operators should know of.
     on_owner : callable, optional
         Called with the target of the sender and each message about ownership of keys.
+    on_leaving : callable, optional
+        Called with the target of each node that says that it leaves.
     """
 
     def __init__(
@@ -172,12 +174,14 @@
         on_active: Callable[[Activate], None],
         on_report: Callable[[Report], None],
         on_owner: Callable[[str, OwnerMessage], None] | None = None,
+        on_leaving: Callable[[str], None] | None = None,
     ) -> None:
         self.settings = settings
         self.rng = rng
         self.on_active = on_active
         self.on_report = on_report
         self.on_owner = on_owner
+        self.on_leaving = on_leaving
         self.membership = Membership(
             name=settings.name, incarnation=settings.incarnation, rng=rng
         )
@@ -292,6 +296,8 @@
         self.membership.observe(now, sender, evidence, event.envelope.incarnation)
         if isinstance(message, Digest):
             self.membership.heard_of(now, message.nodes)
+        if leaving and self.on_leaving is not None:
+            self.on_leaving(sender)
         if isinstance(message, OwnerMessage) and self.on_owner is not None:
             self.on_owner(sender, message)
         return self.dissemination.receive(now, event.envelope.address, message)
--- a/buckthornshed/transport/node_dump.py
+++ b/buckthornshed/transport/node_dump.py
@@ -47,7 +47,7 @@
     ingress, egress = core.ingress, core.egress
     keys = core.keys
     repeats = core.edge.repeats.remaining
-    known = egress.thresholds.known
+    known = egress.choice.thresholds.known
     return NodeDump(
         name=core.name,
         generation=0 if core.view is None else core.view.generation,
@@ -70,7 +70,7 @@
         thresholds=TableDump(entries=len(known), bound=known.size),
         targets={
             service: [each._asdict() for each in router.snapshot(now)]
-            for service, router in egress.routers.items()
+            for service, router in egress.choice.routers.items()
         },
         connections={
             "ingress": len(data_path.ingress.connections),
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 from random import Random, SystemRandom
 
 import anyio
@@ -26,8 +27,9 @@
 __all__ = ["NodeProcess"]
 
 TICK_S = 0.02
-SWEEP_TICKS = 50
-ASK_TICKS = 25
+IDLE_TICK_S = 0.1
+SWEEP_INTERVAL_S = 1.0
+ASK_INTERVAL_S = 0.5
 ASKED_AT_ONCE = 4
 ANNOUNCED_EACH = 10
 """Rounds of half a second between two announcements of a settled owner."""
@@ -84,6 +86,7 @@
             on_active=self._activate,
             on_report=self._report,
             on_owner=self._owner_message,
+            on_leaving=lambda name: self.core.mark_leaving(self.clock(), name),
         )
         self.admin = AdminServer(
             address=settings["admin"],
@@ -100,6 +103,8 @@
             tasks.start_soon(self.admin.serve, anyio.Event())
             tasks.start_soon(self.fleet.run)
             tasks.start_soon(self._tick)
+            tasks.start_soon(repeat, SWEEP_INTERVAL_S, self.data_path.sweep)
+            tasks.start_soon(repeat, ASK_INTERVAL_S, self._ask_owners)
             log_event("node_started", node=self.settings["name"])
             await self._until_signal(tasks)
         self.metrics.close()
@@ -149,17 +154,11 @@
         return not self.data_path.replies or elapsed >= drain.deadline_s
 
     async def _tick(self) -> None:
-        ticks = 0
         while True:
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(TICK_S if self.core.busy else IDLE_TICK_S)
             self.data_path.tick()
             if not self.core.pause.fresh and self.fleet.fresh:
                 self.core.refreshed(self.clock())
-            if ticks % ASK_TICKS == 0:
-                self._ask_owners()
-            ticks += 1
-            if ticks % SWEEP_TICKS == 0:
-                self.data_path.sweep()
 
     def _ask_owners(self) -> None:
         """Ask a few of the other owners what they hold, until this node is one."""
@@ -215,6 +214,13 @@
         )
 
 
+async def repeat(interval: float, action: Callable[[], None]) -> None:
+    """Call an action each `interval` seconds until cancelled."""
+    while True:
+        await anyio.sleep(interval)
+        action()
+
+
 def fleet_settings(
     settings: NodeSettings, keys: tuple[bytes, ...], incarnation: int
 ) -> FleetSettings:
