Refuse a set that deletes a target which may still run

Cause: the argument for at-most-once assumes that a target is retired before its object goes; nothing checked it. Ruled out: a check in the nodes; they may hold an older set than the one published last. Before/after: build took any set of a higher generation / refuses one that deletes or moves a target that the previous set does not state as retired.

--- a/buckthornshed/cli/build.py
+++ b/buckthornshed/cli/build.py
@@ -10,6 +10,7 @@
 from ..protocol.delta import delta
 from ..protocol.published import publish
 from ..protocol.published_values import SET, published_values
+from ..protocol.succession import require_successor
 from .exits import ExitCode, errors_exit_with
 from .sources import read_checked, read_published, write_values
 
@@ -48,6 +49,8 @@
             previous = read_published(self.previous) if self.previous else None
         with errors_exit_with(ExitCode.REFUSED):
             objects = reading.require()
+            if previous:
+                require_successor(previous.objects, objects)
             values = published_values(objects, self.generation, previous)
         with errors_exit_with(ExitCode.UNUSABLE):
             write_values(self.files(values))
