Ask the neighbours after each pause that the decisions see

Cause: the decisions count a pause from 1 s, the fleet part from 2 s; after one of between, the view was taken for confirmed at the next tick, without any question. Ruled out: one limit for both; the fleet part's own tick may come a second apart. Before/after: the test of the new rule cannot hold without the question (fresh stayed true) / fresh is false until a neighbour answered a digest. Conclusion: a woken node asks, whoever noticed the pause. Events and settings of the fleet part have a module of their own.

--- a/buckthornshed/tests/test_fleet.py
+++ b/buckthornshed/tests/test_fleet.py
@@ -24,7 +24,8 @@
     PeerState,
 )
 from ..protocol.wire.peer_pb2 import Signed
-from ..transport.fleet import Fleet, FleetSettings
+from ..transport.fleet import Fleet
+from ..transport.fleet_events import FleetSettings
 from ..transport.peers import PeerLinks, PeerServer
 from .exchange import FORMATS, KEY, FakePlatform, objects_of
 
@@ -144,6 +145,27 @@
             assert late.fleet.dump()["generation"] == 2
 
 
+@pytest.mark.anyio
+async def test_view_is_fresh_again_only_after_the_neighbours_answered(free_ports):
+    peers = peers_at(free_ports[:2])
+    platform = FakePlatform()
+    version = platform.publish(objects_of(peers))
+    one, other = (Watched(p, (), platform) for p in peers)
+    async with running(one, other):
+        await one.until(version)
+        await other.until(version)
+        with anyio.fail_after(20):
+            while not one.fleet.fresh:
+                await anyio.sleep(0.01)
+            asked = one.fleet.messages["Digest"]
+            one.fleet.refresh()
+            assert not one.fleet.fresh
+            while not one.fleet.fresh:
+                await anyio.sleep(0.01)
+        assert one.fleet.messages["Digest"] > asked
+        assert one.fleet.dissemination.survey.versions
+
+
 @pytest.mark.anyio
 async def test_evidence_and_leaving_reach_other_nodes(free_ports):
     peers = peers_at(free_ports[:2])
--- a/buckthornshed/tests/test_node_formats.py
+++ b/buckthornshed/tests/test_node_formats.py
@@ -17,7 +17,8 @@
 from ..protocol.published import publish
 from ..protocol.published_values import SET, delta_key, published_values
 from ..standins.platform import PlatformState, reader_application
-from ..transport.fleet import Fleet, FleetSettings
+from ..transport.fleet import Fleet
+from ..transport.fleet_events import FleetSettings
 from .exchange import KEY
 from .small_set import small_set
 
--- a/buckthornshed/transport/fleet.py
+++ b/buckthornshed/transport/fleet.py
@@ -6,7 +6,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, TypedDict
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -32,7 +32,6 @@
     Digest,
     Envelope,
     Leaving,
-    NodeState,
     OwnerMessage,
     OwnerReply,
     PeerMessage,
@@ -41,10 +40,21 @@
     size_of,
 )
 from ..protocol.wire.peer_pb2 import Signed
+from .fleet_events import (
+    Event,
+    FleetDump,
+    FleetSettings,
+    Leave,
+    Listed,
+    Observed,
+    Read,
+    Refresh,
+    Tell,
+)
 from .peers import Delivered, Lost, PeerLinks, PeerServer
 from .platform_reader import PlatformReader, Unchanged, Value
 
-__all__ = ["Fleet", "FleetDump", "FleetSettings"]
+__all__ = ["Fleet"]
 
 MAX_EVENTS = 1_024
 """Events that wait for the task that owns the decisions."""
@@ -60,90 +70,6 @@
 """Sender, receiver, code and versions of a message, about."""
 
 
-class FleetSettings(NamedTuple):
-    """What a node learns from its settings.
-
-    Parameters
-    ----------
-    name, domain : str
-        Name of the target, and its failure domain.
-    address : str
-        Where this node takes messages of other nodes, ``host:port``.
-    seeds : tuple of str
-        Addresses of other nodes to ask at the start.
-    platform : str
-        Base address of the platform.
-    keys : tuple of bytes
-        One key of the fleet, or two during a rotation; the first one signs.
-    incarnation : int
-        Start of this node, nanoseconds of the wall clock.
-    """
-
-    name: str
-    domain: str
-    address: str
-    seeds: tuple[str, ...]
-    platform: str
-    keys: tuple[bytes, ...]
-    incarnation: int
-
-
-class Read(NamedTuple):
-    """The end of a read of the platform."""
-
-    key: str
-    result: Value | Unchanged | PlatformError
-
-
-class Listed(NamedTuple):
-    """The platform's list of instances."""
-
-    nodes: tuple[NodeState, ...]
-
-
-class Observed(NamedTuple):
-    """Evidence from calls to a node."""
-
-    name: str
-    evidence: Evidence
-    incarnation: int
-
-
-class Leave(NamedTuple):
-    """A request to tell the neighbours and the named nodes that this one drains."""
-
-    names: tuple[str, ...]
-
-
-class Tell(NamedTuple):
-    """A request to send a message about keys to the node of a target."""
-
-    name: str
-    message: OwnerMessage
-
-
-Event = Delivered | Lost | Read | Listed | Observed | Leave | Tell
-
-
-class FleetDump(TypedDict):
-    """State of the fleet part of a node, for operators."""
-
-    name: str
-    generation: int
-    digest: str
-    phase: str
-    reader: bool
-    neighbours: list[str]
-    source_age_s: float
-    rival: str | None
-    refused: dict[str, str]
-    members: dict[str, str]
-    reports: dict[str, int]
-    platform_reads: int
-    sent_bytes: int
-    messages: dict[str, int]
-
-
 class Fleet:
     """Keep the configuration in force and follow the nodes of the neighbourhood.
 
@@ -204,6 +130,8 @@
         self.events, self.inbox = anyio.create_memory_object_stream[Event](MAX_EVENTS)
         self.started = anyio.Event()
         self.sequence = 0
+        self.refreshes_asked = 0
+        self.refreshes_taken = 0
         self.list_at = 0.0
         self.messages: Counter[str] = Counter()
         self.reports: Counter[str] = Counter()
@@ -215,7 +143,8 @@
         After a pause it turns false at once, also before the owner's next tick.
         """
         paused = anyio.current_time() - self.dissemination.last_tick > WAKE_GAP_S
-        return self.dissemination.fresh and not paused
+        asked = self.refreshes_taken == self.refreshes_asked
+        return self.dissemination.fresh and asked and not paused
 
     def state(self, name: str) -> PeerState:
         """Return what is known of a node."""
@@ -237,6 +166,11 @@
         """Take evidence of a node from calls to it."""
         self.put(Observed(name, evidence, incarnation))
 
+    def refresh(self) -> None:
+        """Ask the neighbours anew; until they answered, `fresh` is False."""
+        if self.put(Refresh()):
+            self.refreshes_asked += 1
+
     def leave(self, names: Iterable[str] = ()) -> None:
         """Tell the neighbours and the named nodes that this node drains."""
         self.put(Leave(tuple(names)))
@@ -328,6 +262,12 @@
         self.membership.observe(now, event.name, event.evidence, event.incarnation)
         return []
 
+    def take_refresh(self, now: float, event: Refresh) -> list[Action]:
+        """Ask the neighbours what they have in force."""
+        self.refreshes_taken += 1
+        self.membership.woken(now)
+        return self.dissemination.wake(now)
+
     def take_leave(self, now: float, event: Leave) -> list[Action]:
         """Tell others that this node drains."""
         self.membership.leaving = True
@@ -468,6 +408,7 @@
     Listed: Fleet.take_listed,
     Observed: Fleet.take_observed,
     Leave: Fleet.take_leave,
+    Refresh: Fleet.take_refresh,
     Tell: Fleet.take_tell,
 }
 
--- a/buckthornshed/transport/node_dump.py
+++ b/buckthornshed/transport/node_dump.py
@@ -4,7 +4,8 @@
 
 from ..coordination.node import NodeCore
 from .data_path import DataPath
-from .fleet import Fleet, FleetDump
+from .fleet import Fleet
+from .fleet_events import FleetDump
 
 __all__ = ["NodeDump", "TableDump", "dump_node"]
 
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -18,7 +18,8 @@
 from ..protocol.wire_context import ContextCodec
 from .admin import AdminServer
 from .data_path import DataPath
-from .fleet import Fleet, FleetSettings
+from .fleet import Fleet
+from .fleet_events import FleetSettings
 from .logs import log_event
 from .metrics import Gauges, NodeMetrics
 from .node_dump import NodeDump, dump_node
@@ -79,6 +80,7 @@
         )
         self.active = ActiveSet()
         self.asked = 0
+        self.refresh_asked: float | None = None
         self.fleet = Fleet(
             settings=fleet_settings(settings, keys, incarnation),
             formats=node_formats(),
@@ -157,8 +159,18 @@
         while True:
             await anyio.sleep(TICK_S if self.core.busy else IDLE_TICK_S)
             self.data_path.tick()
-            if not self.core.pause.fresh and self.fleet.fresh:
-                self.core.refreshed(self.clock())
+            self._refresh()
+
+    def _refresh(self) -> None:
+        """After a pause, confirm the view before the decisions act on it."""
+        if self.core.pause.fresh:
+            return
+        if self.refresh_asked is None:
+            self.refresh_asked = self.clock()
+            self.fleet.refresh()
+        elif self.fleet.fresh:
+            self.core.refreshed(self.refresh_asked)
+            self.refresh_asked = None
 
     def _ask_owners(self) -> None:
         """Ask a few of the other owners what they hold, until this node is one."""
