Test nodes on real processes under kill, planned stop and freeze

Ruled out: a run in calm; the demo has one, and each case starts with a calm second. A first form called the phase with the fault calm and broke the check of calm by that.

--- /dev/null
+++ b/buckthornshed/tests/test_node_process.py
@@ -0,0 +1,76 @@
+"""Nodes, targets and platform as separate processes, judged by the ledgers."""
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from buckthornshed.load.experiment import Event, run_experiment
+from buckthornshed.load.fleet import Fleet, Objects
+from buckthornshed.load.plan import ClientHabits, Phase, Plan, Traffic
+from buckthornshed.load.processes import Ports
+
+from .small_set import small_set
+
+BEHAVIOUR = """
+[[service.booking.route]]
+method = "POST"
+path = "/bookings"
+service_ms = 2.0
+calls = [{ service = "stables", method = "GET", path = "/stalls" }]
+[[service.stables.route]]
+method = "GET"
+path = "/stalls"
+service_ms = 2.0
+"""
+
+PLAN = Plan(
+    rate=60.0,
+    traffic=(
+        Traffic("booking", 0, "booking", "POST", "/bookings", keyed=True),
+        Traffic("browsing", 4, "stables", "GET", "/stalls"),
+    ),
+    phase=(Phase("calm", 0.9), Phase("fault", 2.1)),
+    client=ClientHabits(timeout_ms=5_000.0, retries=2),
+)
+
+EVENTS = {
+    "kill": (Event(1.0, "kill", "stables-1"), Event(1.5, "publish")),
+    "stop": (Event(1.0, "stop", "stables-2"),),
+    "freeze": (Event(1.0, "freeze", "stables-1"), Event(2.5, "wake", "stables-1")),
+}
+
+
+@pytest.fixture
+def objects() -> Objects:
+    """Return the small set without its shift, so that either target may serve."""
+    changed = small_set()
+    changed["shift"].clear()
+    return cast(Objects, changed)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("event", EVENTS)
+def test_nodes_on_processes_keep_the_promises(tmp_path, objects, event):
+    (tmp_path / "behaviour.toml").write_text(BEHAVIOUR)
+    fleet = Fleet(
+        objects=objects,
+        behaviour=tmp_path / "behaviour.toml",
+        nodes=True,
+        folder=tmp_path,
+        ports=Ports(),
+    )
+    findings = asyncio.run(
+        run_experiment(
+            fleet,
+            PLAN,
+            EVENTS[event],
+            behaviour=tmp_path / "behaviour.toml",
+            short_service="stables",
+            report=lambda line: None,
+        )
+    )
+    broken = [verdict for verdict in findings.verdicts if verdict.held is False]
+    assert not broken
+    results: Any = findings.summary["results"]
+    assert results["whole"] > 0
