Keep the table of keys and its gate in a part of their own

Ruled out: moving the calls of the driver as well; they are what the class is for. Conclusion: an owner's life cycle can be read in one place.

--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -13,11 +13,10 @@
 from .drain import DrainState
 from .edge import Edge, key_of
 from .egress import Egress
-from .handover import OwnerQuery, OwnerReply, OwnershipGate
-from .idempotency import KeyTable, Refused
+from .idempotency import Refused
 from .ingress import Ingress, RunningCall
 from .integrity import KeySource
-from .ownership import owner_id
+from .key_owner import KeyOwner
 from .path_thresholds import PathThresholds
 from .pause import PauseDetector
 from .view import View
@@ -30,7 +29,6 @@
 DEPTH_MAX = 32
 PATH_ENTRIES = 1_024
 STALE_RETRY_S = 1.0
-NANOSECONDS = 1e9
 
 SHED_REASONS = frozenset({Reason.OVERLOAD, Reason.QUEUE_FULL})
 
@@ -69,7 +67,6 @@
     ) -> None:
         self.name = name
         self.rng = rng
-        self.incarnation = incarnation
         self.view: View | None = None
         self.drain = DrainState(deadline_s=drain_s)
         self.pause = PauseDetector(now=now)
@@ -81,8 +78,7 @@
         self.ingress = Ingress(
             incarnation=incarnation, drain=self.drain, paths=paths, rng=rng
         )
-        self.gate: OwnershipGate | None = None
-        self.keys: KeyTable | None = None
+        self.owner = KeyOwner(name=name, incarnation=incarnation)
         self.peers: dict[int, int] = {}
         self.peer_exchanges: dict[int, int] = {}
         self.parents: dict[int, RunningCall] = {}
@@ -97,32 +93,9 @@
     def configure(self, now: float, wall: float, view: View) -> None:
         """Bring a view into force."""
         self.view = view
-        if view.own is not None:
-            self._configure_keys(wall, view, view.own["service"])
+        self.owner.configure(wall, view)
         self.egress.choice.configure(now, view)
-        self.ingress.configure(view, self.keys)
-
-    def owner_query(self) -> OwnerQuery | None:
-        """Return what to ask the other owners, until this node acts as one."""
-        return None if self.gate is None else self.gate.query()
-
-    def owner_asked(self, query: OwnerQuery) -> OwnerReply | None:
-        """Return the reply to another owner."""
-        return None if self.gate is None else self.gate.asked(query)
-
-    def owner_heard(self, wall: float, reply: OwnerReply) -> bool:
-        """Take a reply; return whether this node acts as an owner from now on."""
-        return self.gate is not None and self.gate.heard(wall, reply)
-
-    def owner_announcement(self) -> OwnerReply:
-        """Return what to tell the other owners once this node acts as one."""
-        assert self.gate is not None
-        return self.gate.announcement()
-
-    def owner_peers(self) -> list[str]:
-        """Return the names of the other targets that may own keys."""
-        peers = () if self.gate is None else self.gate.peers
-        return [peer.partition("@")[0] for peer in peers]
+        self.ingress.configure(view, self.owner.keys)
 
     def stop(self, now: float) -> list[str]:
         """Begin to drain; return the callers to tell."""
@@ -304,39 +277,10 @@
 
     def _observe(self, now: float, wall: float) -> None:
         """Take note of a pause before anything else is decided."""
-        if self.keys is not None:
-            self.keys.wall = max(self.keys.wall, wall)
+        self.owner.advance(wall)
         if self.pause.observe(now) is not None:
             self.ingress.fresh = False
-            if self.keys is not None:
-                self.keys.woke(wall)
-
-    def _configure_keys(self, wall: float, view: View, service: str) -> None:
-        policies = view.unrepeatable(service)
-        if not policies:
-            return
-        clock_bound = max(policy["clock_bound_ms"] for policy in policies) / 1e3
-        lifetime = float(max(policy["lifetime_s"] for policy in policies))
-        entries = max(policy["entries"] for policy in policies)
-        if self.gate is None or self.keys is None:
-            assert view.own is not None
-            self.gate = OwnershipGate(
-                own=owner_id(self.name, view.own["address"]),
-                incarnation=self.incarnation,
-                clock_bound=clock_bound,
-            )
-            self.keys = KeyTable(
-                entries=entries,
-                lifetime=lifetime,
-                clock_bound=clock_bound,
-                started_wall=self.incarnation / NANOSECONDS,
-                gate=self.gate,
-            )
-        self.keys.configure(
-            wall, entries=entries, lifetime=lifetime, clock_bound=clock_bound
-        )
-        self.gate.widen(clock_bound)
-        self.gate.update(wall, view.generation, view.owners_of(service))
+            self.owner.woke(wall)
 
     def _abandon_call(self, now: float, wall: float, exchange: int) -> list[Action]:
         entry = self.ingress.calls.get(exchange)
--- a/buckthornshed/tests/properties/test_nodes_machine.py
+++ b/buckthornshed/tests/properties/test_nodes_machine.py
@@ -133,11 +133,11 @@
     def settle(self, wall):
         """Let all owners ask and hear at once, as they did long ago."""
         for node in self.nodes.values():
-            query = node.core.owner_query()
-            for peer in node.core.owner_peers():
-                reply = query and self.nodes[peer].core.owner_asked(query)
+            query = node.core.owner.query()
+            for peer in node.core.owner.peers():
+                reply = query and self.nodes[peer].core.owner.asked(query)
                 if reply is not None:
-                    node.core.owner_heard(wall + node.offset, reply)
+                    node.core.owner.heard(wall + node.offset, reply)
 
     # What nodes ask for.
 
@@ -307,17 +307,17 @@
     @rule()
     def owners_ask(self):
         for node in self.nodes.values():
-            query = node.core.owner_query()
-            for peer in node.core.owner_peers() if query else ():
+            query = node.core.owner.query()
+            for peer in node.core.owner.peers() if query else ():
                 self.ask(node, self.nodes.get(peer), query)
 
     def ask(self, node, other, query):
         def heard(reply, back):
-            back.core.owner_heard(back.clocks[1], reply)
+            back.core.owner.heard(back.clocks[1], reply)
             return []
 
         def asked(receiver):
-            reply = receiver.core.owner_asked(query)
+            reply = receiver.core.owner.asked(query)
             event = lambda back: heard(reply, back)  # noqa: E731
             self.messages.append(Message(receiver, node, event, twice=True))
             return []
--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -340,21 +340,21 @@
             core.refreshed(process.now)
 
     def _ask_owners(self, process: Process) -> None:
-        query = process.core.owner_query()
+        query = process.core.owner.query()
         if query is None or process.now - process.asked_at < OWNER_ROUND_S:
             return
         process.asked_at = process.now
-        for name in process.core.owner_peers():
+        for name in process.core.owner.peers():
             self._between(process, name, lambda other: self._owner(other, process))
 
     def _owner(self, other: Process, asker: Process) -> list[Action]:
-        query = asker.core.owner_query()
-        reply = None if query is None else other.core.owner_asked(query)
+        query = asker.core.owner.query()
+        reply = None if query is None else other.core.owner.asked(query)
         if reply is None:
             return []
 
         def heard(back: Process) -> list[Action]:
-            back.core.owner_heard(back.wall, reply)
+            back.core.owner.heard(back.wall, reply)
             return []
 
         self._between(other, asker.name, heard)
--- a/buckthornshed/transport/node_dump.py
+++ b/buckthornshed/transport/node_dump.py
@@ -46,7 +46,7 @@
 ) -> NodeDump:
     """Return the state of the parts of one node."""
     ingress, egress = core.ingress, core.egress
-    keys = core.keys
+    keys = core.owner.keys
     repeats = core.edge.repeats.remaining
     known = egress.choice.thresholds.known
     return NodeDump(
@@ -62,7 +62,7 @@
         queue_delay_s=ingress.queue_delay,
         egress_pending=len(egress.pending),
         resends=egress.resends,
-        owner=core.gate is not None and core.gate.settled,
+        owner=core.owner.settled,
         keys=TableDump(
             entries=0 if keys is None else len(keys.held),
             bound=0 if keys is None else keys.held.size,
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -174,8 +174,8 @@
 
     def _ask_owners(self) -> None:
         """Ask a few of the other owners what they hold, until this node is one."""
-        query = self.core.owner_query()
-        peers = self.core.owner_peers()
+        query = self.core.owner.query()
+        peers = self.core.owner.peers()
         if query is None:
             self._announce(peers)
             return
@@ -188,20 +188,24 @@
         self.asked += 1
         if peers and self.asked % ANNOUNCED_EACH == 0:
             turn = self.asked // ANNOUNCED_EACH
-            self.fleet.tell(peers[turn % len(peers)], self.core.owner_announcement())
+            self._announce_to(peers[turn % len(peers)])
+
+    def _announce_to(self, peer: str) -> None:
+        announcement = self.core.owner.announcement()
+        if announcement is not None:
+            self.fleet.tell(peer, announcement)
 
     def _owner_message(self, sender: str, message: OwnerQuery | OwnerReply) -> None:
         if isinstance(message, OwnerQuery):
-            reply = self.core.owner_asked(message)
+            reply = self.core.owner.asked(message)
             if reply is not None:
                 self.fleet.tell(sender, reply)
             return
-        if not self.core.owner_heard(self.wall(), message):
+        if not self.core.owner.heard(self.wall(), message):
             return
         log_event("owner_settled", node=self.settings["name"])
-        announcement = self.core.owner_announcement()
-        for peer in self.core.owner_peers():
-            self.fleet.tell(peer, announcement)
+        for peer in self.core.owner.peers():
+            self._announce_to(peer)
 
     def _activate(self, action: Activate) -> None:
         active = self.active.take(action)
