--- a/binary/launcher.c
+++ b/binary/launcher.c
@@ -121,7 +121,7 @@
 static const char *choose_base(void)
 {
     const char *chosen = getenv("BUCKTHORNSHED_UNPACK_DIR");
-    const char *bases[] = {getenv("XDG_RUNTIME_DIR"), "/run", "/tmp", "/dev/shm"};
+    const char *bases[] = {getenv("XDG_RUNTIME_DIR"), "/run", "/tmp"};
     const size_t count = sizeof bases / sizeof *bases;
 
     if (chosen != NULL)
--- /dev/null
+++ b/buckthornshed/coordination/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a relay: beliefs, placement, waiting, retries; no input or output."""
--- /dev/null
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -0,0 +1,323 @@
+"""Requests of clients and of the own target: where each goes and how it ends.
+
+A request is sent to one target at a time. It is sent again while that is harmless,
+that is when it has not run or may run more than once, within the route's number of
+targets, its deadline and the fleet's bound on repeats. It ends with the target's whole
+answer, or with a refusal that says truly whether it may have run.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ...protocol.relay_messages import (
+    AnswerMessage,
+    CallMessage,
+    RefusalMessage,
+    RefusalReason,
+)
+from ...state.catalog import Route, Target
+from .beliefs import FleetBeliefs
+from .placement import Placement, TargetRecord
+from .retry_budget import RetryBudget
+from .split import SplitChooser
+
+if TYPE_CHECKING:
+    from random import Random
+
+__all__ = ["CancelCall", "Deliver", "Dispatcher", "GiveUp", "RoutedRequest", "SendCall"]
+
+TIMEOUT_MARGIN_S = 0.06
+"""How long after its deadline a request that was sent waits for its answer."""
+RESEND_LEAST_S = 0.02
+"""Time that must be left for another send."""
+RETRY_SPREAD = 0.5
+NO_TARGET_RETRY_S = 0.5
+
+FREE_RESENDS = frozenset(
+    {
+        RefusalReason.OVERLOAD,
+        RefusalReason.LEAVING,
+        RefusalReason.UNREACHABLE,
+    }
+)
+"""Refusals by relays: no target saw the call, so another send is not a repeat."""
+
+FINAL = frozenset({RefusalReason.EXPIRED, RefusalReason.TIMED_OUT})
+"""Refusals after which nothing is sent again."""
+
+SUSPENDING = frozenset(
+    {
+        RefusalReason.LEAVING,
+        RefusalReason.WRONG_TARGET,
+        RefusalReason.UNREACHABLE,
+        RefusalReason.LOST,
+    }
+)
+"""Refusals that tell that a target is better avoided for a while."""
+
+
+class RoutedRequest(NamedTuple):
+    """A client's request with the route that it matched.
+
+    `head` is the request's head as it goes to the target, without its last line;
+    `deadline` is in seconds of the monotonic clock.
+    """
+
+    route: Route
+    request_id: bytes
+    head: bytes
+    body: bytes
+    deadline: float
+
+
+class SendCall(NamedTuple):
+    """Send a call to the relay beside a target."""
+
+    target: Target
+    message: CallMessage
+
+
+class CancelCall(NamedTuple):
+    """Tell the relay beside a target that an answer is not wanted any more."""
+
+    target: Target
+    exchange: int
+
+
+class Deliver(NamedTuple):
+    """Give a target's answer to the client."""
+
+    token: int
+    request: RoutedRequest
+    answer: AnswerMessage
+    sends: int
+
+
+class GiveUp(NamedTuple):
+    """Give the client a final answer of our own.
+
+    `reason` tells what ended it; `ran` whether it may have run, also in an earlier
+    send; `retry_after` is seconds.
+    """
+
+    token: int
+    request: RoutedRequest
+    reason: RefusalReason
+    ran: bool
+    retry_after: float
+    sends: int
+
+
+DispatchAction = SendCall | CancelCall | Deliver | GiveUp
+
+
+@dataclass(slots=True, kw_only=True)
+class PendingRequest:
+    """A request that has no final answer yet."""
+
+    token: int
+    request: RoutedRequest
+    service: str
+    record: TargetRecord | None = None
+    exchange: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+
+
+class Dispatcher:
+    """Requests of one relay.
+
+    Parameters
+    ----------
+    beliefs : FleetBeliefs
+        Configuration and targets.
+    placement : Placement
+        Choice of targets.
+    budget : RetryBudget
+        Bound on repeats.
+    reachable : callable
+        Whether the relay beside a target can be sent to.
+    rng : random.Random
+        Source of the spread of return times.
+    """
+
+    def __init__(
+        self,
+        *,
+        beliefs: FleetBeliefs,
+        placement: Placement,
+        budget: RetryBudget,
+        reachable: Callable[[Target], bool],
+        rng: "Random",
+    ) -> None:
+        self.beliefs = beliefs
+        self.placement = placement
+        self.budget = budget
+        self.reachable = reachable
+        self.rng = rng
+        self.split = SplitChooser()
+        self.pending: dict[int, PendingRequest] = {}
+        self.exchanges: dict[int, PendingRequest] = {}
+        self.next_exchange = 1
+
+    def request(
+        self, now: float, token: int, request: RoutedRequest
+    ) -> list[DispatchAction]:
+        """Take a request under the driver's token."""
+        pending = PendingRequest(
+            token=token, request=request, service=self.split.choose(request.route)
+        )
+        self.budget.offered(pending.service)
+        if request.deadline <= now:
+            return [self._give_up(pending, RefusalReason.EXPIRED)]
+        self.pending[token] = pending
+        return self._send(now, pending)
+
+    def abandoned(self, now: float, token: int) -> list[DispatchAction]:
+        """Take the news that the client went away."""
+        pending = self.pending.pop(token, None)
+        if pending is None or pending.record is None:
+            return []
+        target = pending.record.target
+        exchange = pending.exchange
+        self._detach(pending)
+        return [CancelCall(target, exchange)]
+
+    def answered(self, now: float, answer: AnswerMessage) -> list[DispatchAction]:
+        """Take a target's answer."""
+        pending = self.exchanges.get(answer.exchange)
+        if pending is None:
+            return []
+        record = self._detach(pending)
+        self.placement.reported(now, record, answer.load)
+        record.usual[pending.request.route.name] = answer.usual
+        del self.pending[pending.token]
+        return [Deliver(pending.token, pending.request, answer, pending.sends)]
+
+    def refused(self, now: float, refusal: RefusalMessage) -> list[DispatchAction]:
+        """Take the end of a call without an answer of the target."""
+        pending = self.exchanges.get(refusal.exchange)
+        if pending is None:
+            return []
+        record = self._detach(pending)
+        reason = refusal.reason
+        self.placement.reported(now, record, refusal.load)
+        if reason in SUSPENDING:
+            self.placement.suspend(now, record)
+        if reason.ran:
+            pending.may_have_run = True
+        return self._again(now, pending, reason, refusal.retry_after)
+
+    def lost(self, now: float, exchanges: list[int]) -> list[DispatchAction]:
+        """Take the loss of the connection that carried some calls."""
+        actions: list[DispatchAction] = []
+        for exchange in exchanges:
+            refusal = RefusalMessage(exchange, RefusalReason.LOST, 0.0, 0.0)
+            actions += self.refused(now, refusal)
+        return actions
+
+    def tick(self, now: float) -> list[DispatchAction]:
+        """Give up what has passed its deadline."""
+        actions: list[DispatchAction] = []
+        due = now - TIMEOUT_MARGIN_S
+        late = [p for p in self.pending.values() if p.request.deadline <= due]
+        for pending in late:
+            del self.pending[pending.token]
+            if pending.record is not None:
+                target = pending.record.target
+                exchange = pending.exchange
+                self._detach(pending)
+                pending.may_have_run = True
+                actions.append(CancelCall(target, exchange))
+            actions.append(self._give_up(pending, RefusalReason.TIMED_OUT))
+        return actions
+
+    def _again(
+        self,
+        now: float,
+        pending: PendingRequest,
+        reason: RefusalReason,
+        retry_after: float,
+    ) -> list[DispatchAction]:
+        route = pending.request.route
+        harmless = route.idempotent or not pending.may_have_run
+        if (
+            reason not in FINAL
+            and harmless
+            and len(pending.tried) < self._attempts(route, reason)
+            and pending.request.deadline - now > RESEND_LEAST_S
+            and self._candidates(pending)
+            and (reason in FREE_RESENDS or self.budget.spend(pending.service))
+        ):
+            return self._send(now, pending)
+        del self.pending[pending.token]
+        return [self._give_up(pending, reason, retry_after)]
+
+    def _attempts(self, route: Route, reason: RefusalReason) -> int:
+        """Return the targets that may be tried; calls that reached none are free."""
+        return route.attempts + (1 if reason in FREE_RESENDS else 0)
+
+    def _candidates(self, pending: PendingRequest) -> list[Target]:
+        usable = self.beliefs.usable.get(pending.service, ())
+        return [
+            target
+            for target in usable
+            if target.name not in pending.tried and self.reachable(target)
+        ]
+
+    def _send(self, now: float, pending: PendingRequest) -> list[DispatchAction]:
+        request = pending.request
+        record = self.placement.choose(
+            now, request.route.name, self._candidates(pending)
+        )
+        if record is None:
+            self.pending.pop(pending.token, None)
+            return [
+                self._give_up(pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_S)
+            ]
+        exchange = self.next_exchange
+        self.next_exchange += 1
+        pending.record = record
+        pending.exchange = exchange
+        pending.sends += 1
+        pending.tried.add(record.target.name)
+        self.exchanges[exchange] = pending
+        self.placement.sent(record)
+        message = CallMessage(
+            exchange=exchange,
+            target=record.target.name,
+            route=request.route.name,
+            rank=request.route.rank,
+            idempotent=request.route.idempotent,
+            left=request.deadline - now,
+            request_id=request.request_id,
+            head=request.head,
+            body=request.body,
+        )
+        return [SendCall(record.target, message)]
+
+    def _detach(self, pending: PendingRequest) -> TargetRecord:
+        record = pending.record
+        assert record is not None
+        del self.exchanges[pending.exchange]
+        pending.record = None
+        self.placement.ended(record)
+        return record
+
+    def _give_up(
+        self,
+        pending: PendingRequest,
+        reason: RefusalReason,
+        retry_after: float = NO_TARGET_RETRY_S,
+    ) -> GiveUp:
+        spread = 1.0 + RETRY_SPREAD * self.rng.random()
+        return GiveUp(
+            token=pending.token,
+            request=pending.request,
+            reason=reason,
+            ran=pending.may_have_run,
+            retry_after=max(retry_after, 0.05) * spread,
+            sends=pending.sends,
+        )
--- /dev/null
+++ b/buckthornshed/coordination/relay/placement.py
@@ -0,0 +1,128 @@
+"""Choice of a target for a call, by load and speed as the targets' relays report.
+
+Answers a load of many callers on few targets of unlike speed, some of which turn
+slow: two candidates are drawn and the one that is expected to finish first is taken,
+so that relays with the same reports do not all move to the same target.
+"""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...state.catalog import Target
+
+if TYPE_CHECKING:
+    from random import Random
+
+__all__ = ["Placement", "TargetRecord"]
+
+USUAL_S = 0.05
+"""Expected time of a call before anything was reported."""
+REMOTE_S = 0.004
+"""What another failure domain counts as extra time."""
+COLD_FACTOR = 2.0
+SUSPENSION_S = 0.5
+"""How long a target is avoided after a failure that was its own."""
+REPORT_AGE_S = 1.0
+"""Age from which a reported load counts as half."""
+
+
+@dataclass(slots=True, kw_only=True)
+class TargetRecord:
+    """What a relay knows of one incarnation of a target.
+
+    `load` is the reported share of its room in use, `sent` the calls since that
+    report, `outstanding` the calls of this relay, `usual` seconds by route.
+    """
+
+    target: Target
+    load: float = 0.0
+    reported_at: float = 0.0
+    sent: int = 0
+    outstanding: int = 0
+    suspended_until: float = 0.0
+    usual: dict[str, float] = field(default_factory=dict)
+
+    def expected(self, now: float, route: str, own_domain: str) -> float:
+        """Return the seconds in which a call is expected to finish."""
+        usual = self.usual.get(route, USUAL_S)
+        load = self.load + self.sent / self.target.slots
+        if now - self.reported_at > REPORT_AGE_S:
+            load = max(load / 2, self.outstanding / self.target.slots)
+        waiting = max(0.0, load - 1.0) * usual
+        seconds = usual * (1.0 + load * load) + waiting
+        if self.target.failure_domain != own_domain:
+            seconds += REMOTE_S
+        return seconds
+
+
+class Placement:
+    """Records of all targets and the choice among them.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where the relay is.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(self, *, failure_domain: str, rng: "Random") -> None:
+        self.failure_domain = failure_domain
+        self.rng = rng
+        self.records: dict[str, TargetRecord] = {}
+
+    def record(self, target: Target) -> TargetRecord:
+        """Return the record of a target's incarnation."""
+        record = self.records.get(target.name)
+        if record is None or record.target.started != target.started:
+            record = TargetRecord(target=target)
+            self.records[target.name] = record
+        elif record.target is not target:
+            record.target = target
+        return record
+
+    def forget(self, name: str) -> None:
+        """Drop the record of a target that is gone."""
+        self.records.pop(name, None)
+
+    def choose(
+        self, now: float, route: str, candidates: list[Target]
+    ) -> TargetRecord | None:
+        """Return the best of two candidates drawn at random, if there is any.
+
+        A target that was suspended after a failure is only taken when all are.
+        """
+        if not candidates:
+            return None
+        records = [self.record(target) for target in candidates]
+        trusted = [record for record in records if record.suspended_until <= now]
+        records = trusted or records
+        if len(records) > 2:
+            records = self.rng.sample(records, 2)
+        if len(records) == 1:
+            return records[0]
+        first, second = records
+        if first.expected(now, route, self.failure_domain) <= second.expected(
+            now, route, self.failure_domain
+        ):
+            return first
+        return second
+
+    def sent(self, record: TargetRecord) -> None:
+        """Count a call on its way to a target."""
+        record.sent += 1
+        record.outstanding += 1
+
+    def ended(self, record: TargetRecord) -> None:
+        """Count the end of a call."""
+        record.outstanding -= 1
+
+    def reported(self, now: float, record: TargetRecord, load: float) -> None:
+        """Take the load that a target's relay reported."""
+        record.load = load
+        record.reported_at = now
+        record.sent = 0
+
+    def suspend(self, now: float, record: TargetRecord) -> None:
+        """Avoid a target for a while."""
+        record.suspended_until = now + SUSPENSION_S
--- /dev/null
+++ b/buckthornshed/coordination/relay/retry_budget.py
@@ -0,0 +1,58 @@
+"""Repeated sends to a service, bounded over the fleet without shared state.
+
+Each relay may spend a share of the requests that it saw itself, so the shares add up
+to the same share of the fleet's requests, and a fixed slack divided by the number of
+relays. The share is kept well under the bound: a repeated run repeats its calls at
+the services below, whose relays cannot tell these from first sends.
+"""
+
+from collections import defaultdict
+
+from ...state.relay_settings import RetryLimits
+
+__all__ = ["RetryBudget"]
+
+RATIO_SHARE = 0.4
+"""Part of the bound's ratio that first-hand repeats may take."""
+SLACK_SHARE = 0.3
+"""Part of the bound's slack that first-hand repeats may take."""
+
+
+class RetryBudget:
+    """Tokens of one relay, by service.
+
+    Parameters
+    ----------
+    limits : RetryLimits
+        The fleet's bound.
+    """
+
+    def __init__(self, *, limits: RetryLimits) -> None:
+        self.earned = limits.ratio * RATIO_SHARE
+        self.slack = limits.slack * SLACK_SHARE
+        self.window = limits.window
+        self.relays = 1
+        self.tokens: dict[str, float] = {}
+        self.updated: defaultdict[str, float] = defaultdict(float)
+        self.spent = 0
+        self.denied = 0
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that may be saved up, this relay's part of the slack."""
+        return max(1.0, self.slack / max(1, self.relays))
+
+    def offered(self, service: str) -> None:
+        """Count a request for a service, sent for the first time."""
+        saved = self.tokens.get(service, self.capacity)
+        self.tokens[service] = min(saved + self.earned, self.capacity)
+
+    def spend(self, service: str) -> bool:
+        """Take the token for one repeated send, if there is one."""
+        saved = self.tokens.get(service, self.capacity)
+        if saved < 1.0:
+            self.denied += 1
+            return False
+        self.tokens[service] = saved - 1.0
+        self.spent += 1
+        return True
--- /dev/null
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -0,0 +1,193 @@
+"""Calls for the target beside a relay: which run, which wait, which are turned away.
+
+Answers a target whose callers together ask for more than its slots carry. The relay
+is the only way to the target, so it knows what runs there and keeps a little room, as
+targets slow down when they are full. The most important calls start first, among
+equals the one whose deadline is nearest; a call that cannot start in time is turned
+away at once and has not run.
+"""
+
+import heapq
+from collections.abc import Hashable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ...protocol.relay_messages import CallMessage, RefusalReason
+
+__all__ = ["GateCall", "Refused", "Start", "TargetGate"]
+
+ROOM_SHARE = 0.94
+"""Part of the slots that is used."""
+SMOOTHING = 0.1
+USUAL_S = 0.05
+QUEUE_PER_SLOT = 4
+RETRY_LEAST_S = 0.2
+RETRY_MOST_S = 2.0
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class GateCall:
+    """A call at the gate; `key` is the driver's name for it, times are seconds."""
+
+    key: Hashable
+    message: CallMessage
+    deadline: float
+    arrived: float
+    started: float | None = None
+    dropped: bool = False
+
+
+class Start(NamedTuple):
+    """Send a call to the target."""
+
+    call: GateCall
+
+
+class Refused(NamedTuple):
+    """Turn a call away; it has not run."""
+
+    call: GateCall
+    reason: RefusalReason
+    retry_after: float
+
+
+GateAction = Start | Refused
+
+
+class TargetGate:
+    """Concurrency limit and queue in front of one target.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the target or its relay takes no new calls.
+    """
+
+    def __init__(self) -> None:
+        self.slots = 1
+        self.limit = 1
+        self.leaving = False
+        self.calls: dict[Hashable, GateCall] = {}
+        self.running = 0
+        self.waiting: list[tuple[int, float, int, GateCall]] = []
+        self.waiting_count = 0
+        self.order = 0
+        self.usual: dict[str, float] = {}
+        self.mean = USUAL_S
+
+    @property
+    def load(self) -> float:
+        """Calls running and waiting as a share of the room."""
+        return (self.running + self.waiting_count) / self.limit
+
+    def set_slots(self, slots: int) -> None:
+        """Take the number of calls that the target runs at the same time."""
+        self.slots = slots
+        self.limit = max(1, int(slots * ROOM_SHARE))
+
+    def usual_time(self, route: str) -> float:
+        """Return the usual seconds of a call of a route."""
+        return self.usual.get(route, self.mean)
+
+    def retry_after(self) -> float:
+        """Return the seconds after which a place should be free."""
+        backlog = self.waiting_count * self.mean / self.limit
+        return min(RETRY_MOST_S, RETRY_LEAST_S + backlog)
+
+    def arrive(self, now: float, call: GateCall) -> list[GateAction]:
+        """Take a call."""
+        if self.leaving:
+            return [Refused(call, RefusalReason.LEAVING, RETRY_LEAST_S)]
+        if call.deadline <= now:
+            return [Refused(call, RefusalReason.EXPIRED, self.retry_after())]
+        if self.running < self.limit and not self.waiting_count:
+            return [self._start(now, call)]
+        if not self._in_time(now, call):
+            return [Refused(call, RefusalReason.OVERLOAD, self.retry_after())]
+        self.calls[call.key] = call
+        self.order += 1
+        entry = (call.message.rank, call.deadline, self.order, call)
+        heapq.heappush(self.waiting, entry)
+        self.waiting_count += 1
+        return self._fill(now)
+
+    def finished(self, now: float, key: Hashable, *, sound: bool) -> list[GateAction]:
+        """Take the end of a running call; a sound one tells how long calls take."""
+        call = self.calls.pop(key, None)
+        if call is None or call.started is None:
+            return []
+        self.running -= 1
+        if sound:
+            self._learn(call.message.route, now - call.started)
+        return self._fill(now)
+
+    def cancelled(self, now: float, key: Hashable) -> tuple[bool, list[GateAction]]:
+        """Drop a call; return whether it was running, and what starts now."""
+        call = self.calls.get(key)
+        if call is None:
+            return False, []
+        if call.started is not None:
+            return True, self.finished(now, key, sound=False)
+        del self.calls[key]
+        call.dropped = True
+        self.waiting_count -= 1
+        return False, []
+
+    def tick(self, now: float) -> list[GateAction]:
+        """Turn away what waits and can no longer be in time."""
+        actions: list[GateAction] = []
+        for entry in self.waiting:
+            call = entry[3]
+            left = call.deadline - now
+            if not call.dropped and left < self.usual_time(call.message.route) / 2:
+                actions.append(self._turn_away(call, RefusalReason.EXPIRED))
+        return actions + self._fill(now)
+
+    def turn_all_away(self) -> list[GateAction]:
+        """Turn away all that waits, as the target leaves."""
+        return [
+            self._turn_away(entry[3], RefusalReason.LEAVING)
+            for entry in self.waiting
+            if not entry[3].dropped
+        ]
+
+    def _turn_away(self, call: GateCall, reason: RefusalReason) -> Refused:
+        call.dropped = True
+        self.waiting_count -= 1
+        del self.calls[call.key]
+        return Refused(call, reason, self.retry_after())
+
+    def _start(self, now: float, call: GateCall) -> Start:
+        self.calls[call.key] = call
+        call.started = now
+        self.running += 1
+        return Start(call)
+
+    def _fill(self, now: float) -> list[GateAction]:
+        actions: list[GateAction] = []
+        while self.waiting and self.running < self.limit:
+            call = heapq.heappop(self.waiting)[3]
+            if call.dropped:
+                continue
+            if call.deadline <= now:
+                actions.append(self._turn_away(call, RefusalReason.EXPIRED))
+                continue
+            self.waiting_count -= 1
+            actions.append(self._start(now, call))
+        return actions
+
+    def _in_time(self, now: float, call: GateCall) -> bool:
+        if self.waiting_count >= self.limit * QUEUE_PER_SLOT:
+            return False
+        rank = call.message.rank
+        ahead = sum(
+            1 for entry in self.waiting if entry[0] <= rank and not entry[3].dropped
+        )
+        wait = (ahead + 1) * self.mean / self.limit
+        usual = self.usual_time(call.message.route)
+        return now + wait + usual <= call.deadline
+
+    def _learn(self, route: str, seconds: float) -> None:
+        self.mean += SMOOTHING * (seconds - self.mean)
+        known = self.usual.get(route, seconds)
+        self.usual[route] = known + SMOOTHING * (seconds - known)
--- /dev/null
+++ b/buckthornshed/platform/documents.py
@@ -0,0 +1,194 @@
+"""The documents that lie in the platform's store, decoded into our types."""
+
+from collections import defaultdict
+from typing import NoReturn
+
+import msgspec
+
+from ..errors import PlatformError
+from ..state.catalog import Catalog, Limits, Route, RoutePart, Target
+
+__all__ = ["decode_catalog", "decode_target"]
+
+# The wire's names are camel case; renamed fields say what ours hold.
+
+
+class WeightedService(msgspec.Struct):
+    """Part of a split."""
+
+    service: str
+    weight: float
+
+
+class Action(msgspec.Struct):
+    """Where a rule sends requests; `service` is empty when traffic is split."""
+
+    timeout: float = msgspec.field(name="timeoutS")  # Seconds.
+    attempts: int = 1  # Targets that one request may be sent to, the first included.
+    service: str | None = None
+    split: list[WeightedService] | None = msgspec.field(
+        name="trafficSplit", default=None
+    )
+
+
+class Match(msgspec.Struct):
+    """What selects a rule within its host."""
+
+    prefix: str
+
+
+class Rule(msgspec.Struct):
+    """One route."""
+
+    name: str
+    kind: str  # "idempotent" may be repeated; any other kind runs once at most.
+    match: Match
+    action: Action
+    objective: float = msgspec.field(name="sloS", default=1.0)  # Seconds.
+    priority: int = 0  # 0 is the most important.
+
+
+class HostRules(msgspec.Struct):
+    """The rules of one host; the wire calls it a listener, though it has no socket."""
+
+    host: str
+    rules: list[Rule]
+
+
+class Cluster(msgspec.Struct):
+    """A service; the wire calls it a cluster."""
+
+    name: str
+
+
+class ClientLimits(msgspec.Struct):
+    """Limits of client connections, bytes and seconds."""
+
+    head_bytes: int = msgspec.field(name="maxHeaderBytes", default=16_384)
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=1_048_576)
+    head_timeout: float = msgspec.field(name="headerTimeoutS", default=3.0)
+    idle_timeout: float = msgspec.field(name="idleTimeoutS", default=15.0)
+
+
+class Document(msgspec.Struct):
+    """The operator's configuration."""
+
+    version: str  # "r" and a number.
+    listeners: list[HostRules]
+    clusters: list[Cluster]
+    limits: ClientLimits = msgspec.field(default_factory=ClientLimits)
+
+
+class Registration(msgspec.Struct):
+    """What a target says of itself."""
+
+    service: str
+    addr: str  # The target's own address, which only its instance can reach.
+    zone: str
+    slots: int
+    state: str
+    born: int  # Unix milliseconds of the target's start.
+    seq: int
+    cold: float = msgspec.field(name="coldLeftS", default=0.0)  # Seconds.
+
+
+IDEMPOTENT = "idempotent"
+LEAVING = {"ready": False, "draining": True}
+
+DOCUMENTS = msgspec.json.Decoder(Document)
+REGISTRATIONS = msgspec.json.Decoder(Registration)
+
+
+def decode_catalog(value: bytes) -> Catalog:
+    """Decode the operator's configuration.
+
+    Raises
+    ------
+    PlatformError
+        If it cannot be read.
+    """
+    try:
+        document = DOCUMENTS.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        _reject("configuration", str(error), "a configuration document")
+    routes: dict[str, list[Route]] = defaultdict(list)
+    for entry in document.listeners:
+        host = entry.host.lower()
+        routes[host] += [_route(host, rule) for rule in entry.rules]
+    return Catalog(
+        generation=_generation(document.version),
+        routes={
+            host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+            for host, found in routes.items()
+        },
+        services=tuple(cluster.name for cluster in document.clusters),
+        limits=Limits(
+            head_bytes=document.limits.head_bytes,
+            body_bytes=document.limits.body_bytes,
+            head_timeout=document.limits.head_timeout,
+            idle_timeout=document.limits.idle_timeout,
+        ),
+    )
+
+
+def decode_target(name: str, value: bytes) -> Target:
+    """Decode the registration of the target called `name`.
+
+    Raises
+    ------
+    PlatformError
+        If it names no target that could be used.
+    """
+    try:
+        found = REGISTRATIONS.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        _reject(f"registration {name}", str(error), "a registration")
+    leaving = LEAVING.get(found.state)
+    if leaving is None:
+        _reject(f"registration {name}", f"state {found.state!r}", "ready or draining")
+    host, _, port = found.addr.rpartition(":")
+    if not host or not port.isdigit() or found.slots < 1 or found.born <= 0:
+        _reject(f"registration {name}", f"address {found.addr!r}", "ip:port and slots")
+    return Target(
+        name=name,
+        started=found.born,
+        sequence=found.seq,
+        service=found.service,
+        address=found.addr,
+        failure_domain=found.zone,
+        slots=found.slots,
+        leaving=leaving,
+        cold_for=found.cold,
+    )
+
+
+def _route(host: str, rule: Rule) -> Route:
+    action = rule.action
+    if action.split:
+        parts = tuple(RoutePart(part.service, part.weight) for part in action.split)
+    elif action.service:
+        parts = (RoutePart(action.service, 1.0),)
+    else:
+        _reject(f"route {rule.name}", "no destination", "a service or a split")
+    return Route(
+        name=rule.name,
+        host=host,
+        prefix=rule.match.prefix,
+        parts=parts,
+        idempotent=rule.kind == IDEMPOTENT,
+        timeout=action.timeout,
+        objective=rule.objective,
+        attempts=action.attempts,
+        rank=rule.priority,
+    )
+
+
+def _generation(version: str) -> int:
+    digits = version.removeprefix("r")
+    if digits == version or not digits.isdigit():
+        _reject("configuration version", repr(version), "r and a number")
+    return int(digits)
+
+
+def _reject(subject: str, found: str, expected: str) -> NoReturn:
+    raise PlatformError(subject=subject, found=found, expected=expected)
--- /dev/null
+++ b/buckthornshed/platform/settings.py
@@ -0,0 +1,108 @@
+"""The platform's settings file, ``a.b=value`` lines, decoded into our settings."""
+
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import NoReturn, TypeVar
+
+from ..errors import SettingsError
+from ..state.relay_settings import RelaySettings, RetryLimits
+
+__all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings"]
+
+SETTINGS_VARIABLE = "BUCKTHORNSHED_BOOT"
+
+Value = TypeVar("Value")
+
+
+def read_settings(path: Path) -> RelaySettings:
+    """Read the settings file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, lacks a field or holds an unusable value.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            subject=str(path), found=str(error), expected="a readable text file"
+        ) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> RelaySettings:
+    """Decode the text of a settings file; fields that are not known are ignored.
+
+    Raises
+    ------
+    SettingsError
+        If a field is missing or has an unusable value.
+    """
+    fields = _fields(text)
+    own_address = _required(fields, "ip")
+    first_port, last_port = _port_range(_required(fields, "internalPorts"))
+    return RelaySettings(
+        name=_required(fields, "node"),
+        # A zone of the platform is what the product calls a failure domain.
+        failure_domain=_required(fields, "zone"),
+        client_address=_address(fields, "listen.outbound"),
+        ready_address=_address(fields, "listen.ready"),
+        peer_address=f"{own_address}:{first_port}",
+        metrics_address=f"{own_address}:{last_port}",
+        target_address=_address(fields, "appAddr"),
+        target_service=_required(fields, "service"),
+        store_address=_address(fields, "platform.addr"),
+        grace=_number(fields, "bounds.graceS", float),
+        retry_limits=RetryLimits(
+            ratio=_number(fields, "bounds.retryRatio", float),
+            window=_number(fields, "bounds.retryWindowS", float),
+            slack=_number(fields, "bounds.retrySlack", float),
+        ),
+        descriptors=_number(fields, "limits.maxFds", int),
+    )
+
+
+def _fields(text: str) -> dict[str, str]:
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not line.lstrip().startswith("#"):
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def _required(fields: Mapping[str, str], name: str) -> str:
+    value = fields.get(name, "")
+    if not value:
+        _reject(name, "nothing", "a value")
+    return value
+
+
+def _number(
+    fields: Mapping[str, str], name: str, convert: Callable[[str], Value]
+) -> Value:
+    value = _required(fields, name)
+    try:
+        return convert(value)
+    except ValueError:
+        _reject(name, repr(value), "a number")
+
+
+def _address(fields: Mapping[str, str], name: str) -> str:
+    value = _required(fields, name)
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit():
+        _reject(name, repr(value), "ip:port")
+    return value
+
+
+def _port_range(value: str) -> tuple[int, int]:
+    first, _, last = value.partition(",")
+    if not first.isdigit() or not last.isdigit() or int(first) >= int(last):
+        _reject("internalPorts", repr(value), "two ports, the lesser first")
+    return int(first), int(last)
+
+
+def _reject(name: str, found: str, expected: str) -> NoReturn:
+    raise SettingsError(subject=f"setting {name}", found=found, expected=expected)
--- /dev/null
+++ b/buckthornshed/platform/wire.py
@@ -0,0 +1,26 @@
+"""Names of headers, keys and calls on the platform's wire."""
+
+from ..protocol.relay_messages import HeaderNames
+
+__all__ = ["CATALOG_KEY", "HEADERS", "READY_PATH", "TARGET_PREFIX", "history_lost"]
+
+HEADERS = HeaderNames(
+    request_id=b"request-id",
+    deadline=b"deadline-ms",
+    # Names one incarnation by the id of its registration.
+    expected_target=b"expect-instance",
+    calling_service=b"caller-service",
+    not_run=b"not-executed",
+    signature=b"response-seal",
+    target_name=b"instance-id",
+)
+
+READY_PATH = b"/ready"
+
+CATALOG_KEY = "op/config"
+TARGET_PREFIX = "servers/"
+
+
+def history_lost(status: int) -> bool:
+    """Whether a watch's status says that the asked history is not kept any more."""
+    return status == 410
--- /dev/null
+++ b/buckthornshed/protocol/relay_messages.py
@@ -0,0 +1,242 @@
+"""Messages between relays, and the headers that a deployment names.
+
+Messages travel as MessagePack arrays behind a length of four bytes, many exchanges
+on one connection; docs/design/platform.md has the measurement behind it.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+import msgspec
+
+from ..errors import PeerError
+from ..state.catalog import Catalog, Target
+
+__all__ = [
+    "AnswerMessage",
+    "CallMessage",
+    "CancelMessage",
+    "FrameReader",
+    "HeaderNames",
+    "Hello",
+    "Leaving",
+    "News",
+    "Ping",
+    "Pong",
+    "RefusalMessage",
+    "RefusalReason",
+    "RelayMessage",
+    "encode_frame",
+]
+
+LENGTH_BYTES = 4
+FRAME_BYTES_MAX = 80 * 1024 * 1024
+
+
+class HeaderNames(NamedTuple):
+    """Header names of the deployment, lower case.
+
+    Parameters
+    ----------
+    request_id : bytes
+        Identifies one attempt of a client; targets echo it.
+    deadline : bytes
+        Milliseconds that remain.
+    expected_target : bytes
+        Name of the only target that may run the request.
+    calling_service : bytes
+        Service of the instance where the request began.
+    not_run : bytes
+        Present on an answer of a target that did not run the request.
+    signature : bytes
+        Signature of the target under its answer.
+    target_name : bytes
+        Name of the target that answered.
+    """
+
+    request_id: bytes
+    deadline: bytes
+    expected_target: bytes
+    calling_service: bytes
+    not_run: bytes
+    signature: bytes
+    target_name: bytes
+
+
+class RefusalReason(IntEnum):
+    """Why a call has no answer of a target."""
+
+    OVERLOAD = 1
+    """There is no room for it; it did not run."""
+    LEAVING = 2
+    """The target or its instance takes no new work; it did not run."""
+    WRONG_TARGET = 3
+    """Another target has the address; it did not run."""
+    UNREACHABLE = 4
+    """No connection could be made; it did not run."""
+    EXPIRED = 5
+    """Its deadline passed before it was sent; it did not run."""
+    TARGET_FULL = 6
+    """The target said that it did not run it."""
+    LOST = 7
+    """It was sent, and no usable answer came; it may have run."""
+    TIMED_OUT = 8
+    """It was sent, and its deadline has passed; it may have run."""
+
+    @property
+    def ran(self) -> bool:
+        """Whether the call may have run."""
+        return self >= RefusalReason.LOST
+
+
+class Hello(msgspec.Struct, array_like=True, tag=0):
+    """First message on a connection: who opened it."""
+
+    name: str
+    started: int
+
+
+class CallMessage(msgspec.Struct, array_like=True, tag=1):
+    """A request for the target beside the receiver.
+
+    `head` is the request's head without its last line; the receiver adds the
+    deadline and the expected target. `left` is seconds.
+    """
+
+    exchange: int
+    target: str
+    route: str
+    rank: int
+    idempotent: bool
+    left: float
+    request_id: bytes
+    head: bytes
+    body: bytes
+
+
+class AnswerMessage(msgspec.Struct, array_like=True, tag=2):
+    """A target's whole answer; `head` without its last line.
+
+    `load` is the target's calls running and waiting as a share of its room,
+    `usual` the usual seconds of a call of the same route.
+    """
+
+    exchange: int
+    status: int
+    head: bytes
+    body: bytes
+    load: float
+    usual: float
+
+
+class RefusalMessage(msgspec.Struct, array_like=True, tag=3):
+    """The end of a call without an answer of the target."""
+
+    exchange: int
+    reason: RefusalReason
+    retry_after: float
+    load: float
+
+
+class CancelMessage(msgspec.Struct, array_like=True, tag=4):
+    """The caller does not want the answer any more."""
+
+    exchange: int
+
+
+class Ping(msgspec.Struct, array_like=True, tag=5):
+    """Asks for a sign of life."""
+
+
+class Pong(msgspec.Struct, array_like=True, tag=6):
+    """Answers a ping; `load` as in answers."""
+
+    load: float
+
+
+class Leaving(msgspec.Struct, array_like=True, tag=7):
+    """The sender's instance takes no new work."""
+
+
+class News(msgspec.Struct, array_like=True, tag=8):
+    """What the sender believes and the receiver may not have seen yet.
+
+    Parameters
+    ----------
+    catalog : Catalog or None
+        The newest configuration.
+    targets : list of Target
+        Registered targets.
+    gone : list of tuple
+        Name, start and last sequence of targets that are not registered any more.
+    """
+
+    catalog: Catalog | None = None
+    targets: list[Target] = []
+    gone: list[tuple[str, int, int]] = []
+
+
+RelayMessage = (
+    Hello
+    | CallMessage
+    | AnswerMessage
+    | RefusalMessage
+    | CancelMessage
+    | Ping
+    | Pong
+    | Leaving
+    | News
+)
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(RelayMessage)
+
+
+def encode_frame(message: RelayMessage) -> bytes:
+    """Return a message with its length in front."""
+    body = ENCODER.encode(message)
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+class FrameReader:
+    """Cuts a stream of bytes into messages."""
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+
+    def feed(self, data: bytes) -> list[RelayMessage]:
+        """Return the messages that `data` completes.
+
+        Raises
+        ------
+        PeerError
+            If a frame is too long or cannot be read.
+        """
+        self.held += data
+        messages: list[RelayMessage] = []
+        begin = 0
+        while len(self.held) - begin >= LENGTH_BYTES:
+            size = int.from_bytes(self.held[begin : begin + LENGTH_BYTES], "big")
+            if size > FRAME_BYTES_MAX:
+                raise PeerError(
+                    subject="frame",
+                    found=f"{size} bytes",
+                    expected=f"at most {FRAME_BYTES_MAX}",
+                )
+            end = begin + LENGTH_BYTES + size
+            if len(self.held) < end:
+                break
+            messages.append(_decoded(bytes(self.held[begin + LENGTH_BYTES : end])))
+            begin = end
+        if begin:
+            del self.held[:begin]
+        return messages
+
+
+def _decoded(body: bytes) -> RelayMessage:
+    try:
+        return DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        raise PeerError(
+            subject="frame", found=str(error), expected="a message of a relay"
+        ) from error
--- a/buckthornshed/transport/logs.py
+++ b/buckthornshed/transport/logs.py
@@ -8,7 +8,7 @@
 import logging
 import re
 import sys
-from typing import Any, Literal
+from typing import Any, Literal, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -36,18 +36,24 @@
 
 
 def configure_logging(
-    *, form: Literal["keyvalue", "json"] = "keyvalue", level: str = "INFO"
+    *,
+    form: Literal["keyvalue", "json"] = "keyvalue",
+    level: str = "INFO",
+    stream: TextIO | None = None,
 ) -> None:
-    """Send the records of the package, and warnings of libraries, to standard error."""
+    """Send the records of the package, and warnings of libraries, to a stream.
+
+    The stream is standard error unless another is given.
+    """
     formatter = FORMATTERS[form]
     logger = logging.getLogger("buckthornshed")
-    logger.handlers = [_handler(formatter(FIELDS, rename_fields=RENAMED))]
+    logger.handlers = [_handler(formatter(FIELDS, rename_fields=RENAMED), stream)]
     logger.setLevel(level)
     logger.propagate = False
     libraries = formatter(
         LIBRARY_FIELDS, rename_fields=RENAMED, static_fields=LIBRARY_EVENT
     )
-    logging.getLogger().handlers = [_handler(libraries)]
+    logging.getLogger().handlers = [_handler(libraries, stream)]
     logging.getLogger().setLevel(logging.WARNING)
 
 
@@ -57,8 +63,8 @@
     logging.getLogger("buckthornshed").log(level, {"event": event, **fields})
 
 
-def _handler(formatter: logging.Formatter) -> logging.Handler:
-    handler = logging.StreamHandler(sys.stderr)
+def _handler(formatter: logging.Formatter, stream: TextIO | None) -> logging.Handler:
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     return handler
 
--- /dev/null
+++ b/buckthornshed/transport/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets of a relay: clients, other relays, the target beside it."""
--- /dev/null
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -0,0 +1,282 @@
+"""HTTP/1.1 connections of clients and of the target, with pipelining.
+
+Requests of one connection are handled at the same time and answered in the order in
+which they came.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol, cast
+
+import httptools
+
+from ...protocol.http import Request
+from ...state.catalog import Limits
+from ..http_parsing import MessageCollector, ParserError, framing_fault
+
+__all__ = ["ClientConnection", "ClientListener", "Exchange", "RequestHandler"]
+
+PIPELINED_MAX = 32
+LINGER_S = 1.0
+"""How long a closed connection is still read, so that its answer is not reset."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Exchange:
+    """One request of a connection and, later, the bytes of its response."""
+
+    __slots__ = ("close", "connection", "data", "head_only", "token")
+
+    def __init__(
+        self, *, connection: "ClientConnection", token: int, head_only: bool
+    ) -> None:
+        self.connection = connection
+        self.token = token
+        self.head_only = head_only
+        self.close = False
+        self.data: bytes | None = None
+
+
+class RequestHandler(Protocol):
+    """Takes what connections bring."""
+
+    def request_arrived(self, exchange: Exchange, request: Request) -> None:
+        """Take a whole request."""
+
+    def client_left(self, exchange: Exchange) -> None:
+        """Take the news that the client will not read the response."""
+
+    def request_rejected(self, status: int, detail: str) -> bytes:
+        """Return the response to bytes that make no acceptable request."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    Parameters
+    ----------
+    listener : ClientListener
+        The listener that accepted it.
+    """
+
+    def __init__(self, *, listener: "ClientListener") -> None:
+        self.listener = listener
+        self.transport: asyncio.Transport | None = None
+        self.exchanges: deque[Exchange] = deque()
+        self.finishing = False
+        self.closed_at: float | None = None
+        self.begun_at: float | None = None
+        self.idle_since = 0.0
+        self.collector = MessageCollector(
+            body_bytes_max=listener.limits.body_bytes,
+            on_message=self._message_complete,
+            on_head=self._head_complete,
+        )
+        self.parser = httptools.HttpRequestParser(self.collector)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        # uvloop's transports do not derive from the classes of asyncio.
+        self.transport = cast(asyncio.Transport, transport)
+        self.idle_since = self.listener.clock()
+        self.listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the requests whose responses nobody will read."""
+        self.listener.connections.discard(self)
+        self.transport = None
+        left, self.exchanges = self.exchanges, deque()
+        for exchange in left:
+            if exchange.data is None:
+                self.listener.handler.client_left(exchange)
+
+    def eof_received(self) -> bool:
+        """Let the transport close: a client that shut down reads no response."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self.finishing:
+            return
+        if self.begun_at is None:
+            self.begun_at = self.listener.clock()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The offer of another protocol is ignored, RFC 9110 section 7.8.
+            self.finishing = True
+        except ParserError as error:
+            self._reject(400, str(error))
+        else:
+            if self.collector.too_large and not self.collector.complete:
+                self._reject_size()
+
+    def respond(self, exchange: Exchange, data: bytes, *, close: bool) -> None:
+        """Write the response of an exchange, behind those of earlier ones."""
+        exchange.data = data
+        exchange.close = close
+        if not self.exchanges or self.exchanges[0].data is None:
+            return
+        ready = []
+        while self.exchanges and self.exchanges[0].data is not None:
+            first = self.exchanges.popleft()
+            assert first.data is not None
+            ready.append(first.data)
+            if first.close:
+                self._drop_followers()
+        if self.transport is None:
+            return
+        self.transport.write(b"".join(ready))
+        if self.finishing and not self.exchanges:
+            self._close()
+            return
+        self.idle_since = self.listener.clock()
+        if len(self.exchanges) == PIPELINED_MAX - 1:
+            self.transport.resume_reading()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is under way."""
+        if not self.exchanges and self.begun_at is None:
+            self._close()
+
+    def _drop_followers(self) -> None:
+        """Drop requests behind a response that closes: they count as not read."""
+        self.finishing = True
+        left, self.exchanges = self.exchanges, deque()
+        for exchange in left:
+            if exchange.data is None:
+                self.listener.handler.client_left(exchange)
+
+    def _close(self) -> None:
+        self.finishing = True
+        if self.transport is None or self.closed_at is not None:
+            return
+        self.closed_at = self.listener.clock()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.listener.lingering.append(self)
+
+    def _head_complete(self) -> None:
+        if self.collector.too_large:
+            return
+        for name, value in self.collector.pairs:
+            if name == b"expect" and value.lower() == b"100-continue":
+                assert self.transport is not None
+                self.transport.write(CONTINUE)
+
+    def _message_complete(self) -> None:
+        if self.finishing:
+            return
+        self.begun_at = None
+        fault = framing_fault(self.collector.headers)
+        if fault is not None:
+            self._reject(400, fault)
+            return
+        if self.collector.too_large:
+            self._reject_size()
+            return
+        if not self.parser.should_keep_alive():
+            self.finishing = True
+        method = self.parser.get_method()
+        self.listener.next_token += 1
+        exchange = Exchange(
+            connection=self,
+            token=self.listener.next_token,
+            head_only=method == b"HEAD",
+        )
+        self.exchanges.append(exchange)
+        if len(self.exchanges) >= PIPELINED_MAX and self.transport is not None:
+            self.transport.pause_reading()
+        request = Request(
+            method, self.collector.url, self.collector.headers, self.collector.body
+        )
+        self.listener.handler.request_arrived(exchange, request)
+
+    def _reject_size(self) -> None:
+        in_head = not self.collector.head_complete
+        self._reject(431 if in_head else 413, "a message over the size limits")
+
+    def _reject(self, status: int, detail: str) -> None:
+        if self.finishing:
+            return
+        data = self.listener.handler.request_rejected(status, detail)
+        self.listener.next_token += 1
+        exchange = Exchange(
+            connection=self, token=self.listener.next_token, head_only=False
+        )
+        self.exchanges.append(exchange)
+        self.finishing = True
+        self.respond(exchange, data, close=True)
+
+    def sweep(self, now: float, limits: Limits) -> None:
+        """End what has been incomplete or idle for too long."""
+        if self.begun_at is not None and now - self.begun_at > limits.head_timeout:
+            self._reject(408, "the request took too long to arrive")
+        elif not self.exchanges and now - self.idle_since > limits.idle_timeout:
+            self._close()
+
+
+class ClientListener:
+    """Accepts connections of clients.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        Takes requests.
+    connections_max : int
+        Connections above this number are closed at once.
+    clock : callable
+        Returns seconds of the monotonic clock.
+
+    Attributes
+    ----------
+    limits : Limits
+        Limits of the connections that are accepted from now on.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        connections_max: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.handler = handler
+        self.connections_max = connections_max
+        self.clock = clock
+        self.limits = Limits()
+        self.connections: set[ClientConnection] = set()
+        self.lingering: deque[ClientConnection] = deque()
+        self.next_token = 0
+        self.server: asyncio.Server | None = None
+
+    async def open(self, address: str) -> None:
+        """Listen on an address, ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._accept, host, int(port), backlog=1_024, reuse_address=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections stay."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def sweep(self) -> None:
+        """End connections that are overdue, and those that have lingered."""
+        now = self.clock()
+        for connection in list(self.connections):
+            connection.sweep(now, self.limits)
+        while self.lingering:
+            closed_at = self.lingering[0].closed_at
+            if closed_at is not None and now - closed_at < LINGER_S:
+                break
+            transport = self.lingering.popleft().transport
+            if transport is not None:
+                transport.close()
+
+    def _accept(self) -> asyncio.Protocol:
+        return ClientConnection(listener=self)
--- /dev/null
+++ b/buckthornshed/transport/relay/process.py
@@ -0,0 +1,152 @@
+"""The process around a relay: loop, signals, readiness, start and end."""
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from ...protocol.http import Request
+from ...protocol.relay_messages import HeaderNames
+from ...state.relay_settings import RelaySettings
+from ..logs import log_event
+from .client_listener import ClientListener, Exchange
+from .relay import Relay
+from .responses import own_response
+
+__all__ = ["Reader", "run_relay"]
+
+TICK_S = 0.025
+QUIET_AFTER_STOP_S = 2.6
+"""How long a stopping relay still takes requests, so that clients see it leave."""
+END_MARGIN_S = 0.6
+READY_CONNECTIONS_MAX = 64
+
+
+class Reader(Protocol):
+    """Follows the configuration and the targets."""
+
+    async def follow_catalog(self) -> None:
+        """Keep the configuration current, without end."""
+
+    async def follow_targets(self) -> None:
+        """Keep the targets current, without end."""
+
+
+class ReadinessHandler:
+    """Answers whether clients may send new work.
+
+    Parameters
+    ----------
+    relay : Relay
+        The relay that is asked about.
+    path : bytes
+        Path of the question.
+    """
+
+    def __init__(self, *, relay: Relay, path: bytes) -> None:
+        self.relay = relay
+        self.path = path
+
+    def request_arrived(self, exchange: Exchange, request: Request) -> None:
+        """Answer at once."""
+        found = request.path.partition(b"?")[0] == self.path
+        status = (200 if self.relay.ready else 503) if found else 404
+        data = own_response(status, self.relay.names)
+        exchange.connection.respond(exchange, data, close=False)
+
+    def client_left(self, exchange: Exchange) -> None:
+        """Nothing is under way for a question."""
+
+    def request_rejected(self, status: int, detail: str) -> bytes:
+        """Return the response to bytes that make no acceptable request."""
+        return own_response(status, self.relay.names, close=True)
+
+
+def run_relay(
+    *,
+    settings: RelaySettings,
+    names: HeaderNames,
+    ready_path: bytes,
+    make_reader: Callable[[Relay, Callable[[], float]], Reader],
+) -> None:
+    """Run a relay until SIGTERM has been obeyed."""
+    relay = Relay(
+        settings=settings,
+        names=names,
+        clock=time.monotonic,
+        wall=time.time,
+        rng=random.Random(),
+    )
+    reader = make_reader(relay, time.monotonic)
+    process = RelayProcess(relay=relay, reader=reader, ready_path=ready_path)
+    anyio.run(process.run, backend="asyncio", backend_options={"use_uvloop": True})
+
+
+class RelayProcess:
+    """Tasks of one relay process.
+
+    Parameters
+    ----------
+    relay : Relay
+        The relay.
+    reader : Reader
+        Follows the configuration and the targets.
+    ready_path : bytes
+        Path of the question whether the relay is ready.
+    """
+
+    def __init__(self, *, relay: Relay, reader: Reader, ready_path: bytes) -> None:
+        self.relay = relay
+        self.reader = reader
+        self.readiness = ClientListener(
+            handler=ReadinessHandler(relay=relay, path=ready_path),
+            connections_max=READY_CONNECTIONS_MAX,
+            clock=relay.clock,
+        )
+
+    async def run(self) -> None:
+        """Serve until a stop has been obeyed."""
+        settings = self.relay.settings
+        await self.relay.open()
+        await self.readiness.open(settings.ready_address)
+        log_event("started", instance=settings.name, service=settings.target_service)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.reader.follow_catalog)
+            tasks.start_soon(self.reader.follow_targets)
+            tasks.start_soon(self._tick)
+            await self._wait_for_stop()
+            await self._drain()
+            tasks.cancel_scope.cancel()
+        log_event("stopped", instance=settings.name)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.relay.tick()
+
+    async def _wait_for_stop(self) -> None:
+        loop = asyncio.get_running_loop()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await stopped.wait()
+
+    async def _drain(self) -> None:
+        relay = self.relay
+        begun = relay.clock()
+        log_event("stopping", requests=len(relay.exchanges))
+        relay.stop()
+        latest = begun + relay.settings.grace - END_MARGIN_S
+        while relay.clock() < latest:
+            quiet = relay.clock() - begun >= QUIET_AFTER_STOP_S
+            if quiet and not relay.busy:
+                break
+            await asyncio.sleep(TICK_S)
+        relay.listener.stop_accepting()
+
+    def _reload(self) -> None:
+        log_event("settings_reload", changed=False)
--- /dev/null
+++ b/buckthornshed/transport/relay/relay.py
@@ -0,0 +1,430 @@
+"""One relay: clients on one side, targets on the other, decisions between them."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ...coordination.relay.beliefs import FleetBeliefs, Version, version_of
+from ...coordination.relay.dispatcher import (
+    CancelCall,
+    Deliver,
+    Dispatcher,
+    GiveUp,
+    RoutedRequest,
+    SendCall,
+)
+from ...coordination.relay.placement import Placement
+from ...coordination.relay.retry_budget import RetryBudget
+from ...protocol.http import Request, first
+from ...protocol.relay_messages import (
+    AnswerMessage,
+    CallMessage,
+    CancelMessage,
+    HeaderNames,
+    Hello,
+    Leaving,
+    News,
+    Ping,
+    Pong,
+    RefusalMessage,
+    RelayMessage,
+)
+from ...state.catalog import Catalog, Target
+from ...state.relay_settings import RelaySettings
+from ..logs import log_event
+from .client_listener import ClientListener, Exchange
+from .peer_links import PeerLinks, PeerSession
+from .responses import own_response, refusal_status, request_head
+from .target_side import CallKey, Outcome, TargetSide
+
+if TYPE_CHECKING:
+    from random import Random
+
+__all__ = ["Relay"]
+
+NO_CATALOG_RETRY_S = 0.5
+RESERVED_DESCRIPTORS = 400
+SLOW_TICKS = 20
+"""Ticks between two sweeps of connections and lapsed registrations."""
+
+
+class Relay:
+    """Everything that one process does, but for the platform and for signals.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Addresses and bounds.
+    names : HeaderNames
+        Headers of the deployment.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    wall : callable
+        Returns seconds of the wall clock.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        names: HeaderNames,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        rng: "Random",
+    ) -> None:
+        self.settings = settings
+        self.names = names
+        self.clock = clock
+        self.calling_service = settings.target_service.encode()
+        self.instance = settings.target_address.rpartition(":")[0]
+        self.beliefs = FleetBeliefs()
+        self.placement = Placement(failure_domain=settings.failure_domain, rng=rng)
+        self.budget = RetryBudget(limits=settings.retry_limits)
+        self.dispatcher = Dispatcher(
+            beliefs=self.beliefs,
+            placement=self.placement,
+            budget=self.budget,
+            reachable=self._reachable,
+            rng=rng,
+        )
+        self.target_side = TargetSide(
+            address=settings.target_address,
+            names=names,
+            deliver=self._target_outcome,
+            clock=clock,
+        )
+        self.listener = ClientListener(
+            handler=self,
+            connections_max=settings.descriptors - RESERVED_DESCRIPTORS,
+            clock=clock,
+        )
+        self.links = PeerLinks(
+            hello=Hello(settings.name, int(wall() * 1e3)),
+            port=settings.peer_port,
+            handler=self,
+            clock=clock,
+        )
+        self.exchanges: dict[int, Exchange] = {}
+        self.sessions: dict[int, PeerSession] = {}
+        self.stopping = False
+        self.ticks = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients may send new work here."""
+        return not self.stopping and self.beliefs.catalog is not None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request or a call is under way."""
+        return bool(self.exchanges) or self.target_side.busy
+
+    async def open(self) -> None:
+        """Open the listening sockets."""
+        await self.listener.open(self.settings.client_address)
+        await self.links.open(self.settings.peer_address.rpartition(":")[0])
+
+    def stop(self) -> None:
+        """Take no new calls for the target; go on with what is under way."""
+        self.stopping = True
+        self.target_side.stop()
+        self.links.tell_callers(Leaving())
+
+    def tick(self) -> None:
+        """Do what the time makes due."""
+        now = self.clock()
+        self.ticks += 1
+        self.target_side.tick(now)
+        self._execute(self.dispatcher.tick(now))
+        self.links.tick(now)
+        if self.ticks % SLOW_TICKS == 0:
+            self.listener.sweep()
+            self.target_side.pool.sweep()
+            for name in self.beliefs.expire(now):
+                log_event("target_gone", target=name, source="lapse")
+                self._targets_changed()
+
+    # Requests of clients and of the target.
+
+    def request_arrived(self, exchange: Exchange, request: Request) -> None:
+        """Route a whole request and send it on its way."""
+        now = self.clock()
+        request_id = first(request.headers, self.names.request_id) or b""
+        catalog = self.beliefs.catalog
+        if catalog is None:
+            self._answer(exchange, 503, request_id, NO_CATALOG_RETRY_S)
+            return
+        host = (first(request.headers, b"host") or b"").decode("latin-1")
+        path = request.path.decode("latin-1")
+        route = catalog.match(host.partition(":")[0].lower(), path)
+        if route is None:
+            log_event(
+                "route_missing",
+                request=request_id.decode("latin-1"),
+                generation=catalog.generation,
+            )
+            self._answer(exchange, 404, request_id, None)
+            return
+        allowed = _milliseconds(first(request.headers, self.names.deadline))
+        timeout = route.timeout if allowed is None else min(route.timeout, allowed)
+        routed = RoutedRequest(
+            route=route,
+            request_id=request_id,
+            head=request_head(request, self.names, self.calling_service),
+            body=request.body,
+            deadline=now + timeout,
+        )
+        self.exchanges[exchange.token] = exchange
+        self._execute(self.dispatcher.request(now, exchange.token, routed))
+
+    def client_left(self, exchange: Exchange) -> None:
+        """Stop the work for a client that went away."""
+        if self.exchanges.pop(exchange.token, None) is not None:
+            now = self.clock()
+            self._execute(self.dispatcher.abandoned(now, exchange.token))
+
+    def request_rejected(self, status: int, detail: str) -> bytes:
+        """Return the response to bytes that make no acceptable request."""
+        log_event("request_rejected", status=status, detail=detail)
+        return own_response(status, self.names, close=True)
+
+    # Other relays.
+
+    def peer_message(self, session: PeerSession, message: RelayMessage) -> None:
+        """Take a message of a relay that opened a connection to this one."""
+        if isinstance(message, CallMessage):
+            self.sessions[session.number] = session
+            key = CallKey(session.number, message.exchange)
+            self.target_side.call(key, message)
+        elif isinstance(message, CancelMessage):
+            self.target_side.cancel(CallKey(session.number, message.exchange))
+        elif isinstance(message, Ping):
+            session.send(Pong(self.target_side.gate.load))
+        elif isinstance(message, News):
+            self._take_news(message)
+
+    def session_lost(self, session: PeerSession) -> None:
+        """Cancel the calls of a relay whose connection ended."""
+        self.sessions.pop(session.number, None)
+        self.target_side.session_lost(session.number)
+
+    def link_message(self, instance: str, message: RelayMessage) -> None:
+        """Take a message on a connection that this relay opened."""
+        now = self.clock()
+        if isinstance(message, AnswerMessage):
+            self._execute(self.dispatcher.answered(now, message))
+        elif isinstance(message, RefusalMessage):
+            self._execute(self.dispatcher.refused(now, message))
+        elif isinstance(message, Leaving):
+            log_event("peer_leaving", peer=instance)
+            self.links.mark_leaving(instance)
+        elif isinstance(message, Pong):
+            self._take_load(now, instance, message.load)
+
+    def link_up(self, instance: str) -> None:
+        """Tell a relay that can be reached what is believed here."""
+        log_event("peer_found", peer=instance)
+        news = News(
+            catalog=self.beliefs.catalog, targets=list(self.beliefs.targets.values())
+        )
+        self.links.send(instance, news)
+
+    def link_lost(self, instance: str, exchanges: list[int]) -> None:
+        """End the calls that were under way on a connection."""
+        log_event("peer_lost", peer=instance, calls=len(exchanges))
+        self._execute(self.dispatcher.lost(self.clock(), exchanges))
+
+    # The platform's store.
+
+    def catalog_read(self, catalog: Catalog) -> None:
+        """Take a configuration from the store."""
+        self._take_catalog(catalog, "store")
+
+    def targets_read(self, targets: list[Target]) -> None:
+        """Take all registered targets."""
+        now = self.clock()
+        for name in self.beliefs.replace_targets(now, targets):
+            log_event("target_gone", target=name, source="store")
+        self._targets_changed()
+
+    def target_changed(self, target: Target) -> None:
+        """Take a new registration."""
+        if self.beliefs.accept_target(target):
+            log_event(
+                "target_seen",
+                target=target.name,
+                service=target.service,
+                address=target.address,
+                leaving=target.leaving,
+                source="store",
+            )
+            self._targets_changed()
+            self.links.broadcast(News(targets=[target]))
+
+    def target_deleted(self, name: str) -> None:
+        """Take the end of a registration."""
+        known = self.beliefs.targets.get(name)
+        if known is not None and self.beliefs.remove_target(self.clock(), name):
+            log_event("target_gone", target=name, source="store")
+            version = version_of(known)
+            self._targets_changed()
+            self.links.broadcast(News(gone=[(name, *version)]))
+
+    def store_lost(self, detail: str) -> None:
+        """Take the news that the store cannot be read."""
+        log_event("store_lost", detail=detail)
+        self.beliefs.lose_store()
+
+    def store_found(self) -> None:
+        """Take the news that the store answers again."""
+        log_event("store_found")
+        self.beliefs.find_store(self.clock())
+
+    # Inside.
+
+    def _take_catalog(self, catalog: Catalog, source: str) -> None:
+        if not self.beliefs.accept_catalog(catalog):
+            return
+        log_event(
+            "configuration_in_force", generation=catalog.generation, source=source
+        )
+        self.listener.limits = catalog.limits
+        names = {route.name for routes in catalog.routes.values() for route in routes}
+        self.dispatcher.split.keep(names)
+        self.links.broadcast(News(catalog=catalog))
+
+    def _take_news(self, news: News) -> None:
+        if news.catalog is not None:
+            self._take_catalog(news.catalog, "peer")
+        changed = [t for t in news.targets if self.beliefs.accept_target(t)]
+        gone = [
+            name
+            for name, started, sequence in news.gone
+            if self.beliefs.accept_gone(name, Version(started, sequence))
+        ]
+        for target in changed:
+            log_event(
+                "target_seen",
+                target=target.name,
+                service=target.service,
+                leaving=target.leaving,
+                source="peer",
+            )
+        for name in gone:
+            log_event("target_gone", target=name, source="peer")
+        if changed or gone:
+            self._targets_changed()
+
+    def _targets_changed(self) -> None:
+        targets = self.beliefs.targets
+        self.links.keep(
+            {t.instance for t in targets.values() if t.instance != self.instance}
+        )
+        self.budget.relays = max(1, len({t.instance for t in targets.values()}))
+        beside = [
+            target
+            for target in targets.values()
+            if target.address == self.settings.target_address
+        ]
+        newest = max(beside, key=lambda target: target.started, default=None)
+        self.target_side.believe(newest)
+        for name in self.placement.records.keys() - targets.keys():
+            if not self.placement.records[name].outstanding:
+                self.placement.forget(name)
+
+    def _take_load(self, now: float, instance: str, load: float) -> None:
+        for target in self.beliefs.targets.values():
+            if target.instance == instance:
+                self.placement.reported(now, self.placement.record(target), load)
+
+    def _reachable(self, target: Target) -> bool:
+        if target.instance == self.instance:
+            return not self.target_side.gate.leaving
+        return self.links.is_up(target.instance)
+
+    def _execute(self, actions: list[SendCall | CancelCall | Deliver | GiveUp]) -> None:
+        for action in actions:
+            if isinstance(action, SendCall):
+                self._send(action)
+            elif isinstance(action, Deliver):
+                self._deliver(action)
+            elif isinstance(action, GiveUp):
+                self._give_up(action)
+            else:
+                self._cancel(action)
+
+    def _send(self, action: SendCall) -> None:
+        instance = action.target.instance
+        if instance == self.instance:
+            key = CallKey(0, action.message.exchange)
+            self.target_side.call(key, action.message)
+        else:
+            self.links.send(instance, action.message)
+
+    def _cancel(self, action: CancelCall) -> None:
+        instance = action.target.instance
+        if instance == self.instance:
+            self.target_side.cancel(CallKey(0, action.exchange))
+        else:
+            self.links.forget(instance, action.exchange)
+            self.links.send(instance, CancelMessage(action.exchange))
+
+    def _target_outcome(self, key: CallKey, outcome: Outcome) -> None:
+        if key.session:
+            session = self.sessions.get(key.session)
+            if session is not None:
+                session.send(outcome)
+        elif isinstance(outcome, AnswerMessage):
+            self._execute(self.dispatcher.answered(self.clock(), outcome))
+        else:
+            self._execute(self.dispatcher.refused(self.clock(), outcome))
+
+    def _deliver(self, action: Deliver) -> None:
+        exchange = self.exchanges.pop(action.token, None)
+        if exchange is None:
+            return
+        answer = action.answer
+        end = b"connection: close\r\n\r\n" if self.stopping else b"\r\n"
+        body = b"" if exchange.head_only else answer.body
+        data = b"".join((answer.head, end, body))
+        exchange.connection.respond(exchange, data, close=self.stopping)
+
+    def _give_up(self, action: GiveUp) -> None:
+        exchange = self.exchanges.pop(action.token, None)
+        if exchange is None:
+            return
+        status = refusal_status(action.reason, ran=action.ran)
+        log_event(
+            "request_given_up",
+            request=action.request.request_id.decode("latin-1"),
+            route=action.request.route.name,
+            reason=action.reason.name.lower(),
+            status=status,
+            sends=action.sends,
+            left=round(action.request.deadline - self.clock(), 3),
+        )
+        retry_after = None if action.ran else action.retry_after
+        self._answer(exchange, status, action.request.request_id, retry_after)
+
+    def _answer(
+        self,
+        exchange: Exchange,
+        status: int,
+        request_id: bytes,
+        retry_after: float | None,
+    ) -> None:
+        data = own_response(
+            status, self.names, request_id, retry_after, close=self.stopping
+        )
+        exchange.connection.respond(exchange, data, close=self.stopping)
+
+
+def _milliseconds(value: bytes | None) -> float | None:
+    """Return the seconds that a header in milliseconds gives, if it is a number."""
+    if value is None:
+        return None
+    try:
+        return float(value) / 1e3
+    except ValueError:
+        return None
--- /dev/null
+++ b/buckthornshed/transport/relay/responses.py
@@ -0,0 +1,74 @@
+"""Heads of requests and responses as a relay passes them on."""
+
+from ...protocol.http import STATUS_LINES, Request, forwardable
+from ...protocol.messages import Pairs
+from ...protocol.relay_messages import HeaderNames, RefusalReason
+
+__all__ = ["own_response", "refusal_status", "request_head", "response_head"]
+
+BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
+
+RAN_STATUS = {RefusalReason.TIMED_OUT: 504}
+"""Status of a refusal of a request that may have run; 502 for all others."""
+
+NOT_RUN_STATUS = 503
+
+
+def refusal_status(reason: RefusalReason, *, ran: bool) -> int:
+    """Return the HTTP status that tells truly whether a request may have run."""
+    return RAN_STATUS.get(reason, 502) if ran else NOT_RUN_STATUS
+
+
+def request_head(request: Request, names: HeaderNames, calling_service: bytes) -> bytes:
+    """Return the head of a request for a target, without its last line.
+
+    The deadline and the expected target are left out: they are added where the
+    request is sent to the target.
+    """
+    set_here = (names.deadline, names.expected_target, names.calling_service)
+    lines = [request.method, b" ", request.path, b" HTTP/1.1\r\n"]
+    for name, value in forwardable(request.headers):
+        if name not in set_here:
+            lines += (name, b": ", value, b"\r\n")
+    lines += (names.calling_service, b": ", calling_service, b"\r\n")
+    if request.body or request.method in BODY_METHODS:
+        lines.append(b"content-length: %d\r\n" % len(request.body))
+    return b"".join(lines)
+
+
+def response_head(
+    status: int, headers: Pairs, body: bytes, *, head_only: bool = False
+) -> bytes:
+    """Return the head of a target's response, without its last line."""
+    lines = [STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
+    for name, value in forwardable(headers):
+        lines += (name, b": ", value, b"\r\n")
+    if head_only:
+        lines += (b"%s: %s\r\n" % pair for pair in headers if pair[0] in LENGTH)
+    elif status not in BODILESS:
+        lines.append(b"content-length: %d\r\n" % len(body))
+    return b"".join(lines)
+
+
+LENGTH = (b"content-length",)
+BODILESS = (204, 304)
+
+
+def own_response(
+    status: int,
+    names: HeaderNames,
+    request_id: bytes = b"",
+    retry_after: float | None = None,
+    *,
+    close: bool = False,
+) -> bytes:
+    """Return a whole response of the relay itself; `retry_after` is seconds."""
+    lines = [STATUS_LINES[status]]
+    if request_id:
+        lines.append(b"%s: %s\r\n" % (names.request_id, request_id))
+    if retry_after is not None:
+        lines.append(b"retry-after: %.3f\r\n" % retry_after)
+    if close:
+        lines.append(b"connection: close\r\n")
+    lines.append(b"content-length: 0\r\n\r\n")
+    return b"".join(lines)
--- /dev/null
+++ b/buckthornshed/transport/relay/target_pool.py
@@ -0,0 +1,327 @@
+"""Connections to the target beside the relay.
+
+Each connection carries one exchange at a time and is used again only after a whole
+answer. An answer belongs to an exchange if it echoes the identifier of its request;
+late answers to earlier requests are skipped.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, cast
+
+import httptools
+
+from ...protocol.messages import Pairs
+from ...protocol.relay_messages import HeaderNames
+from ..http_parsing import MessageCollector, ParserError, framing_fault
+
+__all__ = ["FaultKind", "TargetAnswer", "TargetFault", "TargetPool"]
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_S = 4.0
+"""How long a connection is kept when the target does not say."""
+IDLE_MARGIN_S = 1.0
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+
+
+class FaultKind(Enum):
+    """How an exchange ended without a usable answer."""
+
+    UNREACHABLE = "no connection"
+    """Nothing was sent."""
+    BROKEN = "connection ended before a whole answer"
+    """The request may have run."""
+    UNUSABLE = "unusable answer"
+    """The request may have run."""
+
+
+class TargetAnswer(NamedTuple):
+    """A target's whole answer; header names in lower case."""
+
+    status: int
+    headers: Pairs
+    body: bytes
+
+
+class TargetFault(NamedTuple):
+    """An exchange without a usable answer."""
+
+    kind: FaultKind
+    detail: str
+
+
+EndHandler = Callable[[int, TargetAnswer | TargetFault], None]
+
+
+class TargetConnection(asyncio.Protocol):
+    """One connection of the pool."""
+
+    def __init__(self, *, pool: "TargetPool") -> None:
+        self.pool = pool
+        self.transport: asyncio.Transport | None = None
+        self.exchange: int | None = None
+        self.request_id = b""
+        self.head_only = False
+        self.until_close = False
+        self.finished: TargetAnswer | None = None
+        self.reusable = False
+        self.idle_until = 0.0
+        self._new_parser()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # uvloop's transports do not derive from the classes of asyncio.
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the running exchange."""
+        self.transport = None
+        self.pool.forget(self)
+        if self.until_close and exc is None and self.collector.head_complete:
+            # An answer without a length ends with its connection.
+            self._finish_answer(reusable=False)
+            self._conclude()
+            return
+        self._fail(FaultKind.BROKEN, str(exc or "closed"))
+
+    def eof_received(self) -> bool:
+        """Close as well."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self.exchange is None:
+            # Bytes that belong to no request.
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (ParserError, httptools.HttpParserUpgrade) as error:
+            self.reusable = False
+            if self.finished is None:
+                self._fail(FaultKind.UNUSABLE, str(error))
+        else:
+            if self.collector.too_large and self.finished is None:
+                self._fail(FaultKind.UNUSABLE, "answer over the size limit")
+        if self.finished is not None:
+            # Whatever began behind the whole answer belongs to no request.
+            self.reusable = self.reusable and self.collector.complete
+            self._conclude()
+
+    def send(
+        self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
+    ) -> None:
+        """Send the request of an exchange."""
+        self.exchange = exchange
+        self.request_id = request_id
+        self.head_only = head_only
+        self.until_close = False
+        self.reusable = False
+        self.collector.reset()
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def abort(self) -> None:
+        """Cut the connection; a running exchange is dropped without a call."""
+        self.exchange = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _new_parser(self) -> None:
+        self.collector = MessageCollector(
+            body_bytes_max=ANSWER_BYTES_MAX,
+            on_message=self._message_complete,
+            on_head=self._head_complete,
+        )
+        self.parser = httptools.HttpResponseParser(self.collector)
+
+    def _head_complete(self) -> None:
+        if self.parser.get_status_code() < 200:
+            return
+        names = {name for name, _ in self.collector.pairs}
+        framed = b"content-length" in names or b"transfer-encoding" in names
+        self.until_close = not framed
+        if self.head_only and framed:
+            self._finish_answer(reusable=False)
+
+    def _message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if self.exchange is None or status < 200 or self.finished is not None:
+            return
+        bodiless = status in (204, 304)
+        if self.until_close and not bodiless and self.transport is not None:
+            return
+        self._finish_answer(reusable=self.parser.should_keep_alive())
+
+    def _finish_answer(self, *, reusable: bool) -> None:
+        headers = self.collector.headers
+        fault = framing_fault(headers)
+        if fault is not None:
+            self._fail(FaultKind.UNUSABLE, fault)
+            return
+        if self._answers_another(headers):
+            self.collector.reset()
+            self.until_close = False
+            return
+        status = self.parser.get_status_code()
+        self.finished = TargetAnswer(status, headers, self.collector.body)
+        self.reusable = reusable and not self.head_only
+
+    def _conclude(self) -> None:
+        exchange, answer = self.exchange, self.finished
+        self.exchange = None
+        self.finished = None
+        if exchange is None or answer is None:
+            return
+        if self.reusable:
+            self.pool.put_back(self, answer.headers)
+        elif self.transport is not None:
+            self.transport.close()
+        self.pool.end(exchange, answer)
+
+    def _answers_another(self, headers: Pairs) -> bool:
+        for name, value in headers:
+            if name == self.pool.names.request_id:
+                return value != self.request_id
+        return False
+
+    def _fail(self, kind: FaultKind, detail: str) -> None:
+        exchange = self.exchange
+        self.abort()
+        if exchange is not None:
+            self.pool.end(exchange, TargetFault(kind, detail))
+
+
+class TargetPool:
+    """Connections to one target, the newest used first.
+
+    Parameters
+    ----------
+    address : str
+        Address of the target, ``ip:port``.
+    names : HeaderNames
+        Headers of the deployment.
+    on_end : callable
+        Takes an exchange and its answer or fault, once.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        names: HeaderNames,
+        on_end: EndHandler,
+        clock: Callable[[], float],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.names = names
+        self.on_end = on_end
+        self.clock = clock
+        self.idle: list[TargetConnection] = []
+        self.running: dict[int, TargetConnection] = {}
+        self.connecting: dict[int, asyncio.Task[None]] = {}
+        self.opened = 0
+
+    def send(
+        self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
+    ) -> None:
+        """Send a request over an idle connection, or over a new one."""
+        connection = self._take_idle()
+        if connection is not None:
+            self.running[exchange] = connection
+            connection.send(exchange, request_id, data, head_only=head_only)
+            return
+        opening = self._open(exchange, request_id, data, head_only)
+        self.connecting[exchange] = asyncio.get_running_loop().create_task(opening)
+
+    def cancel(self, exchange: int) -> None:
+        """Drop an exchange and the connection that carries it."""
+        task = self.connecting.pop(exchange, None)
+        if task is not None:
+            task.cancel()
+        connection = self.running.pop(exchange, None)
+        if connection is not None:
+            connection.abort()
+
+    def end(self, exchange: int, result: TargetAnswer | TargetFault) -> None:
+        """Report the end of an exchange."""
+        self.running.pop(exchange, None)
+        self.on_end(exchange, result)
+
+    def put_back(self, connection: TargetConnection, headers: Pairs) -> None:
+        """Take back a connection whose exchange is complete."""
+        if connection.transport is None or connection.transport.is_closing():
+            return
+        keep = _kept_for(headers)
+        connection.idle_until = self.clock() + keep - min(IDLE_MARGIN_S, keep / 2)
+        self.idle.append(connection)
+
+    def forget(self, connection: TargetConnection) -> None:
+        """Remove a connection that has closed."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def sweep(self) -> None:
+        """Close connections that the target would close soon."""
+        now = self.clock()
+        for connection in [c for c in self.idle if c.idle_until <= now]:
+            self.idle.remove(connection)
+            if connection.transport is not None:
+                connection.transport.close()
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for connection in list(self.idle):
+            if connection.transport is not None:
+                connection.transport.close()
+        self.idle.clear()
+
+    def _take_idle(self) -> TargetConnection | None:
+        now = self.clock()
+        while self.idle:
+            connection = self.idle.pop()
+            transport = connection.transport
+            if transport is None or transport.is_closing():
+                continue
+            if connection.idle_until <= now:
+                transport.close()
+                continue
+            return connection
+        return None
+
+    async def _open(
+        self, exchange: int, request_id: bytes, data: bytes, head_only: bool
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: TargetConnection(pool=self), self.host, self.port
+                )
+        except (OSError, TimeoutError) as error:
+            if self.connecting.pop(exchange, None) is not None:
+                detail = str(error) or "timeout"
+                self.on_end(exchange, TargetFault(FaultKind.UNREACHABLE, detail))
+            return
+        if self.connecting.pop(exchange, None) is None:
+            connection.abort()
+            return
+        self.running[exchange] = connection
+        connection.send(exchange, request_id, data, head_only=head_only)
+
+
+def _kept_for(headers: Pairs) -> float:
+    """Return the seconds for which a target keeps an idle connection."""
+    for name, value in headers:
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, seconds = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and seconds.isdigit():
+                    return float(seconds)
+    return IDLE_S
--- /dev/null
+++ b/buckthornshed/transport/relay/target_side.py
@@ -0,0 +1,238 @@
+"""Calls of other relays, and of this one, for the target beside it."""
+
+import asyncio
+from collections.abc import Callable, Hashable
+from typing import NamedTuple
+
+from ...coordination.relay.target_gate import GateCall, Refused, Start, TargetGate
+from ...protocol.http import first
+from ...protocol.relay_messages import (
+    AnswerMessage,
+    CallMessage,
+    HeaderNames,
+    RefusalMessage,
+    RefusalReason,
+)
+from ...state.catalog import Target
+from ..logs import log_event
+from .responses import response_head
+from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
+
+__all__ = ["CallKey", "TargetSide"]
+
+UNSAFE_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that say "not run" to a client; a target that ran must not send them."""
+
+
+class CallKey(NamedTuple):
+    """Names a call: the connection that it came on, 0 for this relay, its number."""
+
+    session: int
+    exchange: int
+
+
+Outcome = AnswerMessage | RefusalMessage
+
+
+class TargetSide:
+    """Lets calls through to the target and answers each one once.
+
+    Parameters
+    ----------
+    address : str
+        Address of the target, ``ip:port``.
+    names : HeaderNames
+        Headers of the deployment.
+    deliver : callable
+        Takes a call's key and its outcome.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        names: HeaderNames,
+        deliver: Callable[[CallKey, Outcome], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.address = address
+        self.names = names
+        self.deliver = deliver
+        self.clock = clock
+        self.gate = TargetGate()
+        self.pool = TargetPool(
+            address=address, names=names, on_end=self._ended, clock=clock
+        )
+        self.target: Target | None = None
+        self.running: dict[int, GateCall] = {}
+        self.numbers: dict[Hashable, int] = {}
+        self.next_number = 1
+        self.stopping = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call runs or waits."""
+        return bool(self.gate.calls)
+
+    def believe(self, target: Target | None) -> None:
+        """Take what is believed of the target beside this relay."""
+        known = self.target
+        if target is not None:
+            self.target = target
+            self.gate.set_slots(target.slots)
+        if known is not None and target is None:
+            # Its registration ended; it takes no new work until another begins.
+            self.target = known._replace(leaving=True)
+        self._set_leaving()
+
+    def stop(self) -> None:
+        """Take no new calls; those that were taken go on."""
+        self.stopping = True
+        self._set_leaving()
+
+    def call(self, key: CallKey, message: CallMessage) -> None:
+        """Take a call."""
+        now = self.clock()
+        call = GateCall(
+            key=key, message=message, deadline=now + message.left, arrived=now
+        )
+        self._execute(self.gate.arrive(now, call))
+
+    def cancel(self, key: CallKey) -> None:
+        """Take the news that a call's answer is not wanted any more."""
+        call = self.gate.calls.get(key)
+        if call is None:
+            return
+        if call.started is not None and not call.message.idempotent:
+            # What may run once only is not broken off.
+            return
+        was_running, actions = self.gate.cancelled(self.clock(), key)
+        if was_running:
+            number = self.numbers.pop(key)
+            del self.running[number]
+            self.pool.cancel(number)
+        self._execute(actions)
+
+    def session_lost(self, session: int) -> None:
+        """Cancel all calls of a connection that has ended."""
+        for key in [key for key in self.gate.calls if _session(key) == session]:
+            self.cancel(key)  # type: ignore[arg-type]
+
+    def tick(self, now: float) -> None:
+        """Turn away what waited too long."""
+        self._execute(self.gate.tick(now))
+
+    def _set_leaving(self) -> None:
+        target_leaves = self.target is not None and self.target.leaving
+        leaving = self.stopping or target_leaves
+        if leaving and not self.gate.leaving:
+            self.gate.leaving = True
+            self._execute(self.gate.turn_all_away())
+        self.gate.leaving = leaving
+
+    def _execute(self, actions: list[Start | Refused]) -> None:
+        for action in actions:
+            if isinstance(action, Start):
+                self._start(action.call)
+            else:
+                self._refuse(action.call, action.reason, action.retry_after)
+
+    def _start(self, call: GateCall) -> None:
+        message = call.message
+        if self.target is not None and message.target != self.target.name:
+            # The caller's picture is older than this relay's, or newer; the target
+            # itself decides, as it names itself.
+            log_event("expected_target_differs", expected=message.target)
+        number = self.next_number
+        self.next_number += 1
+        self.running[number] = call
+        self.numbers[call.key] = number
+        left = max(1, int((call.deadline - self.clock()) * 1e3))
+        data = b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+            message.head,
+            self.names.deadline,
+            left,
+            self.names.expected_target,
+            message.target.encode(),
+            message.body,
+        )
+        head_only = message.head.startswith(b"HEAD ")
+        self.pool.send(number, message.request_id, data, head_only=head_only)
+
+    def _ended(self, number: int, result: TargetAnswer | TargetFault) -> None:
+        call = self.running.pop(number, None)
+        if call is None:
+            return
+        del self.numbers[call.key]
+        outcome = self._outcome(call, result)
+        sound = isinstance(outcome, AnswerMessage)
+        actions = self.gate.finished(self.clock(), call.key, sound=sound)
+        if isinstance(outcome, AnswerMessage):
+            outcome.load = self.gate.load
+            outcome.usual = self.gate.usual_time(call.message.route)
+        else:
+            outcome.load = self.gate.load
+        self._deliver(call, outcome)
+        self._execute(actions)
+
+    def _outcome(self, call: GateCall, result: TargetAnswer | TargetFault) -> Outcome:
+        exchange = call.message.exchange
+        if isinstance(result, TargetFault):
+            unsent = result.kind is FaultKind.UNREACHABLE
+            reason = RefusalReason.UNREACHABLE if unsent else RefusalReason.LOST
+            log_event(
+                "target_fault",
+                request=call.message.request_id.decode("latin-1"),
+                kind=result.kind.name.lower(),
+                detail=result.detail,
+            )
+            return RefusalMessage(exchange, reason, self.gate.retry_after(), 0.0)
+        reason_found = refusal_of(result, self.names)
+        if reason_found is not None:
+            retry_after = self.gate.retry_after()
+            return RefusalMessage(exchange, reason_found, retry_after, 0.0)
+        head_only = call.message.head.startswith(b"HEAD ")
+        head = response_head(
+            result.status, result.headers, result.body, head_only=head_only
+        )
+        return AnswerMessage(exchange, result.status, head, result.body, 0.0, 0.0)
+
+    def _refuse(
+        self, call: GateCall, reason: RefusalReason, retry_after: float
+    ) -> None:
+        load = self.gate.load
+        self._deliver(
+            call, RefusalMessage(call.message.exchange, reason, retry_after, load)
+        )
+
+    def _deliver(self, call: GateCall, outcome: Outcome) -> None:
+        key = call.key
+        assert isinstance(key, CallKey)
+        if key.session == 0:
+            # The dispatcher may be in the middle of sending this very call.
+            asyncio.get_running_loop().call_soon(self.deliver, key, outcome)
+        else:
+            self.deliver(key, outcome)
+
+
+def refusal_of(answer: TargetAnswer, names: HeaderNames) -> RefusalReason | None:
+    """Return why a target's answer cannot be passed on, or None if it can."""
+    if answer.status == 421:
+        return RefusalReason.WRONG_TARGET
+    if first(answer.headers, names.not_run) is not None:
+        return RefusalReason.TARGET_FULL
+    if first(answer.headers, b"content-encoding") is not None:
+        return RefusalReason.LOST
+    signed = first(answer.headers, names.signature) is not None
+    if answer.status < 400 and not signed:
+        return RefusalReason.LOST
+    if answer.status in UNSAFE_STATUSES:
+        return RefusalReason.LOST
+    return None
+
+
+def _session(key: Hashable) -> int:
+    assert isinstance(key, CallKey)
+    return key.session
