--- /dev/null
+++ b/buckthornshed/tests/relay/fleet.py
@@ -0,0 +1,212 @@
+"""A few relays in one event loop, each with a target, on loopback addresses."""
+
+import asyncio
+import socket
+import time
+from contextlib import asynccontextmanager
+from random import Random
+from typing import NamedTuple
+
+from buckthornshed.platform.reader import StoreReader
+from buckthornshed.platform.store import StoreClient
+from buckthornshed.platform.wire import HEADERS
+from buckthornshed.state.relay_settings import RelaySettings, RetryLimits
+from buckthornshed.transport.relay.relay import Relay
+
+from .standin_store import StandinStore
+from .standin_target import StandinTarget, parse_head
+
+HOST = "stalls.example"
+
+
+class Response(NamedTuple):
+    status: int
+    headers: dict
+    body: bytes
+
+
+class Fleet:
+    """The store, relays and targets of one test."""
+
+    def __init__(self, store, client_port, peer_port):
+        self.store = store
+        self.client_port = client_port
+        self.peer_port = peer_port
+        self.relays = []
+        self.targets = []
+        self.tasks = []
+        self.sent = 0
+
+    async def add(self, service, *, slots=10, target=None):
+        number = len(self.relays) + 2
+        host = f"127.0.0.{number}"
+        if target is None:
+            target = StandinTarget(f"i-{number}")
+            await target.open(host)
+        relay = Relay(
+            settings=make_settings(self, host, service, target.address),
+            names=HEADERS,
+            clock=time.monotonic,
+            wall=time.time,
+            rng=Random(number),
+        )
+        await relay.open()
+        client = StoreClient(address=self.store.address, clock=time.monotonic)
+        reader = StoreReader(client=client, listener=relay)
+        loop = asyncio.get_running_loop()
+        self.tasks += [
+            loop.create_task(reader.follow_catalog()),
+            loop.create_task(reader.follow_targets()),
+            loop.create_task(ticking(relay)),
+        ]
+        self.relays.append(relay)
+        self.targets.append(target)
+        await self.register(target, service, slots=slots)
+        return relay, target
+
+    async def register(self, target, service, *, slots=10, state="ready", seq=1):
+        entry = {
+            "service": service,
+            "addr": target.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "coldLeftS": 0,
+            "seq": seq,
+            "born": 1_700_000_000_000,
+        }
+        await self.store.put(f"servers/{target.name}", entry)
+
+    async def settled(self):
+        """Wait until each relay knows and reaches all targets."""
+        names = {target.name for target in self.targets}
+        await until(
+            lambda: all(
+                names <= relay.beliefs.targets.keys()
+                and len(relay.links.links) == len(self.relays) - 1
+                and relay.beliefs.catalog is not None
+                for relay in self.relays
+            )
+        )
+
+    async def ask(self, relay, path="/avail/1", **options):
+        reader, writer = await self.connect(relay)
+        try:
+            return await self.exchange(reader, writer, path, **options)
+        finally:
+            writer.close()
+
+    async def connect(self, relay):
+        host, _, port = relay.settings.client_address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def exchange(self, reader, writer, path, **options):
+        writer.write(self.request(path, **options))
+        return await read_response(reader)
+
+    def request(self, path, *, body=b"", deadline=5_000, request_id=None):
+        self.sent += 1
+        method = "POST" if body else "GET"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Request-Id: {request_id or f'r-{self.sent}'}\r\n"
+            f"Deadline-Ms: {deadline}\r\nCaller-Service: forged\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+def make_settings(fleet, host, service, target_address):
+    return RelaySettings(
+        name=f"instance-{host}",
+        failure_domain="a",
+        client_address=f"{host}:{fleet.client_port}",
+        ready_address=f"{host}:0",
+        peer_address=f"{host}:{fleet.peer_port}",
+        metrics_address=f"{host}:0",
+        target_address=target_address,
+        target_service=service,
+        store_address=fleet.store.address,
+        grace=6.0,
+        retry_limits=RetryLimits(ratio=0.2, window=10.0, slack=49.0),
+        descriptors=1_000,
+    )
+
+
+def configuration(version=1, *, timeout=2.0, attempts=2, more=()):
+    def rule(name, prefix, kind, priority, service="stalls"):
+        return {
+            "name": name,
+            "kind": kind,
+            "sloS": 0.5,
+            "priority": priority,
+            "match": {"prefix": prefix},
+            "action": {"service": service, "timeoutS": timeout, "attempts": attempts},
+        }
+
+    rules = [
+        rule("avail", "/avail/", "idempotent", 1),
+        rule("book", "/book/", "non_idempotent", 0),
+        *(rule(f"more-{path}", f"/{path}/", "idempotent", 2) for path in more),
+    ]
+    return {
+        "version": f"r{version}",
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        "listeners": [{"host": HOST, "rules": rules}],
+        "clusters": [{"name": "stalls", "healthPath": "/health"}],
+    }
+
+
+@asynccontextmanager
+async def fleet_of(count, *, service="stalls", slots=10, **options):
+    """Run a fleet of `count` relays with one service."""
+    store = StandinStore()
+    await store.open()
+    fleet = Fleet(store, free_port(), free_port())
+    await store.put("op/config", configuration(**options))
+    try:
+        for _ in range(count):
+            await fleet.add(service, slots=slots)
+        await fleet.settled()
+        yield fleet
+    finally:
+        for task in fleet.tasks:
+            task.cancel()
+        for relay in fleet.relays:
+            relay.close()
+        store.close()
+        for target in fleet.targets:
+            target.close()
+        await asyncio.sleep(0)
+
+
+async def ticking(relay):
+    while True:
+        await asyncio.sleep(0.02)
+        relay.tick()
+
+
+async def until(condition, *, seconds=20.0):
+    """Wait for a condition; a test that hangs ends with a clear error."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def read_response(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    headers = parse_head(head)
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Response(int(head.split(b" ", 2)[1]), headers, body)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/buckthornshed/tests/relay/makers.py
@@ -0,0 +1,97 @@
+"""Makers of small objects for the tests of relays."""
+
+from random import Random
+
+from buckthornshed.coordination.relay.beliefs import FleetBeliefs
+from buckthornshed.coordination.relay.dispatcher import Dispatcher, RoutedRequest
+from buckthornshed.coordination.relay.placement import Placement
+from buckthornshed.coordination.relay.retry_budget import RetryBudget
+from buckthornshed.coordination.relay.target_gate import GateCall
+from buckthornshed.protocol.relay_messages import CallMessage
+from buckthornshed.state.catalog import Catalog, Limits, Route, RoutePart, Target
+from buckthornshed.state.relay_settings import RetryLimits
+
+
+def make_target(name="t-1", **changes):
+    target = Target(
+        name=name,
+        started=1_000,
+        sequence=1,
+        service="stalls",
+        address=f"10.0.0.{name[-1]}:9000",
+        failure_domain="a",
+        slots=10,
+        leaving=False,
+        cold_for=0.0,
+    )
+    return target._replace(**changes)
+
+
+def make_route(name="avail", **changes):
+    route = Route(
+        name=name,
+        host="stalls.example",
+        prefix="/avail/",
+        parts=(RoutePart("stalls", 1.0),),
+        idempotent=True,
+        timeout=1.0,
+        objective=0.5,
+        attempts=2,
+        rank=1,
+    )
+    return route._replace(**changes)
+
+
+def make_catalog(generation=1, routes=()):
+    routes = routes or (make_route(),)
+    return Catalog(
+        generation=generation,
+        routes={"stalls.example": tuple(routes)},
+        services=("stalls",),
+        limits=Limits(),
+    )
+
+
+def make_message(exchange=1, **changes):
+    fields = {
+        "exchange": exchange,
+        "target": "t-1",
+        "route": "avail",
+        "rank": 1,
+        "idempotent": True,
+        "left": 1.0,
+        "request_id": b"r-1",
+        "head": b"GET /avail/1 HTTP/1.1\r\nhost: stalls.example\r\n",
+        "body": b"",
+    }
+    return CallMessage(**(fields | changes))
+
+
+def make_call(key=1, *, now=0.0, left=1.0, **changes):
+    message = make_message(exchange=key, left=left, **changes)
+    return GateCall(key=key, message=message, deadline=now + left, arrived=now)
+
+
+def make_request(now=0.0, left=1.0, **changes):
+    return RoutedRequest(
+        route=make_route(**changes),
+        request_id=b"r-1",
+        head=b"GET /avail/1 HTTP/1.1\r\n",
+        body=b"",
+        deadline=now + left,
+    )
+
+
+def make_dispatcher(targets=(), *, unreachable=(), limits=None, seed=1):
+    beliefs = FleetBeliefs()
+    for target in targets:
+        beliefs.accept_target(target)
+    rng = Random(seed)
+    limits = limits or RetryLimits(ratio=0.2, window=10.0, slack=49.0)
+    return Dispatcher(
+        beliefs=beliefs,
+        placement=Placement(failure_domain="a", rng=rng),
+        budget=RetryBudget(limits=limits),
+        reachable=lambda target: target.name not in unreachable,
+        rng=rng,
+    )
--- /dev/null
+++ b/buckthornshed/tests/relay/standin_store.py
@@ -0,0 +1,128 @@
+"""A stand-in for the platform's store: ranges, watches and the ways they fail."""
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+
+class StandinStore:
+    """Holds items in memory and serves reads over HTTP/1.1.
+
+    Attributes
+    ----------
+    mode : str
+        ``up``, ``busy`` (503), ``many`` (429), ``reset`` or ``silent``.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 10
+        self.oldest = 10
+        self.mode = "up"
+        self.page_size = 500
+        self.calls = []
+        self.changed = asyncio.Condition()
+        self.server = None
+        self.address = ""
+
+    async def open(self, host="127.0.0.1"):
+        self.server = await asyncio.start_server(self._serve, host, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    def close(self):
+        self.server.close()
+
+    async def put(self, key, value):
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        self.items[key] = (self.revision, base64.b64encode(data).decode())
+        await self._record(key)
+
+    async def delete(self, key):
+        self.revision += 1
+        del self.items[key]
+        await self._record(key)
+
+    async def forget_history(self):
+        self.history.clear()
+        self.oldest = self.revision
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def _record(self, key):
+        self.history.append((self.revision, self._event(key)))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _event(self, key):
+        if key not in self.items:
+            return {"key": key, "rev": self.revision, "deleted": True}
+        rev, value = self.items[key]
+        return {"key": key, "value": value, "rev": rev, "created": rev, "leaseId": 0}
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path = head.split(b" ", 2)[1].decode()
+                self.calls.append(path)
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    return
+                status, body = await self._answer(path)
+                data = json.dumps(body).encode()
+                writer.write(
+                    b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
+                    b"content-length: %d\r\n\r\n%s" % (status, len(data), data)
+                )
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    async def _answer(self, path):
+        refusals = {"busy": 503, "many": 429}
+        if self.mode in refusals:
+            return refusals[self.mode], {"error": self.mode}
+        parts = urlsplit(path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/kv-range":
+            return 200, self._range(query)
+        return await self._watch(query)
+
+    def _range(self, query):
+        after = query.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(query["prefix"]))
+        keys = [key for key in keys if key > after]
+        page = keys[: self.page_size]
+        return {
+            "items": [self._event(key) for key in page],
+            "hasMore": len(keys) > len(page),
+            "at": self.revision,
+        }
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        if after < self.oldest:
+            return 410, {"error": "history is gone"}
+        try:
+            async with asyncio.timeout(int(query["waitMs"]) / 1e3):
+                while not self._events(query["prefix"], after):
+                    async with self.changed:
+                        await self.changed.wait()
+                    if after < self.oldest:
+                        return 410, {"error": "history is gone"}
+        except TimeoutError:
+            pass
+        return 200, {"events": self._events(query["prefix"], after), "at": self.revision}
+
+    def _events(self, prefix, after):
+        return [
+            event
+            for revision, event in self.history
+            if revision > after and event["key"].startswith(prefix)
+        ]
--- /dev/null
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -0,0 +1,167 @@
+"""A stand-in for a target: runs requests as told and keeps a ledger of them."""
+
+import asyncio
+
+Script = list
+
+
+class StandinTarget:
+    """Answers HTTP/1.1 requests on one address.
+
+    Attributes
+    ----------
+    scripts : list
+        Behaviours for the next requests, in order; ``ok`` once it is empty.
+        ``ok``, ``slow``, ``cut``, ``reset``, ``late-extra``, ``extra``, ``unframed``,
+        ``full``, ``wrong``, ``hang``, ``unsigned``, ``encoded``, ``error``.
+    ran : list
+        Identifiers of the requests that ran, in order.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.scripts = []
+        self.ran = []
+        self.seen = []
+        self.connections = 0
+        self.running = 0
+        self.most_running = 0
+        self.dropped = []
+        self.delay = 0.0
+        self.release = asyncio.Event()
+        self.server = None
+
+    async def open(self, host, port=0):
+        self.server = await asyncio.start_server(self._serve, host, port)
+        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+
+    def close(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                headers = parse_head(head)
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                self.seen.append((head.split(b"\r\n")[0], headers, body))
+                if not await self._run(headers, body, reader, writer):
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _run(self, headers, body, reader, writer):
+        script = self.scripts.pop(0) if self.scripts else "ok"
+        request_id = headers["request-id"]
+        if script in ("full", "wrong") or headers["expect-instance"] != self.name:
+            status = 503 if script == "full" else 421
+            writer.write(
+                f"HTTP/1.1 {status} X\r\nnot-executed: 1\r\n"
+                f"content-length: 0\r\n\r\n".encode()
+            )
+            return True
+        self.ran.append(request_id)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._work(script, request_id, reader)
+        finally:
+            self.running -= 1
+        return await BEHAVIOURS[script](self, request_id, writer)
+
+    async def _work(self, script, request_id, reader):
+        if script == "hang":
+            await self._until_closed(request_id, reader)
+        if script == "slow":
+            await self.release.wait()
+        if self.delay:
+            await asyncio.sleep(self.delay)
+
+    async def _until_closed(self, request_id, reader):
+        if not await reader.read(1):
+            self.dropped.append(request_id)
+            raise ConnectionError("the caller has closed the connection")
+
+    def whole(self, request_id, status=200, extra=""):
+        body = f"answer to {request_id} by {self.name}".encode()
+        head = (
+            f"HTTP/1.1 {status} X\r\nrequest-id: {request_id}\r\n"
+            f"response-seal: {self.name}.{request_id}\r\n{extra}"
+            f"content-length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+async def respond_ok(target, request_id, writer):
+    writer.write(target.whole(request_id))
+    return True
+
+
+async def respond_error(target, request_id, writer):
+    writer.write(target.whole(request_id, status=500))
+    return True
+
+
+async def respond_cut(target, request_id, writer):
+    writer.write(target.whole(request_id)[:-5])
+    return False
+
+
+async def respond_reset(target, request_id, writer):
+    writer.transport.abort()
+    return False
+
+
+async def respond_extra(target, request_id, writer):
+    writer.write(target.whole(request_id) + target.whole("somebody-else"))
+    return True
+
+
+async def respond_late_extra(target, request_id, writer):
+    writer.write(target.whole("somebody-else") + target.whole(request_id))
+    return True
+
+
+async def respond_unframed(target, request_id, writer):
+    whole = target.whole(request_id)
+    head, _, body = whole.partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n") if b"content-length" not in line]
+    writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+    return False
+
+
+async def respond_unsigned(target, request_id, writer):
+    writer.write(target.whole(request_id).replace(b"response-seal", b"other"))
+    return True
+
+
+async def respond_encoded(target, request_id, writer):
+    writer.write(target.whole(request_id, extra="content-encoding: gzip\r\n"))
+    return True
+
+
+BEHAVIOURS = {
+    "ok": respond_ok,
+    "slow": respond_ok,
+    "hang": respond_ok,
+    "error": respond_error,
+    "cut": respond_cut,
+    "reset": respond_reset,
+    "extra": respond_extra,
+    "late-extra": respond_late_extra,
+    "unframed": respond_unframed,
+    "unsigned": respond_unsigned,
+    "encoded": respond_encoded,
+}
+
+
+def parse_head(head):
+    """Return the headers of a head, names in lower case."""
+    headers = {}
+    for line in head.split(b"\r\n")[1:]:
+        name, separator, value = line.partition(b": ")
+        if separator:
+            headers[name.decode().lower()] = value.decode()
+    return headers
--- /dev/null
+++ b/buckthornshed/tests/relay/test_platform_documents.py
@@ -0,0 +1,158 @@
+import json
+
+import pytest
+
+from buckthornshed.errors import PlatformError, SettingsError
+from buckthornshed.platform.documents import decode_catalog, decode_target
+from buckthornshed.platform.settings import parse_settings
+
+SETTINGS = """\
+node=sidecar-a-1
+zone=a
+ip=10.1.0.8
+listen.inbound=10.1.0.8:8300
+listen.outbound=10.1.0.8:8304
+listen.ready=10.1.0.8:8302
+internalPorts=7620,7635
+appAddr=10.1.0.8:8301
+service=huvo11a
+bounds.graceS=6
+bounds.retryRatio=0.2
+bounds.retryWindowS=10
+bounds.retrySlack=49
+limits.maxFds=4100
+platform.addr=10.200.1.7:8309
+something.new=ignored
+"""
+
+REGISTRATION = {
+    "service": "huvo11a",
+    "addr": "10.1.0.8:8301",
+    "zone": "a",
+    "version": "v1",
+    "slots": 80,
+    "state": "ready",
+    "coldLeftS": 1.5,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def document(**action):
+    rule = {
+        "name": "r-1",
+        "kind": "non_idempotent",
+        "sloS": 1.5,
+        "priority": 0,
+        "match": {"prefix": "/book/"},
+        "action": {"timeoutS": 1, "attempts": 2, **action},
+    }
+    wide = dict(rule, name="r-2", kind="idempotent", match={"prefix": "/"})
+    return {
+        "version": "r12",
+        "limits": {
+            "maxHeaderBytes": 100,
+            "maxBodyBytes": 200,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        "listeners": [{"host": "Stalls.example", "rules": [wide, rule]}],
+        "clusters": [{"name": "huvo11a", "healthPath": "/health"}],
+    }
+
+
+def encoded(value):
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_becomes_a_catalog():
+    catalog = decode_catalog(encoded(document(service="huvo11a")))
+    assert catalog.generation == 12
+    route = catalog.match("stalls.example", "/book/1")
+    assert (route.name, route.idempotent, route.timeout) == ("r-1", False, 1.0)
+    assert catalog.match("stalls.example", "/other").name == "r-2"
+    assert catalog.match("elsewhere.example", "/book/1") is None
+    assert catalog.limits.idle_timeout == 15.0
+
+
+def test_a_split_keeps_its_weights():
+    split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    catalog = decode_catalog(encoded(document(trafficSplit=split)))
+    parts = catalog.match("stalls.example", "/book/1").parts
+    assert [(part.service, part.weight) for part in parts] == [("x", 90), ("y", 10)]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"{", b'"text"', encoded(document()), encoded({"version": "r1"})],
+    ids=["empty", "cut", "text", "no destination", "fields missing"],
+)
+def test_an_unusable_configuration_has_a_typed_error(value):
+    with pytest.raises(PlatformError):
+        decode_catalog(value)
+
+
+def test_a_registration_becomes_a_target():
+    target = decode_target("i-1", encoded(REGISTRATION))
+    assert target.name == "i-1"
+    assert target.started == 1_700_000_000_000
+    assert target.instance == "10.1.0.8"
+    assert not target.leaving
+    assert decode_target("i-1", encoded(REGISTRATION | {"state": "draining"})).leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "sleeping"},
+        {"addr": "nowhere"},
+        {"addr": 5},
+        {"slots": "many"},
+        {"slots": 0},
+        {"born": 1.5},
+        {"born": None},
+        {"seq": "x"},
+        {"service": None},
+    ],
+)
+def test_a_forged_registration_names_no_target(changes):
+    with pytest.raises(PlatformError):
+        decode_target("i-1", encoded(REGISTRATION | changes))
+
+
+@pytest.mark.parametrize("field", ["service", "addr", "zone", "slots", "state", "born"])
+def test_a_registration_without_a_field_names_no_target(field):
+    kept = {name: value for name, value in REGISTRATION.items() if name != field}
+    with pytest.raises(PlatformError):
+        decode_target("i-1", encoded(kept))
+
+
+@pytest.mark.parametrize("value", [b"\xff\xfe", b"null", b"[]", b""])
+def test_bytes_that_are_no_registration_name_no_target(value):
+    with pytest.raises(PlatformError):
+        decode_target("i-1", value)
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored():
+    settings = parse_settings(SETTINGS)
+    assert settings.name == "sidecar-a-1"
+    assert settings.failure_domain == "a"
+    assert settings.client_address == "10.1.0.8:8304"
+    assert settings.peer_address == "10.1.0.8:7620"
+    assert settings.metrics_address == "10.1.0.8:7635"
+    assert settings.retry_limits == (0.2, 10.0, 49.0)
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("node=sidecar-a-1", ""),
+        ("appAddr=10.1.0.8:8301", "appAddr=10.1.0.8"),
+        ("internalPorts=7620,7635", "internalPorts=7620"),
+        ("bounds.graceS=6", "bounds.graceS=soon"),
+    ],
+)
+def test_unusable_settings_name_the_setting(old, new):
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(SETTINGS.replace(old, new))
+    assert caught.value.subject.startswith("setting ")
--- /dev/null
+++ b/buckthornshed/tests/relay/test_target_gate.py
@@ -0,0 +1,91 @@
+from buckthornshed.coordination.relay.target_gate import Refused, Start, TargetGate
+from buckthornshed.protocol.relay_messages import RefusalReason
+
+from .makers import make_call
+
+
+def gate_with(slots):
+    gate = TargetGate()
+    gate.set_slots(slots)
+    return gate
+
+
+def started(actions):
+    return [action.call.key for action in actions if isinstance(action, Start)]
+
+
+def refused(actions):
+    return {a.call.key: a.reason for a in actions if isinstance(a, Refused)}
+
+
+def test_no_more_calls_run_than_the_target_has_room_for():
+    gate = gate_with(15)
+    keys = []
+    for key in range(30):
+        keys += started(gate.arrive(0.0, make_call(key)))
+    assert keys == list(range(14))
+    assert gate.running == 14
+
+
+def test_the_most_important_call_starts_first_then_the_nearest_deadline():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1, rank=0))
+    gate.arrive(0.0, make_call(2, rank=2, left=0.5))
+    gate.arrive(0.0, make_call(3, rank=0, left=0.9))
+    gate.arrive(0.0, make_call(4, rank=0, left=0.8))
+    order = []
+    for key in (1, 4, 3):
+        order += started(gate.finished(0.01, key, sound=True))
+    assert order == [4, 3, 2]
+
+
+def test_a_call_that_cannot_start_in_time_is_turned_away_at_once():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    actions = gate.arrive(0.0, make_call(2, left=0.06))
+    assert refused(actions) == {2: RefusalReason.OVERLOAD}
+    assert gate.calls.keys() == {1}
+
+
+def test_a_call_that_waited_too_long_is_turned_away():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2, left=0.2))
+    assert refused(gate.tick(0.19)) == {2: RefusalReason.EXPIRED}
+    assert started(gate.finished(0.2, 1, sound=True)) == []
+
+
+def test_a_cancelled_waiting_call_never_starts():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2))
+    assert gate.cancelled(0.1, 2) == (False, [])
+    assert started(gate.finished(0.2, 1, sound=True)) == []
+    assert gate.load == 0.0
+
+
+def test_a_cancelled_running_call_makes_room():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2))
+    was_running, actions = gate.cancelled(0.1, 1)
+    assert was_running
+    assert started(actions) == [2]
+
+
+def test_a_leaving_target_takes_nothing_new_and_what_waits_goes_elsewhere():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2))
+    gate.leaving = True
+    assert refused(gate.turn_all_away()) == {2: RefusalReason.LEAVING}
+    assert refused(gate.arrive(0.1, make_call(3))) == {3: RefusalReason.LEAVING}
+    assert gate.calls.keys() == {1}
+
+
+def test_a_call_whose_deadline_has_passed_is_not_started():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2, left=0.3))
+    actions = gate.finished(0.4, 1, sound=True)
+    assert refused(actions) == {2: RefusalReason.EXPIRED}
--- /dev/null
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -0,0 +1,267 @@
+"""Relays, targets and store on loopback sockets, in real time."""
+
+import asyncio
+
+import pytest
+
+from .fleet import configuration, fleet_of, read_response, until
+
+
+def run(scenario):
+    asyncio.run(scenario)
+
+
+def test_a_request_reaches_a_target_and_its_own_whole_answer_comes_back():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            relay = fleet.relays[0]
+            response = await fleet.ask(relay, "/book/1", body=b"stall 7")
+            assert response.status == 200
+            (target,) = [target for target in fleet.targets if target.ran]
+            line, headers, body = target.seen[0]
+            assert line == b"POST /book/1 HTTP/1.1"
+            assert body == b"stall 7"
+            assert headers["caller-service"] == "stalls"
+            assert 0 < int(headers["deadline-ms"]) <= 2_000
+            assert headers["expect-instance"] == target.name
+            assert response.headers["response-seal"] == f"{target.name}.r-1"
+            assert response.body == f"answer to r-1 by {target.name}".encode()
+
+    run(scenario())
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            fleet.targets[0].delay = 0.05
+            reader, writer = await fleet.connect(fleet.relays[0])
+            writer.write(b"".join(fleet.request("/avail/1") for _ in range(8)))
+            answers = [await read_response(reader) for _ in range(8)]
+            assert [a.headers["request-id"] for a in answers] == [
+                f"r-{number}" for number in range(1, 9)
+            ]
+            writer.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("script", ["cut", "reset", "unsigned", "encoded"])
+def test_a_spoilt_answer_never_looks_whole_and_what_may_run_once_runs_once(script):
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            for target in fleet.targets:
+                target.scripts = [script]
+            response = await fleet.ask(fleet.relays[0], "/book/1", body=b"x")
+            assert response.status == 502
+            assert sum(len(target.ran) for target in fleet.targets) == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("script", ["cut", "reset", "unsigned", "encoded"])
+def test_an_idempotent_request_is_sent_again_after_a_spoilt_answer(script):
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            fleet.targets[0].scripts = [script]
+            fleet.targets[1].scripts = []
+            for _ in range(6):
+                response = await fleet.ask(fleet.relays[0])
+                assert response.status == 200
+            assert fleet.targets[0].scripts == []
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("script", ["extra", "late-extra"])
+def test_an_answer_to_another_request_reaches_nobody(script):
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            target = fleet.targets[0]
+            target.scripts = [script] * 5
+            for number in range(1, 11):
+                response = await fleet.ask(fleet.relays[0])
+                assert response.status == 200
+                assert response.headers["request-id"] == f"r-{number}"
+
+    run(scenario())
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            fleet.targets[0].scripts = ["unframed"]
+            response = await fleet.ask(fleet.relays[0])
+            assert response.status == 200
+            assert response.body == b"answer to r-1 by i-2"
+
+    run(scenario())
+
+
+def test_a_full_target_leads_to_another_and_then_to_a_refusal_that_is_true():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            for target in fleet.targets:
+                target.scripts = ["full"]
+            response = await fleet.ask(fleet.relays[0], "/book/1", body=b"x")
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 0
+            assert [target.ran for target in fleet.targets] == [[], []]
+
+    run(scenario())
+
+
+def test_the_routes_timeout_ends_a_request():
+    async def scenario():
+        async with fleet_of(1, timeout=0.3, attempts=1) as fleet:
+            fleet.targets[0].scripts = ["slow"]
+            response = await fleet.ask(fleet.relays[0])
+            assert response.status == 504
+            fleet.targets[0].release.set()
+
+    run(scenario())
+
+
+def test_a_client_that_leaves_stops_the_work():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            for target in fleet.targets:
+                target.scripts = ["hang"]
+            _, writer = await fleet.connect(fleet.relays[0])
+            writer.write(fleet.request("/avail/1"))
+            await until(lambda: any(target.ran for target in fleet.targets))
+            writer.close()
+            await until(lambda: any(target.dropped for target in fleet.targets))
+
+    run(scenario())
+
+
+def test_a_draining_target_gets_no_new_work():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            leaving = fleet.targets[0]
+            await fleet.register(leaving, "stalls", state="draining", seq=2)
+            await until(
+                lambda: all(
+                    relay.beliefs.targets[leaving.name].leaving
+                    for relay in fleet.relays
+                )
+            )
+            before = len(leaving.ran)
+            for relay in fleet.relays * 10:
+                assert (await fleet.ask(relay)).status == 200
+            assert len(leaving.ran) == before
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("mode", ["busy", "many", "reset", "silent"])
+def test_relays_go_on_while_the_store_is_away_and_follow_it_when_it_is_back(mode):
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            fleet.store.mode = mode
+            for relay in fleet.relays:
+                assert (await fleet.ask(relay)).status == 200
+            await fleet.store.put("op/config", configuration(2, more=["new"]))
+            fleet.store.mode = "up"
+            await until(
+                lambda: all(r.beliefs.catalog.generation == 2 for r in fleet.relays)
+            )
+            for relay in fleet.relays:
+                assert (await fleet.ask(relay, "/new/1")).status == 200
+
+    run(scenario())
+
+
+def test_a_relay_without_a_configuration_refuses_and_learns_it_from_a_peer():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            fleet.store.mode = "busy"
+            relay, target = await fleet.add("stalls")
+            assert not relay.ready
+            response = await fleet.ask(relay)
+            assert response.status == 503
+            entry = fleet.relays[0].beliefs.targets["i-2"]
+            fleet.relays[0].target_changed(
+                entry._replace(
+                    name=target.name, address=target.address, started=entry.started + 1
+                )
+            )
+            await until(lambda: relay.ready)
+            assert (await fleet.ask(relay)).status == 200
+
+    run(scenario())
+
+
+def test_a_lost_history_of_the_store_is_read_anew():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            await fleet.store.delete("servers/i-2")
+            await fleet.store.forget_history()
+            await until(
+                lambda: all("i-2" not in r.beliefs.targets for r in fleet.relays)
+            )
+
+    run(scenario())
+
+
+def test_all_pages_of_the_store_are_read():
+    async def scenario():
+        async with fleet_of(3) as fleet:
+            fleet.store.page_size = 2
+            relay, _ = await fleet.add("stalls")
+            await until(lambda: len(relay.beliefs.targets) == 4)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"GET /avail/1 HTTP/1.1\r\nhost: stalls.example\r\nx: " + b"a" * 40_000, 431),
+        (b"POST /book/1 HTTP/1.1\r\ncontent-length: 70000\r\n\r\n" + b"a" * 70_000, 413),
+        (
+            b"POST /book/1 HTTP/1.1\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"no request at all\r\n\r\n", 400),
+    ],
+)
+def test_unacceptable_bytes_are_rejected_and_reach_no_target(request_bytes, status):
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            reader, writer = await fleet.connect(fleet.relays[0])
+            writer.write(request_bytes)
+            response = await read_response(reader)
+            assert response.status == status
+            assert fleet.targets[0].seen == []
+            writer.close()
+
+    run(scenario())
+
+
+def test_a_planned_stop_cuts_nothing_and_new_calls_go_elsewhere():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            relay, target = fleet.relays[1], fleet.targets[1]
+            for each in fleet.targets:
+                each.scripts = ["slow"]
+            under_way = [
+                asyncio.create_task(fleet.ask(fleet.relays[0])) for _ in range(2)
+            ]
+            await until(lambda: sum(len(t.ran) for t in fleet.targets) == 2)
+            before = len(target.ran)
+            relay.stop()
+            await asyncio.sleep(0.05)
+            for each in fleet.targets:
+                each.release.set()
+            for task in under_way:
+                assert (await task).status == 200
+            for _ in range(10):
+                assert (await fleet.ask(fleet.relays[0])).status == 200
+            assert len(target.ran) == before
+            response = await fleet.ask(relay)
+            assert response.status == 200
+            assert response.headers["connection"] == "close"
+
+    run(scenario())
