--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -131,9 +131,7 @@
             return LEAST_SHARE * (1.0 + level)
         return min(1.0, max(level - route.rank, LEAST_SHARE))
 
-    def admits(
-        self, now: float, route: Route, service: str, request_id: bytes
-    ) -> bool:
+    def admits(self, now: float, route: Route, service: str, request_id: bytes) -> bool:
         """Whether a new request of a route may begin."""
         share = self.share(now, route, service)
         return share >= 1.0 or zlib.crc32(request_id) < share * HASHES
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -17,6 +17,7 @@
     RefusalReason,
 )
 from ...state.catalog import Route, Target
+from .admission import Admission
 from .beliefs import FleetBeliefs
 from .placement import Placement, TargetRecord
 from .retry_budget import RetryBudget
@@ -33,6 +34,8 @@
 """Time that must be left for another send."""
 RETRY_SPREAD = 0.5
 NO_TARGET_RETRY_S = 0.5
+RETURN_SHARE = 0.35
+"""Part of a route's objective after which a request not admitted may return."""
 
 FREE_RESENDS = frozenset(
     {
@@ -61,7 +64,9 @@
     """A client's request with the route that it matched.
 
     `head` is the request's head as it goes to the target, without its last line;
-    `deadline` is in seconds of the monotonic clock.
+    `deadline` is in seconds of the monotonic clock. `inner` says that a target's run
+    made the request, `rank` is that of the request at the start of the chain, `repeat`
+    says that a run above is a repeat.
     """
 
     route: Route
@@ -69,6 +74,9 @@
     head: bytes
     body: bytes
     deadline: float
+    rank: int
+    inner: bool = False
+    repeat: bool = False
 
 
 class SendCall(NamedTuple):
@@ -137,6 +145,8 @@
         Choice of targets.
     budget : RetryBudget
         Bound on repeats.
+    admission : Admission
+        Decides which requests may begin.
     reachable : callable
         Whether the relay beside a target can be sent to.
     rng : random.Random
@@ -149,12 +159,14 @@
         beliefs: FleetBeliefs,
         placement: Placement,
         budget: RetryBudget,
+        admission: Admission,
         reachable: Callable[[Target], bool],
         rng: "Random",
     ) -> None:
         self.beliefs = beliefs
         self.placement = placement
         self.budget = budget
+        self.admission = admission
         self.reachable = reachable
         self.rng = rng
         self.split = SplitChooser()
@@ -169,9 +181,17 @@
         pending = PendingRequest(
             token=token, request=request, service=self.split.choose(request.route)
         )
-        self.budget.offered(pending.service)
+        if request.repeat:
+            self.budget.inherited(pending.service)
+        else:
+            self.budget.offered(pending.service)
         if request.deadline <= now:
             return [self._give_up(pending, RefusalReason.EXPIRED)]
+        if not request.inner and not self.admission.admits(
+            now, request.route, pending.service, request.request_id
+        ):
+            retry_after = request.route.objective * RETURN_SHARE
+            return [self._give_up(pending, RefusalReason.NOT_ADMITTED, retry_after)]
         self.pending[token] = pending
         return self._send(now, pending)
 
@@ -269,9 +289,7 @@
 
     def _send(self, now: float, pending: PendingRequest) -> list[DispatchAction]:
         request = pending.request
-        record = self.placement.choose(
-            now, request.route.name, self._candidates(pending)
-        )
+        record = self.placement.choose(now, request.route, self._candidates(pending))
         if record is None:
             self.pending.pop(pending.token, None)
             return [
@@ -289,8 +307,9 @@
             exchange=exchange,
             target=record.target.name,
             route=request.route.name,
-            rank=request.route.rank,
+            rank=request.rank,
             idempotent=request.route.idempotent,
+            repeat=request.repeat or pending.may_have_run,
             left=request.deadline - now,
             request_id=request.request_id,
             head=request.head,
--- a/buckthornshed/coordination/relay/placement.py
+++ b/buckthornshed/coordination/relay/placement.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ...state.catalog import Target
+from ...state.catalog import Route, Target
 
 if TYPE_CHECKING:
     from random import Random
@@ -19,6 +19,10 @@
 """Expected time of a call before anything was reported."""
 REMOTE_S = 0.004
 """What another failure domain counts as extra time."""
+LOCAL_LOAD = 0.85
+"""Load up to which a target of the own failure domain goes first."""
+LOCAL_FACTOR = 1.5
+"""How much longer than elsewhere a call may take there."""
 COLD_FACTOR = 2.0
 SUSPENSION_S = 0.5
 """How long a target is avoided after a failure that was its own."""
@@ -42,12 +46,17 @@
     suspended_until: float = 0.0
     usual: dict[str, float] = field(default_factory=dict)
 
+    def load_at(self, now: float) -> float:
+        """Return the load, the calls sent since the last report included."""
+        load = self.load + self.sent / self.target.slots
+        if now - self.reported_at > REPORT_AGE_S:
+            return max(load / 2, self.outstanding / self.target.slots)
+        return load
+
     def expected(self, now: float, route: str, own_domain: str) -> float:
         """Return the seconds in which a call is expected to finish."""
         usual = self.usual.get(route, USUAL_S)
-        load = self.load + self.sent / self.target.slots
-        if now - self.reported_at > REPORT_AGE_S:
-            load = max(load / 2, self.outstanding / self.target.slots)
+        load = self.load_at(now)
         waiting = max(0.0, load - 1.0) * usual
         seconds = usual * (1.0 + load * load) + waiting
         if self.target.failure_domain != own_domain:
@@ -86,27 +95,36 @@
         self.records.pop(name, None)
 
     def choose(
-        self, now: float, route: str, candidates: list[Target]
+        self, now: float, route: Route, candidates: list[Target]
     ) -> TargetRecord | None:
-        """Return the best of two candidates drawn at random, if there is any.
+        """Return the target for a call, if there is any.
 
-        A target that was suspended after a failure is only taken when all are.
+        It is one of the own failure domain that has room and is not much slower than
+        the rest, else the best of two drawn at random. A target that was suspended
+        after a failure is only taken when all are.
         """
         if not candidates:
             return None
         records = [self.record(target) for target in candidates]
         trusted = [record for record in records if record.suspended_until <= now]
         records = trusted or records
-        if len(records) > 2:
-            records = self.rng.sample(records, 2)
         if len(records) == 1:
             return records[0]
-        first, second = records
-        if first.expected(now, route, self.failure_domain) <= second.expected(
-            now, route, self.failure_domain
-        ):
-            return first
-        return second
+        times = [r.expected(now, route.name, self.failure_domain) for r in records]
+        slowest = LOCAL_FACTOR * min(times)
+        near = [
+            record
+            for record, seconds in zip(records, times, strict=True)
+            if record.target.failure_domain == self.failure_domain
+            and seconds <= slowest
+            and record.load_at(now) <= LOCAL_LOAD
+        ]
+        if near:
+            return min(near, key=lambda record: record.load_at(now))
+        places = list(range(len(records)))
+        if len(records) > 2:
+            places = self.rng.sample(places, 2)
+        return records[min(places, key=times.__getitem__)]
 
     def sent(self, record: TargetRecord) -> None:
         """Count a call on its way to a target."""
--- a/buckthornshed/coordination/relay/retry_budget.py
+++ b/buckthornshed/coordination/relay/retry_budget.py
@@ -3,7 +3,7 @@
 Each relay may spend a share of the requests that it saw itself, so the shares add up
 to the same share of the fleet's requests, and a fixed slack divided by the number of
 relays. The share is kept well under the bound: a repeated run repeats its calls at
-the services below, whose relays cannot tell these from first sends.
+the services below, where they count as well and leave less for first-hand repeats.
 """
 
 from collections import defaultdict
@@ -47,6 +47,10 @@
         saved = self.tokens.get(service, self.capacity)
         self.tokens[service] = min(saved + self.earned, self.capacity)
 
+    def inherited(self, service: str) -> None:
+        """Count a call of a run that was itself a repeat; it cannot be denied."""
+        self.tokens[service] = self.tokens.get(service, self.capacity) - 1.0
+
     def spend(self, service: str) -> bool:
         """Take the token for one repeated send, if there is one."""
         saved = self.tokens.get(service, self.capacity)
--- a/buckthornshed/coordination/relay/target_gate.py
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
+from .admission import PressureLevel
 
 __all__ = ["GateCall", "Refused", "Start", "TargetGate"]
 
@@ -74,6 +75,7 @@
         self.order = 0
         self.usual: dict[str, float] = {}
         self.mean = USUAL_S
+        self.pressure = PressureLevel()
 
     @property
     def load(self) -> float:
@@ -98,6 +100,7 @@
         """Take a call."""
         if self.leaving:
             return [Refused(call, RefusalReason.LEAVING, RETRY_LEAST_S)]
+        self.pressure.asked_for(self.usual_time(call.message.route))
         if call.deadline <= now:
             return [Refused(call, RefusalReason.EXPIRED, self.retry_after())]
         if self.running < self.limit and not self.waiting_count:
@@ -134,7 +137,9 @@
         return False, []
 
     def tick(self, now: float) -> list[GateAction]:
-        """Turn away what waits and can no longer be in time."""
+        """Turn away what waits and can no longer be in time; move the level."""
+        wait = self.waiting_count * self.mean / self.limit
+        self.pressure.move(now, self.limit, wait)
         actions: list[GateAction] = []
         for entry in self.waiting:
             call = entry[3]
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from typing import Protocol
 
 from ..errors import PlatformError
@@ -10,13 +10,13 @@
 from ..transport.logs import log_event
 from .documents import decode_catalog, decode_target
 from .store import Change, Changes, HistoryLostError, StoreClient
-from .wire import CATALOG_KEY, TARGET_PREFIX
+from .wire import ALL_KEYS, CATALOG_KEY, TARGET_PREFIX
 
 __all__ = ["StoreListener", "StoreReader"]
 
-WATCH_WAIT_S = 4.0
-TARGET_GAP_S = 0.6
-"""Pause between two watches of targets, so that one answer carries many changes."""
+WATCH_WAIT_S = 2.0
+GAP_S = 0.5
+"""Pause between two watches, so that one answer carries many changes."""
 FIRST_RETRY_S = 0.05
 LAST_RETRY_S = 0.5
 
@@ -59,30 +59,19 @@
         self.listener = listener
         self.failing = False
 
-    async def follow_catalog(self) -> None:
-        """Keep the configuration current, without end."""
-        await self._follow(CATALOG_KEY, self._take_catalog, self._take_catalog, 0.0)
-
-    async def follow_targets(self) -> None:
-        """Keep the targets current, without end."""
-        await self._follow(
-            TARGET_PREFIX, self._take_targets, self._take_target, TARGET_GAP_S
-        )
-
-    async def _follow(
-        self,
-        prefix: str,
-        take_all: Callable[[tuple[Change, ...]], None],
-        take_changes: Callable[[tuple[Change, ...]], None],
-        gap: float,
-    ) -> None:
+    async def follow(self) -> None:
+        """Keep the configuration and the targets current, without end.
+
+        One watch covers both: targets change every second or so, so a watch that has
+        gone silent is noticed soon, for the configuration as well.
+        """
         revision: int | None = None
         delay = FIRST_RETRY_S
         while True:
-            take = take_all if revision is None else take_changes
             try:
-                found = await self._next(prefix, revision)
+                found = await self._next(revision)
             except HistoryLostError:
+                log_event("store_history_lost", revision=revision)
                 revision = None
                 continue
             except PlatformError as error:
@@ -92,15 +81,19 @@
                 continue
             delay = FIRST_RETRY_S
             self._found()
-            take(found.changes)
+            self._take_catalog(found.changes)
+            if revision is None:
+                self._take_targets(found.changes)
+            else:
+                self._take_target(found.changes)
             revision = found.revision
-            if gap and found.changes:
-                await asyncio.sleep(gap)
+            if found.changes:
+                await asyncio.sleep(GAP_S)
 
-    def _next(self, prefix: str, revision: int | None) -> Awaitable[Changes]:
+    def _next(self, revision: int | None) -> Awaitable[Changes]:
         if revision is None:
-            return self.client.range(prefix)
-        return self.client.watch(prefix, revision, WATCH_WAIT_S)
+            return self.client.range(ALL_KEYS)
+        return self.client.watch(ALL_KEYS, revision, WATCH_WAIT_S)
 
     def _lost(self, detail: str) -> None:
         if not self.failing:
@@ -126,11 +119,17 @@
                 self.listener.catalog_read(catalog)
 
     def _take_targets(self, changes: tuple[Change, ...]) -> None:
-        found = [self._decoded(change) for change in changes]
+        found = [
+            self._decoded(change)
+            for change in changes
+            if change.key.startswith(TARGET_PREFIX)
+        ]
         self.listener.targets_read([target for target in found if target is not None])
 
     def _take_target(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
+            if not change.key.startswith(TARGET_PREFIX):
+                continue
             if change.value is None:
                 self.listener.target_deleted(change.key.removeprefix(TARGET_PREFIX))
                 continue
--- a/buckthornshed/platform/wire.py
+++ b/buckthornshed/platform/wire.py
@@ -2,7 +2,14 @@
 
 from ..protocol.relay_messages import HeaderNames
 
-__all__ = ["CATALOG_KEY", "HEADERS", "READY_PATH", "TARGET_PREFIX", "history_lost"]
+__all__ = [
+    "ALL_KEYS",
+    "CATALOG_KEY",
+    "HEADERS",
+    "READY_PATH",
+    "TARGET_PREFIX",
+    "history_lost",
+]
 
 HEADERS = HeaderNames(
     request_id=b"request-id",
@@ -17,6 +24,9 @@
 
 READY_PATH = b"/ready"
 
+ALL_KEYS = ""
+"""Prefix of all keys of the store."""
+
 CATALOG_KEY = "op/config"
 TARGET_PREFIX = "servers/"
 
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -26,6 +26,7 @@
     "RefusalMessage",
     "RefusalReason",
     "RelayMessage",
+    "Status",
     "encode_frame",
 ]
 
@@ -78,9 +79,11 @@
     """Its deadline passed before it was sent; it did not run."""
     TARGET_FULL = 6
     """The target said that it did not run it."""
-    LOST = 7
+    NOT_ADMITTED = 7
+    """A service that it needs is short of room; it did not run."""
+    LOST = 8
     """It was sent, and no usable answer came; it may have run."""
-    TIMED_OUT = 8
+    TIMED_OUT = 9
     """It was sent, and its deadline has passed; it may have run."""
 
     @property
@@ -100,7 +103,8 @@
     """A request for the target beside the receiver.
 
     `head` is the request's head without its last line; the receiver adds the
-    deadline and the expected target. `left` is seconds.
+    deadline and the expected target. `rank` is that of the request at the start of
+    the chain, `repeat` whether the call or a run above it is a repeat, `left` seconds.
     """
 
     exchange: int
@@ -108,6 +112,7 @@
     route: str
     rank: int
     idempotent: bool
+    repeat: bool
     left: float
     request_id: bytes
     head: bytes
@@ -158,6 +163,28 @@
     """The sender's instance takes no new work."""
 
 
+class Status(msgspec.Struct, array_like=True, tag=9):
+    """How the sender's target fares.
+
+    Parameters
+    ----------
+    service, target : str
+        The target and its service.
+    load : float
+        As in answers.
+    level : float
+        Level of admission, as in `coordination.relay.admission`.
+    calls : dict or None
+        Routes called by the runs of each route, when that is news.
+    """
+
+    service: str
+    target: str
+    load: float
+    level: float
+    calls: dict[str, list[str]] | None = None
+
+
 class News(msgspec.Struct, array_like=True, tag=8):
     """What the sender believes and the receiver may not have seen yet.
 
@@ -186,6 +213,7 @@
     | Pong
     | Leaving
     | News
+    | Status
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -55,8 +55,7 @@
         reader = StoreReader(client=client, listener=relay)
         loop = asyncio.get_running_loop()
         self.tasks += [
-            loop.create_task(reader.follow_catalog()),
-            loop.create_task(reader.follow_targets()),
+            loop.create_task(reader.follow()),
             loop.create_task(ticking(relay)),
         ]
         self.relays.append(relay)
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -2,7 +2,9 @@
 
 from random import Random
 
+from buckthornshed.coordination.relay.admission import Admission
 from buckthornshed.coordination.relay.beliefs import FleetBeliefs
+from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.dispatcher import Dispatcher, RoutedRequest
 from buckthornshed.coordination.relay.placement import Placement
 from buckthornshed.coordination.relay.retry_budget import RetryBudget
@@ -59,6 +61,7 @@
         "route": "avail",
         "rank": 1,
         "idempotent": True,
+        "repeat": False,
         "left": 1.0,
         "request_id": b"r-1",
         "head": b"GET /avail/1 HTTP/1.1\r\nhost: stalls.example\r\n",
@@ -72,9 +75,13 @@
     return GateCall(key=key, message=message, deadline=now + left, arrived=now)
 
 
-def make_request(now=0.0, left=1.0, **changes):
+def make_request(now=0.0, left=1.0, *, inner=False, repeat=False, **changes):
+    route = make_route(**changes)
     return RoutedRequest(
-        route=make_route(**changes),
+        route=route,
+        rank=route.rank,
+        inner=inner,
+        repeat=repeat,
         request_id=b"r-1",
         head=b"GET /avail/1 HTTP/1.1\r\n",
         body=b"",
@@ -92,6 +99,7 @@
         beliefs=beliefs,
         placement=Placement(failure_domain="a", rng=rng),
         budget=RetryBudget(limits=limits),
+        admission=Admission(graph=CallGraph()),
         reachable=lambda target: target.name not in unreachable,
         rng=rng,
     )
--- a/buckthornshed/tests/relay/standin_store.py
+++ b/buckthornshed/tests/relay/standin_store.py
@@ -24,7 +24,7 @@
         self.page_size = 500
         self.calls = []
         self.changed = asyncio.Condition()
-        self.server = None
+        self.server: asyncio.Server | None = None
         self.address = ""
 
     async def open(self, host="127.0.0.1"):
@@ -33,7 +33,8 @@
         self.address = f"{host}:{port}"
 
     def close(self):
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
 
     async def put(self, key, value):
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -89,7 +90,9 @@
         if self.mode in refusals:
             return refusals[self.mode], {"error": self.mode}
         parts = urlsplit(path)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        query = {
+            name: values[0] for name, values in parse_qs(parts.query, True).items()
+        }
         if parts.path == "/kv-range":
             return 200, self._range(query)
         return await self._watch(query)
@@ -118,7 +121,10 @@
                         return 410, {"error": "history is gone"}
         except TimeoutError:
             pass
-        return 200, {"events": self._events(query["prefix"], after), "at": self.revision}
+        return 200, {
+            "events": self._events(query["prefix"], after),
+            "at": self.revision,
+        }
 
     def _events(self, prefix, after):
         return [
--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -29,14 +29,15 @@
         self.dropped = []
         self.delay = 0.0
         self.release = asyncio.Event()
-        self.server = None
+        self.server: asyncio.Server | None = None
 
     async def open(self, host, port=0):
         self.server = await asyncio.start_server(self._serve, host, port)
         self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
     def close(self):
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
--- a/buckthornshed/tests/relay/test_beliefs.py
+++ b/buckthornshed/tests/relay/test_beliefs.py
@@ -10,6 +10,7 @@
     beliefs = FleetBeliefs()
     assert beliefs.accept_catalog(make_catalog(4))
     assert not beliefs.accept_catalog(make_catalog(generation))
+    assert beliefs.catalog is not None
     assert beliefs.catalog.generation == 4
     assert beliefs.accept_catalog(make_catalog(5))
 
--- a/buckthornshed/tests/relay/test_platform_documents.py
+++ b/buckthornshed/tests/relay/test_platform_documents.py
@@ -69,8 +69,11 @@
     catalog = decode_catalog(encoded(document(service="huvo11a")))
     assert catalog.generation == 12
     route = catalog.match("stalls.example", "/book/1")
+    wide = catalog.match("stalls.example", "/other")
+    assert route is not None
+    assert wide is not None
     assert (route.name, route.idempotent, route.timeout) == ("r-1", False, 1.0)
-    assert catalog.match("stalls.example", "/other").name == "r-2"
+    assert wide.name == "r-2"
     assert catalog.match("elsewhere.example", "/book/1") is None
     assert catalog.limits.idle_timeout == 15.0
 
@@ -78,8 +81,12 @@
 def test_a_split_keeps_its_weights():
     split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
     catalog = decode_catalog(encoded(document(trafficSplit=split)))
-    parts = catalog.match("stalls.example", "/book/1").parts
-    assert [(part.service, part.weight) for part in parts] == [("x", 90), ("y", 10)]
+    route = catalog.match("stalls.example", "/book/1")
+    assert route is not None
+    assert [(part.service, part.weight) for part in route.parts] == [
+        ("x", 90),
+        ("y", 10),
+    ]
 
 
 @pytest.mark.parametrize(
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -218,7 +218,10 @@
     ("request_bytes", "status"),
     [
         (b"GET /avail/1 HTTP/1.1\r\nhost: stalls.example\r\nx: " + b"a" * 40_000, 431),
-        (b"POST /book/1 HTTP/1.1\r\ncontent-length: 70000\r\n\r\n" + b"a" * 70_000, 413),
+        (
+            b"POST /book/1 HTTP/1.1\r\ncontent-length: 70000\r\n\r\n" + b"a" * 70_000,
+            413,
+        ),
         (
             b"POST /book/1 HTTP/1.1\r\ncontent-length: 3\r\n"
             b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -256,6 +256,19 @@
         if link is not None:
             link.leaving = True
 
+    def close(self) -> None:
+        """Close all connections at once."""
+        if self.server is not None:
+            self.server.close()
+        for keeper in self.keepers.values():
+            keeper.cancel()
+        self.keepers.clear()
+        for link in list(self.links.values()):
+            link.cut()
+        for session in list(self.sessions):
+            if session.transport is not None:
+                session.transport.abort()
+
     def tick(self, now: float) -> None:
         """Look after silent connections."""
         paused = now - self.ticked_at > PAUSE_S
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -29,11 +29,8 @@
 class Reader(Protocol):
     """Follows the configuration and the targets."""
 
-    async def follow_catalog(self) -> None:
-        """Keep the configuration current, without end."""
-
-    async def follow_targets(self) -> None:
-        """Keep the targets current, without end."""
+    async def follow(self) -> None:
+        """Keep both current, without end."""
 
 
 class ReadinessHandler:
@@ -115,8 +112,7 @@
         await self.readiness.open(settings.ready_address)
         log_event("started", instance=settings.name, service=settings.target_service)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.reader.follow_catalog)
-            tasks.start_soon(self.reader.follow_targets)
+            tasks.start_soon(self.reader.follow)
             tasks.start_soon(self._tick)
             await self._wait_for_stop()
             await self._drain()
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ...coordination.relay.admission import Admission
 from ...coordination.relay.beliefs import FleetBeliefs, Version, version_of
 from ...coordination.relay.dispatcher import (
     CancelCall,
@@ -27,6 +28,7 @@
     Pong,
     RefusalMessage,
     RelayMessage,
+    Status,
 )
 from ...state.catalog import Catalog, Target
 from ...state.relay_settings import RelaySettings
@@ -43,6 +45,12 @@
 
 NO_CATALOG_RETRY_S = 0.5
 RESERVED_DESCRIPTORS = 400
+STATUS_TICKS = 6
+"""Ticks between two reports of the own target's state."""
+STATUS_LOAD = 0.5
+"""Load from which the own target's state is reported."""
+GRAPH_STATUSES = 16
+"""Reports between two of which the routes below are told anew."""
 SLOW_TICKS = 20
 """Ticks between two sweeps of connections and lapsed registrations."""
 
@@ -81,19 +89,21 @@
         self.beliefs = FleetBeliefs()
         self.placement = Placement(failure_domain=settings.failure_domain, rng=rng)
         self.budget = RetryBudget(limits=settings.retry_limits)
+        self.target_side = TargetSide(
+            address=settings.target_address,
+            names=names,
+            deliver=self._target_outcome,
+            clock=clock,
+        )
+        self.admission = Admission(graph=self.target_side.graph)
         self.dispatcher = Dispatcher(
             beliefs=self.beliefs,
             placement=self.placement,
             budget=self.budget,
+            admission=self.admission,
             reachable=self._reachable,
             rng=rng,
         )
-        self.target_side = TargetSide(
-            address=settings.target_address,
-            names=names,
-            deliver=self._target_outcome,
-            clock=clock,
-        )
         self.listener = ClientListener(
             handler=self,
             connections_max=settings.descriptors - RESERVED_DESCRIPTORS,
@@ -109,6 +119,7 @@
         self.sessions: dict[int, PeerSession] = {}
         self.stopping = False
         self.ticks = 0
+        self.told_version = -1
 
     @property
     def ready(self) -> bool:
@@ -138,6 +149,8 @@
         self.target_side.tick(now)
         self._execute(self.dispatcher.tick(now))
         self.links.tick(now)
+        if self.ticks % STATUS_TICKS == 0:
+            self._tell_status(now)
         if self.ticks % SLOW_TICKS == 0:
             self.listener.sweep()
             self.target_side.pool.sweep()
@@ -168,12 +181,18 @@
             return
         allowed = _milliseconds(first(request.headers, self.names.deadline))
         timeout = route.timeout if allowed is None else min(route.timeout, allowed)
+        parent = self.target_side.parent_of(request_id)
+        if parent is not None:
+            self.target_side.graph.called(parent.route, route.name)
         routed = RoutedRequest(
             route=route,
             request_id=request_id,
             head=request_head(request, self.names, self.calling_service),
             body=request.body,
             deadline=now + timeout,
+            rank=route.rank if parent is None else parent.rank,
+            inner=parent is not None,
+            repeat=parent is not None and parent.repeat,
         )
         self.exchanges[exchange.token] = exchange
         self._execute(self.dispatcher.request(now, exchange.token, routed))
@@ -201,6 +220,8 @@
             self.target_side.cancel(CallKey(session.number, message.exchange))
         elif isinstance(message, Ping):
             session.send(Pong(self.target_side.gate.load))
+        elif isinstance(message, Status):
+            self._take_status(message)
         elif isinstance(message, News):
             self._take_news(message)
 
@@ -292,6 +313,9 @@
         self.listener.limits = catalog.limits
         names = {route.name for routes in catalog.routes.values() for route in routes}
         self.dispatcher.split.keep(names)
+        self.admission.configure(catalog)
+        ranks = [r.rank for routes in catalog.routes.values() for r in routes]
+        self.target_side.gate.pressure.set_ranks(max(ranks, default=0) + 1)
         self.links.broadcast(News(catalog=catalog))
 
     def _take_news(self, news: News) -> None:
@@ -332,6 +356,45 @@
         for name in self.placement.records.keys() - targets.keys():
             if not self.placement.records[name].outstanding:
                 self.placement.forget(name)
+                self.admission.forget(name)
+
+    def _tell_status(self, now: float) -> None:
+        target = self.target_side.target
+        if target is None:
+            return
+        gate = self.target_side.gate
+        level = gate.pressure.level
+        self.admission.report(now, target.service, target.name, level)
+        graph = self.target_side.graph
+        due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
+        news = graph.version != self.told_version or due
+        pressed = level < gate.pressure.ranks or gate.load >= STATUS_LOAD
+        if not (news or pressed):
+            return
+        self.told_version = graph.version
+        calls = graph.conclusions() if news else None
+        self.links.broadcast(
+            Status(target.service, target.name, gate.load, level, calls)
+        )
+
+    def _take_status(self, status: Status) -> None:
+        now = self.clock()
+        target = self.beliefs.targets.get(status.target)
+        if target is not None:
+            record = self.placement.record(target)
+            self.placement.reported(now, record, status.load)
+            self.admission.report(now, status.service, status.target, status.level)
+        if status.calls is not None:
+            self.target_side.graph.take(status.calls)
+
+    def close(self) -> None:
+        """Close all sockets at once."""
+        self.listener.stop_accepting()
+        for connection in list(self.listener.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.links.close()
+        self.target_side.pool.close_idle()
 
     def _take_load(self, now: float, instance: str, load: float) -> None:
         for target in self.beliefs.targets.values():
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Hashable
 from typing import NamedTuple
 
+from ...coordination.relay.call_graph import CallGraph
 from ...coordination.relay.target_gate import GateCall, Refused, Start, TargetGate
 from ...protocol.http import first
 from ...protocol.relay_messages import (
@@ -24,6 +25,10 @@
 """Statuses that say "not run" to a client; a target that ran must not send them."""
 
 
+PARENT_SEPARATOR = b"."
+"""Between the identifier of a run and what tells its calls apart."""
+
+
 class CallKey(NamedTuple):
     """Names a call: the connection that it came on, 0 for this relay, its number."""
 
@@ -70,12 +75,22 @@
         self.numbers: dict[Hashable, int] = {}
         self.next_number = 1
         self.stopping = False
+        self.graph = CallGraph()
+        self.by_request: dict[bytes, GateCall] = {}
 
     @property
     def busy(self) -> bool:
         """Whether a call runs or waits."""
         return bool(self.gate.calls)
 
+    def parent_of(self, request_id: bytes) -> CallMessage | None:
+        """Return the running call that made a request, if one did."""
+        parent_id, separator, _ = request_id.rpartition(PARENT_SEPARATOR)
+        if not separator:
+            return None
+        call = self.by_request.get(parent_id)
+        return None if call is None else call.message
+
     def believe(self, target: Target | None) -> None:
         """Take what is believed of the target beside this relay."""
         known = self.target
@@ -112,6 +127,7 @@
         if was_running:
             number = self.numbers.pop(key)
             del self.running[number]
+            self.by_request.pop(call.message.request_id, None)
             self.pool.cancel(number)
         self._execute(actions)
 
@@ -149,6 +165,7 @@
         self.next_number += 1
         self.running[number] = call
         self.numbers[call.key] = number
+        self.by_request[message.request_id] = call
         left = max(1, int((call.deadline - self.clock()) * 1e3))
         data = b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
             message.head,
@@ -166,8 +183,11 @@
         if call is None:
             return
         del self.numbers[call.key]
+        self.by_request.pop(call.message.request_id, None)
         outcome = self._outcome(call, result)
         sound = isinstance(outcome, AnswerMessage)
+        if sound:
+            self.graph.run_ended(call.message.route)
         actions = self.gate.finished(self.clock(), call.key, sound=sound)
         if isinstance(outcome, AnswerMessage):
             outcome.load = self.gate.load
