--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -19,18 +19,21 @@
 
 __all__ = ["Admission", "PressureLevel", "ReportedLevel"]
 
-LOAD_AIM = 0.95
+LOAD_AIM = 0.97
 """Asked work as a part of the room that is aimed at."""
 WAIT_AIM_S = 0.02
 """Wait of a call that a whole chain can bear at each of its hops."""
-LOAD_GAIN = 1.2
+LOAD_GAIN = 0.8
 """Change of the level a second for work asked beyond the aim by the whole room."""
-WAIT_GAIN = 0.25
+WAIT_GAIN = 0.05
 """Change of the level a second when calls wait for the time that is aimed at."""
 WAIT_RATIO_MAX = 6.0
+REJECT_GAIN = 1.5
+"""Change of the level a second for a target that rejects all calls."""
+REJECT_SMOOTHING = 0.02
 RISE_MAX = 0.6
 """Greatest rise of the level a second."""
-SMOOTHING_S = 0.3
+SMOOTHING_S = 0.1
 LEAST_SHARE = 0.3
 """Part of each rank that is admitted however short the room, above level 0."""
 LEVEL_LEAST = -0.9
@@ -58,8 +61,14 @@
         self.level = 1.0
         self.asked = 0.0
         self.load = 0.0
+        self.rejecting = 0.0
         self.moved_at: float | None = None
 
+    @property
+    def told(self) -> float:
+        """The level for other relays; infinite while nothing is to be refused."""
+        return self.level if self.level < self.ranks else float("inf")
+
     def set_ranks(self, ranks: int) -> None:
         """Take the number of ranks that requests have."""
         at_top = self.level >= self.ranks
@@ -70,6 +79,10 @@
         """Count a call that arrived, by the slot seconds that it usually takes."""
         self.asked += work
 
+    def served(self, *, rejected: bool) -> None:
+        """Note whether the target ran a call or rejected it."""
+        self.rejecting += REJECT_SMOOTHING * (float(rejected) - self.rejecting)
+
     def move(self, now: float, room: int, wait: float) -> None:
         """Move the level; `wait` is how long a call waits now, seconds."""
         if self.moved_at is None:
@@ -86,7 +99,7 @@
         self.moved_at = now
         late = min(wait / WAIT_AIM_S, WAIT_RATIO_MAX)
         change = LOAD_GAIN * (LOAD_AIM - self.load) - WAIT_GAIN * late
-        change = min(change, RISE_MAX)
+        change = min(change, RISE_MAX) - REJECT_GAIN * self.rejecting
         moved = self.level + change * min(elapsed, SMOOTHING_S)
         self.level = min(self.ranks, max(LEVEL_LEAST, moved))
 
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -46,6 +46,12 @@
 )
 """Refusals by relays: no target saw the call, so another send is not a repeat."""
 
+FAILED_STATUS = 500
+"""Least status of an answer that tells that the target failed."""
+
+FAILED = frozenset({RefusalReason.TARGET_FULL, RefusalReason.LOST})
+"""Refusals that count against the target itself."""
+
 FINAL = frozenset({RefusalReason.EXPIRED, RefusalReason.TIMED_OUT})
 """Refusals after which nothing is sent again."""
 
@@ -212,6 +218,7 @@
             return []
         record = self._detach(pending)
         self.placement.reported(now, record, answer.load)
+        self.placement.judged(record, failed=answer.status >= FAILED_STATUS)
         record.usual[pending.request.route.name] = answer.usual
         del self.pending[pending.token]
         return [Deliver(pending.token, pending.request, answer, pending.sends)]
@@ -224,6 +231,8 @@
         record = self._detach(pending)
         reason = refusal.reason
         self.placement.reported(now, record, refusal.load)
+        if reason in FAILED:
+            self.placement.judged(record, failed=True)
         if reason in SUSPENDING:
             self.placement.suspend(now, record)
         if reason.ran:
--- a/buckthornshed/coordination/relay/placement.py
+++ b/buckthornshed/coordination/relay/placement.py
@@ -24,6 +24,11 @@
 LOCAL_FACTOR = 1.5
 """How much longer than elsewhere a call may take there."""
 COLD_FACTOR = 2.0
+FAILING_FACTOR = 6.0
+"""How many times as long a call to a target counts that fails all of them."""
+FAILING_SMOOTHING = 0.05
+LOCAL_FAILING = 0.1
+"""Part of failing calls up to which a target of the own domain goes first."""
 SUSPENSION_S = 0.5
 """How long a target is avoided after a failure that was its own."""
 REPORT_AGE_S = 1.0
@@ -35,7 +40,8 @@
     """What a relay knows of one incarnation of a target.
 
     `load` is the reported share of its room in use, `sent` the calls since that
-    report, `outstanding` the calls of this relay, `usual` seconds by route.
+    report, `outstanding` the calls of this relay, `usual` seconds by route, `failing`
+    the part of its recent calls that it rejected or failed.
     """
 
     target: Target
@@ -44,6 +50,7 @@
     sent: int = 0
     outstanding: int = 0
     suspended_until: float = 0.0
+    failing: float = 0.0
     usual: dict[str, float] = field(default_factory=dict)
 
     def load_at(self, now: float) -> float:
@@ -59,6 +66,7 @@
         load = self.load_at(now)
         waiting = max(0.0, load - 1.0) * usual
         seconds = usual * (1.0 + load * load) + waiting
+        seconds *= 1.0 + FAILING_FACTOR * self.failing
         if self.target.failure_domain != own_domain:
             seconds += REMOTE_S
         return seconds
@@ -118,6 +126,7 @@
             if record.target.failure_domain == self.failure_domain
             and seconds <= slowest
             and record.load_at(now) <= LOCAL_LOAD
+            and record.failing <= LOCAL_FAILING
         ]
         if near:
             return min(near, key=lambda record: record.load_at(now))
@@ -135,6 +144,10 @@
         """Count the end of a call."""
         record.outstanding -= 1
 
+    def judged(self, record: TargetRecord, *, failed: bool) -> None:
+        """Note whether a target served a call or failed it."""
+        record.failing += FAILING_SMOOTHING * (float(failed) - record.failing)
+
     def reported(self, now: float, record: TargetRecord, load: float) -> None:
         """Take the load that a target's relay reported."""
         record.load = load
--- a/buckthornshed/coordination/relay/retry_budget.py
+++ b/buckthornshed/coordination/relay/retry_budget.py
@@ -2,8 +2,8 @@
 
 Each relay may spend a share of the requests that it saw itself, so the shares add up
 to the same share of the fleet's requests, and a fixed slack divided by the number of
-relays. The share is kept well under the bound: a repeated run repeats its calls at
-the services below, where they count as well and leave less for first-hand repeats.
+relays. A repeated run repeats its calls at the services below; they count there as
+well and leave less for first-hand repeats.
 """
 
 from collections import defaultdict
@@ -12,7 +12,7 @@
 
 __all__ = ["RetryBudget"]
 
-RATIO_SHARE = 0.4
+RATIO_SHARE = 0.8
 """Part of the bound's ratio that first-hand repeats may take."""
 SLACK_SHARE = 0.3
 """Part of the bound's slack that first-hand repeats may take."""
--- a/buckthornshed/transport/http_parsing.py
+++ b/buckthornshed/transport/http_parsing.py
@@ -23,6 +23,8 @@
         Called without arguments when a message is complete.
     on_head : callable, optional
         Called without arguments when the head is complete.
+    head_bytes_max : int
+        Greatest size of a head.
     """
 
     def __init__(
@@ -31,8 +33,10 @@
         body_bytes_max: int,
         on_message: Callable[[], None],
         on_head: Callable[[], None] | None = None,
+        head_bytes_max: int = HEAD_BYTES_MAX,
     ) -> None:
         self.body_bytes_max = body_bytes_max
+        self.head_bytes_max = head_bytes_max
         self.deliver = on_message
         self.head = on_head
         self.reset()
@@ -92,7 +96,7 @@
 
     def _count_head(self, size: int) -> None:
         self.head_bytes += size
-        if self.head_bytes > HEAD_BYTES_MAX:
+        if self.head_bytes > self.head_bytes_max:
             self.too_large = True
 
 
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -20,6 +20,8 @@
 PIPELINED_MAX = 32
 LINGER_S = 1.0
 """How long a closed connection is still read, so that its answer is not reset."""
+HEAD_MARGIN = 1_024
+"""Bytes for the first line and for what separates headers."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -67,11 +69,13 @@
         self.finishing = False
         self.closed_at: float | None = None
         self.begun_at: float | None = None
+        self.head_bytes = 0
         self.idle_since = 0.0
         self.collector = MessageCollector(
             body_bytes_max=listener.limits.body_bytes,
             on_message=self._message_complete,
             on_head=self._head_complete,
+            head_bytes_max=listener.limits.head_bytes,
         )
         self.parser = httptools.HttpRequestParser(self.collector)
 
@@ -109,8 +113,7 @@
         except ParserError as error:
             self._reject(400, str(error))
         else:
-            if self.collector.too_large and not self.collector.complete:
-                self._reject_size()
+            self._check_sizes(len(data))
 
     def respond(self, exchange: Exchange, data: bytes, *, close: bool) -> None:
         """Write the response of an exchange, behind those of earlier ones."""
@@ -157,6 +160,18 @@
             self.transport.write_eof()
         self.listener.lingering.append(self)
 
+    def _check_sizes(self, size: int) -> None:
+        """Reject a message that is too large before its end is seen.
+
+        The parser holds a header line back until it is whole, so the bytes of an
+        unfinished head are counted here as well.
+        """
+        in_head = self.begun_at is not None and not self.collector.head_complete
+        self.head_bytes = self.head_bytes + size if in_head else 0
+        too_large = self.head_bytes > self.listener.limits.head_bytes + HEAD_MARGIN
+        if too_large or (self.collector.too_large and not self.collector.complete):
+            self._reject_size()
+
     def _head_complete(self) -> None:
         if self.collector.too_large:
             return
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -49,6 +49,8 @@
 """Ticks between two reports of the own target's state."""
 STATUS_LOAD = 0.5
 """Load from which the own target's state is reported."""
+LEVEL_STEP = 0.2
+"""Change of the level that is worth a line in the log."""
 GRAPH_STATUSES = 16
 """Reports between two of which the routes below are told anew."""
 SLOW_TICKS = 20
@@ -120,6 +122,7 @@
         self.stopping = False
         self.ticks = 0
         self.told_version = -1
+        self.logged_level = float("inf")
 
     @property
     def ready(self) -> bool:
@@ -363,12 +366,13 @@
         if target is None:
             return
         gate = self.target_side.gate
-        level = gate.pressure.level
+        level = gate.pressure.told
         self.admission.report(now, target.service, target.name, level)
+        self._log_level(level)
         graph = self.target_side.graph
         due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
         news = graph.version != self.told_version or due
-        pressed = level < gate.pressure.ranks or gate.load >= STATUS_LOAD
+        pressed = level < float("inf") or gate.load >= STATUS_LOAD
         if not (news or pressed):
             return
         self.told_version = graph.version
@@ -377,6 +381,22 @@
             Status(target.service, target.name, gate.load, level, calls)
         )
 
+    def _log_level(self, level: float) -> None:
+        if abs(level - self.logged_level) < LEVEL_STEP or level == self.logged_level:
+            return
+        self.logged_level = level
+        gate = self.target_side.gate
+        log_event(
+            "level_moved",
+            admission=round(level, 2),
+            asked=round(gate.pressure.load, 2),
+            rejecting=round(gate.pressure.rejecting, 2),
+            running=gate.running,
+            waiting=gate.waiting_count,
+            room=gate.limit,
+            mean_ms=round(gate.mean * 1e3, 1),
+        )
+
     def _take_status(self, status: Status) -> None:
         now = self.clock()
         target = self.beliefs.targets.get(status.target)
