Admission of whole requests by shares that each relay works out alike

Ruled out: gains of the level: with a least share for each rank there is a span in which the level moves without effect, so it always overshoots (trace of level_moved). Change: relays tell offered rates, room and work; shares are worked out from these.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -1,107 +1,67 @@
 """Admission of whole requests at their first hop.
 
 Answers a load of requests that each need many calls of one short service deep below:
-a request whose last call is refused has wasted all the others. Each target's relay
-moves a level by the work that it is asked for and by how long calls wait; all relays
-hear the levels. A new request is admitted if its rank stands below the least level of
-all services that it needs, directly or through calls that were seen below its
-routes. Within one rank a hash of the request decides, so a level between two ranks
-admits a part. No rank is shut out whole: each keeps a small part, so that no kind of
-request starves.
+a request whose last call is refused has wasted all the others. Each relay tells the
+others what its clients ask for, what its target can carry and which calls runs make.
+From that each relay works out the same shares: the room of every service is given to
+the most important requests first, a request taking the room of all the calls that it
+will make. No kind of request is shut out whole: each keeps a small share.
 """
 
 import zlib
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from ...protocol.relay_messages import Status
 from ...state.catalog import Catalog, Route
 from .call_graph import CallGraph
 
-__all__ = ["Admission", "PressureLevel", "ReportedLevel"]
-
-LOAD_AIM = 0.97
-"""Asked work as a part of the room that is aimed at."""
-WAIT_AIM_S = 0.02
-"""Wait of a call that a whole chain can bear at each of its hops."""
-LOAD_GAIN = 0.8
-"""Change of the level a second for work asked beyond the aim by the whole room."""
-WAIT_GAIN = 0.05
-"""Change of the level a second when calls wait for the time that is aimed at."""
-WAIT_RATIO_MAX = 6.0
-REJECT_GAIN = 1.5
-"""Change of the level a second for a target that rejects all calls."""
-REJECT_SMOOTHING = 0.02
-RISE_MAX = 0.6
-"""Greatest rise of the level a second."""
-SMOOTHING_S = 0.1
+__all__ = ["Admission", "OfferedRates"]
+
 LEAST_SHARE = 0.3
-"""Part of each rank that is admitted however short the room, above level 0."""
-LEVEL_LEAST = -0.9
-REPORT_AGE_S = 1.5
-"""Age from which a reported level no longer holds."""
+"""Part of each kind of request that is admitted however short the room."""
+REPORT_AGE_S = 2.0
+"""Age from which a report no longer counts."""
+RATE_WINDOW_S = 0.5
+"""Time constant of the rates of offered requests."""
+DEPTH_MAX = 8
 HASHES = 2**32
+HASH_FACTOR = 2_654_435_761
 
 
-class ReportedLevel(NamedTuple):
-    """A level and when it was reported, in seconds."""
-
-    level: float
-    reported_at: float
+class Report(NamedTuple):
+    """A status and when it came, in seconds."""
 
+    status: Status
+    at: float
 
-class PressureLevel:
-    """The level of one target, moved by its relay.
 
-    A level of `ranks` admits all requests, a level between two ranks admits part of
-    the lesser one; below 0 even the least shares shrink.
-    """
+class OfferedRates:
+    """New requests a second by route, as this relay sees them."""
 
     def __init__(self) -> None:
-        self.ranks = 1.0
-        self.level = 1.0
-        self.asked = 0.0
-        self.load = 0.0
-        self.rejecting = 0.0
-        self.moved_at: float | None = None
-
-    @property
-    def told(self) -> float:
-        """The level for other relays; infinite while nothing is to be refused."""
-        return self.level if self.level < self.ranks else float("inf")
-
-    def set_ranks(self, ranks: int) -> None:
-        """Take the number of ranks that requests have."""
-        at_top = self.level >= self.ranks
-        self.ranks = float(max(1, ranks))
-        self.level = self.ranks if at_top else min(self.level, self.ranks)
-
-    def asked_for(self, work: float) -> None:
-        """Count a call that arrived, by the slot seconds that it usually takes."""
-        self.asked += work
-
-    def served(self, *, rejected: bool) -> None:
-        """Note whether the target ran a call or rejected it."""
-        self.rejecting += REJECT_SMOOTHING * (float(rejected) - self.rejecting)
-
-    def move(self, now: float, room: int, wait: float) -> None:
-        """Move the level; `wait` is how long a call waits now, seconds."""
-        if self.moved_at is None:
-            self.moved_at = now
-            self.asked = 0.0
-            return
-        elapsed = now - self.moved_at
-        if elapsed <= 0.0:
-            return
-        weight = min(1.0, elapsed / SMOOTHING_S)
-        load = self.asked / (elapsed * room)
-        self.load += weight * (load - self.load)
-        self.asked = 0.0
-        self.moved_at = now
-        late = min(wait / WAIT_AIM_S, WAIT_RATIO_MAX)
-        change = LOAD_GAIN * (LOAD_AIM - self.load) - WAIT_GAIN * late
-        change = min(change, RISE_MAX) - REJECT_GAIN * self.rejecting
-        moved = self.level + change * min(elapsed, SMOOTHING_S)
-        self.level = min(self.ranks, max(LEVEL_LEAST, moved))
+        self.counts: defaultdict[str, int] = defaultdict(int)
+        self.rates: dict[str, float] = {}
+        self.rolled_at: float | None = None
+
+    def count(self, route: str) -> None:
+        """Count a new request."""
+        self.counts[route] += 1
+
+    def roll(self, now: float) -> dict[str, float]:
+        """Take the counts since the last call into the rates and return these."""
+        elapsed = 0.0 if self.rolled_at is None else now - self.rolled_at
+        self.rolled_at = now
+        if elapsed > 0.0:
+            weight = min(1.0, elapsed / RATE_WINDOW_S)
+            for route in self.rates.keys() | self.counts.keys():
+                known = self.rates.get(route, 0.0)
+                rate = self.counts.get(route, 0) / elapsed
+                self.rates[route] = known + weight * (rate - known)
+            self.rates = {r: rate for r, rate in self.rates.items() if rate > 0.05}
+        self.counts.clear()
+        return dict(self.rates)
 
 
 class Admission:
@@ -110,78 +70,169 @@
     Parameters
     ----------
     graph : CallGraph
-        Which routes call which.
+        Which routes call which, and how often.
+
+    Attributes
+    ----------
+    shares : dict
+        Part of each route's requests that is admitted; 1 for routes that are missing.
     """
 
     def __init__(self, *, graph: CallGraph) -> None:
         self.graph = graph
-        self.levels: dict[str, dict[str, ReportedLevel]] = {}
-        self.catalog: Catalog | None = None
-        self.needed: dict[str, frozenset[str]] = {}
-        self.graph_version = -1
+        self.reports: dict[str, Report] = {}
+        self.routes: dict[str, Route] = {}
+        self.shares: dict[str, float] = {}
 
     def configure(self, catalog: Catalog) -> None:
         """Take a configuration."""
-        self.catalog = catalog
-        self.needed.clear()
-
-    def report(self, now: float, service: str, target: str, level: float) -> None:
-        """Take the level that a target's relay reported."""
-        self.levels.setdefault(service, {})[target] = ReportedLevel(level, now)
-
-    def forget(self, target: str) -> None:
-        """Drop the level of a target that is gone."""
-        for levels in self.levels.values():
-            levels.pop(target, None)
-
-    def share(self, now: float, route: Route, service: str) -> float:
-        """Return the part of a route's requests that is admitted, 0 to 1."""
-        level = min(
-            (self.service_level(now, name) for name in self.services(route, service)),
-            default=float("inf"),
-        )
-        if level < 0.0:
-            return LEAST_SHARE * (1.0 + level)
-        return min(1.0, max(level - route.rank, LEAST_SHARE))
-
-    def admits(self, now: float, route: Route, service: str, request_id: bytes) -> bool:
+        self.routes = {
+            route.name: route for routes in catalog.routes.values() for route in routes
+        }
+
+    def report(self, now: float, instance: str, status: Status) -> None:
+        """Take what a relay reported."""
+        self.reports[instance] = Report(status, now)
+
+    def admits(self, route: Route, request_id: bytes) -> bool:
         """Whether a new request of a route may begin."""
-        share = self.share(now, route, service)
-        return share >= 1.0 or zlib.crc32(request_id) < share * HASHES
-
-    def service_level(self, now: float, service: str) -> float:
-        """Return the mean level of a service's targets, of those known to be alive."""
-        fresh = [
-            reported.level
-            for reported in self.levels.get(service, {}).values()
-            if now - reported.reported_at < REPORT_AGE_S
-        ]
-        return sum(fresh) / len(fresh) if fresh else float("inf")
-
-    def services(self, route: Route, service: str) -> frozenset[str]:
-        """Return the services that a request of a route needs, `service` first."""
-        if self.graph.version != self.graph_version:
-            self.graph_version = self.graph.version
-            self.needed.clear()
-        below = self.needed.get(route.name)
-        if below is None:
-            below = frozenset(self._below(route.name, {route.name}))
-            self.needed[route.name] = below
-        return below | {service}
-
-    def _below(self, route_name: str, seen: set[str]) -> Iterable[str]:
-        for called in self.graph.called_by(route_name):
-            if called in seen:
-                continue
-            seen.add(called)
-            yield from self._parts(called)
-            yield from self._below(called, seen)
-
-    def _parts(self, route_name: str) -> Iterable[str]:
-        if self.catalog is None:
-            return
-        for routes in self.catalog.routes.values():
-            for route in routes:
-                if route.name == route_name:
-                    for part in route.parts:
-                        yield part.service
+        share = self.shares.get(route.name, 1.0)
+        return share >= 1.0 or _hash(request_id) < share * HASHES
+
+    def compute(self, now: float) -> None:
+        """Work out the shares from the reports that are fresh."""
+        fresh = [r.status for r in self.reports.values() if now - r.at < REPORT_AGE_S]
+        offered = _offered(fresh)
+        rooms = _rooms(fresh)
+        needs = {
+            route: self._needs(route, _relative_work(fresh))
+            for route in offered
+            if route in self.routes
+        }
+        rates = {route: offered[route] for route in needs}
+        ranks = {route: self.routes[route].rank for route in needs}
+        self.shares = allocate(rates, ranks, needs, rooms)
+
+    def _needs(
+        self, route: str, work: Mapping[tuple[str, str], float]
+    ) -> dict[str, float]:
+        """Return the room that a request takes of each service, calls included."""
+        needs: dict[str, float] = defaultdict(float)
+        level = {route: 1.0}
+        for _ in range(DEPTH_MAX):
+            below: dict[str, float] = defaultdict(float)
+            for name, times in level.items():
+                found = self.routes.get(name)
+                if found is None:
+                    continue
+                total = sum(part.weight for part in found.parts)
+                for part in found.parts:
+                    share = times * part.weight / total
+                    needs[part.service] += share * work.get((part.service, name), 1.0)
+                for called, calls in self.graph.calls_of(name).items():
+                    below[called] += times * calls
+            if not below:
+                break
+            level = below
+        return dict(needs)
+
+
+def allocate(
+    rates: Mapping[str, float],
+    ranks: Mapping[str, int],
+    needs: Mapping[str, Mapping[str, float]],
+    rooms: Mapping[str, float],
+) -> dict[str, float]:
+    """Return the share of each route's requests that the rooms can carry.
+
+    Parameters
+    ----------
+    rates : mapping
+        Requests a second by route.
+    ranks : mapping
+        Rank by route; 0 is served first.
+    needs : mapping
+        By route, the room that one request takes of each service.
+    rooms : mapping
+        Room a second of each service; a service that is missing has no bound.
+    """
+    left = dict(rooms)
+    shares = {}
+    base = _uniform_share(list(rates), rates, needs, left, LEAST_SHARE)
+    for route in rates:
+        shares[route] = base
+        _take(left, needs[route], rates[route] * base)
+    for rank in sorted(set(ranks.values())):
+        group = [route for route in rates if ranks[route] == rank]
+        while group:
+            more = _uniform_share(group, rates, needs, left, 1.0 - shares[group[0]])
+            for route in group:
+                shares[route] += more
+                _take(left, needs[route], rates[route] * more)
+            # Routes that met a full service stay; the others may still rise.
+            group = [
+                route
+                for route in group
+                if shares[route] < 1.0 - 1e-6 and not _meets_full(needs[route], left)
+            ]
+            if more <= 1e-6:
+                break
+    return shares
+
+
+def _hash(request_id: bytes) -> int:
+    """Return an evenly spread number below `HASHES`, the same at each relay."""
+    # The checksum alone keeps the pattern of identifiers that count up.
+    return zlib.crc32(request_id) * HASH_FACTOR % HASHES
+
+
+def _uniform_share(
+    group: list[str],
+    rates: Mapping[str, float],
+    needs: Mapping[str, Mapping[str, float]],
+    left: Mapping[str, float],
+    most: float,
+) -> float:
+    """Return the greatest share, up to `most`, that fits for all of a group."""
+    asked: dict[str, float] = defaultdict(float)
+    for route in group:
+        for service, need in needs[route].items():
+            asked[service] += rates[route] * need
+    for service, work in asked.items():
+        if service in left and work > 0.0:
+            most = min(most, max(0.0, left[service]) / work)
+    return most
+
+
+def _take(left: dict[str, float], needs: Mapping[str, float], rate: float) -> None:
+    for service, need in needs.items():
+        if service in left:
+            left[service] -= rate * need
+
+
+def _meets_full(needs: Mapping[str, float], left: Mapping[str, float]) -> bool:
+    return any(left.get(service, 1.0) <= 1e-6 for service in needs)
+
+
+def _offered(statuses: Iterable[Status]) -> dict[str, float]:
+    rates: dict[str, float] = defaultdict(float)
+    for status in statuses:
+        for route, rate in status.offered.items():
+            rates[route] += rate
+    return dict(rates)
+
+
+def _rooms(statuses: Iterable[Status]) -> dict[str, float]:
+    rooms: dict[str, float] = defaultdict(float)
+    for status in statuses:
+        rooms[status.service] += status.room
+    return dict(rooms)
+
+
+def _relative_work(statuses: Iterable[Status]) -> dict[tuple[str, str], float]:
+    """Return each route's work at each service, the mean of its targets' reports."""
+    sums: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for status in statuses:
+        for route, work in status.work.items():
+            sums[(status.service, route)].append(work)
+    return {key: sum(found) / len(found) for key, found in sums.items()}
--- a/buckthornshed/coordination/relay/call_graph.py
+++ b/buckthornshed/coordination/relay/call_graph.py
@@ -11,26 +11,18 @@
 USUAL_CALLS = 0.3
 """Least calls of a route per run that count as usual."""
 RUNS_LEAST = 10.0
-"""Runs of a route before anything is concluded."""
+"""Runs of a route before what was counted is used."""
 RUNS_KEPT = 400.0
 """Runs at which the counts are halved."""
 
 
 class CallGraph:
-    """Calls below routes: learned here, and told by other relays.
-
-    Attributes
-    ----------
-    version : int
-        Grows with each change of what is concluded.
-    """
+    """Calls below routes: learned here, and told by other relays."""
 
     def __init__(self) -> None:
         self.runs: defaultdict[str, float] = defaultdict(float)
         self.calls: defaultdict[str, dict[str, float]] = defaultdict(dict)
-        self.learned: dict[str, frozenset[str]] = {}
-        self.told: dict[str, frozenset[str]] = {}
-        self.version = 0
+        self.told: dict[str, dict[str, float]] = {}
 
     def called(self, parent_route: str, route: str) -> None:
         """Count a call of a run of `parent_route` to `route`."""
@@ -45,29 +37,30 @@
             calls = self.calls[route]
             for called in calls:
                 calls[called] /= 2
-        if self.runs[route] >= RUNS_LEAST:
-            self._conclude(route)
 
-    def called_by(self, route: str) -> frozenset[str]:
-        """Return the routes that a usual run of a route calls."""
-        return self.learned.get(route, frozenset()) | self.told.get(route, frozenset())
+    def calls_of(self, route: str) -> dict[str, float]:
+        """Return the calls of a usual run of a route, by the route called."""
+        if self.runs.get(route, 0.0) >= RUNS_LEAST:
+            return self._learned(route)
+        return self.told.get(route, {})
 
-    def take(self, calls: dict[str, list[str]]) -> None:
-        """Take what another relay has concluded."""
-        for route, called in calls.items():
-            found = frozenset(called)
-            if self.told.get(route) != found:
-                self.told[route] = found
-                self.version += 1
+    def take(self, calls: dict[str, dict[str, float]]) -> None:
+        """Take what another relay has learned."""
+        self.told |= calls
 
-    def conclusions(self) -> dict[str, list[str]]:
-        """Return what was concluded here, for other relays."""
-        return {route: sorted(called) for route, called in self.learned.items()}
+    def learned(self) -> dict[str, dict[str, float]]:
+        """Return what was learned here, for other relays."""
+        found = {
+            route: self._learned(route)
+            for route, runs in self.runs.items()
+            if runs >= RUNS_LEAST
+        }
+        return {route: calls for route, calls in found.items() if calls}
 
-    def _conclude(self, route: str) -> None:
-        least = USUAL_CALLS * self.runs[route]
-        calls = self.calls.get(route, {})
-        found = frozenset(name for name, count in calls.items() if count >= least)
-        if found != self.learned.get(route):
-            self.learned[route] = found
-            self.version += 1
+    def _learned(self, route: str) -> dict[str, float]:
+        runs = self.runs[route]
+        return {
+            called: round(count / runs, 2)
+            for called, count in self.calls.get(route, {}).items()
+            if count >= USUAL_CALLS * runs
+        }
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -194,7 +194,7 @@
         if request.deadline <= now:
             return [self._give_up(pending, RefusalReason.EXPIRED)]
         if not request.inner and not self.admission.admits(
-            now, request.route, pending.service, request.request_id
+            request.route, request.request_id
         ):
             retry_after = request.route.objective * RETURN_SHARE
             return [self._give_up(pending, RefusalReason.NOT_ADMITTED, retry_after)]
--- /dev/null
+++ b/buckthornshed/coordination/relay/room.py
@@ -0,0 +1,55 @@
+"""How many calls a second a target can carry, as its relay sees it.
+
+The estimate is the calls that run at the same time over the time of a call, trimmed by
+what shows whether it holds: calls that wait lower it, slots that stay free while
+requests are refused raise it. A target that rejects part of its calls carries less.
+"""
+
+__all__ = ["RoomEstimate"]
+
+WAIT_AIM_S = 0.02
+"""Wait of a call that a whole chain can bear at each of its hops."""
+WAIT_RATIO_MAX = 3.0
+TRIM_LEAST = 0.6
+TRIM_MOST = 1.15
+TRIM_FALL = 0.15
+"""Fall of the trim a second when calls wait for the time that is aimed at."""
+TRIM_RISE = 0.1
+"""Rise of the trim a second while slots are free."""
+BUSY_AIM = 0.92
+"""Part of the room that is used when it is used well."""
+BUSY_SMOOTHING_S = 0.3
+REJECT_SMOOTHING = 0.02
+
+
+class RoomEstimate:
+    """The room of one target."""
+
+    def __init__(self) -> None:
+        self.trim = 1.0
+        self.busy = 0.0
+        self.rejecting = 0.0
+        self.moved_at: float | None = None
+
+    def served(self, *, rejected: bool) -> None:
+        """Note whether the target ran a call or rejected it."""
+        self.rejecting += REJECT_SMOOTHING * (float(rejected) - self.rejecting)
+
+    def move(self, now: float, *, running: int, limit: int, wait: float) -> None:
+        """Take a moment's picture; `wait` is how long a call waits now, seconds."""
+        elapsed = 0.0 if self.moved_at is None else now - self.moved_at
+        self.moved_at = now
+        if elapsed <= 0.0:
+            return
+        weight = min(1.0, elapsed / BUSY_SMOOTHING_S)
+        self.busy += weight * (running / limit - self.busy)
+        late = min(wait / WAIT_AIM_S, WAIT_RATIO_MAX)
+        change = -TRIM_FALL * late
+        if self.busy < BUSY_AIM and late < 0.1:
+            change = TRIM_RISE
+        moved = self.trim + change * min(elapsed, BUSY_SMOOTHING_S)
+        self.trim = min(TRIM_MOST, max(TRIM_LEAST, moved))
+
+    def calls_per_second(self, limit: int, mean: float) -> float:
+        """Return the room; `mean` is the seconds of a call."""
+        return self.trim * (1.0 - self.rejecting) * limit / max(mean, 1e-4)
--- a/buckthornshed/coordination/relay/target_gate.py
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -13,13 +13,14 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
-from .admission import PressureLevel
+from .room import RoomEstimate
 
 __all__ = ["GateCall", "Refused", "Start", "TargetGate"]
 
 ROOM_SHARE = 0.94
 """Part of the slots that is used."""
 SMOOTHING = 0.1
+MEAN_SMOOTHING = 0.03
 USUAL_S = 0.05
 QUEUE_PER_SLOT = 4
 RETRY_LEAST_S = 0.2
@@ -75,13 +76,23 @@
         self.order = 0
         self.usual: dict[str, float] = {}
         self.mean = USUAL_S
-        self.pressure = PressureLevel()
+        self.room = RoomEstimate()
 
     @property
     def load(self) -> float:
         """Calls running and waiting as a share of the room."""
         return (self.running + self.waiting_count) / self.limit
 
+    @property
+    def calls_per_second(self) -> float:
+        """Calls a second that the target can carry."""
+        return self.room.calls_per_second(self.limit, self.mean)
+
+    @property
+    def work(self) -> dict[str, float]:
+        """Work of a call of each route; 1 is the mean."""
+        return {r: round(usual / self.mean, 2) for r, usual in self.usual.items()}
+
     def set_slots(self, slots: int) -> None:
         """Take the number of calls that the target runs at the same time."""
         self.slots = slots
@@ -100,7 +111,6 @@
         """Take a call."""
         if self.leaving:
             return [Refused(call, RefusalReason.LEAVING, RETRY_LEAST_S)]
-        self.pressure.asked_for(self.usual_time(call.message.route))
         if call.deadline <= now:
             return [Refused(call, RefusalReason.EXPIRED, self.retry_after())]
         if self.running < self.limit and not self.waiting_count:
@@ -137,9 +147,9 @@
         return False, []
 
     def tick(self, now: float) -> list[GateAction]:
-        """Turn away what waits and can no longer be in time; move the level."""
+        """Turn away what waits and can no longer be in time; look at the room."""
         wait = self.waiting_count * self.mean / self.limit
-        self.pressure.move(now, self.limit, wait)
+        self.room.move(now, running=self.running, limit=self.limit, wait=wait)
         actions: list[GateAction] = []
         for entry in self.waiting:
             call = entry[3]
@@ -193,6 +203,6 @@
         return now + wait + usual <= call.deadline
 
     def _learn(self, route: str, seconds: float) -> None:
-        self.mean += SMOOTHING * (seconds - self.mean)
+        self.mean += MEAN_SMOOTHING * (seconds - self.mean)
         known = self.usual.get(route, seconds)
         self.usual[route] = known + SMOOTHING * (seconds - known)
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -164,7 +164,7 @@
 
 
 class Status(msgspec.Struct, array_like=True, tag=9):
-    """How the sender's target fares.
+    """How the sender's target fares and what its clients ask for.
 
     Parameters
     ----------
@@ -172,17 +172,23 @@
         The target and its service.
     load : float
         As in answers.
-    level : float
-        Level of admission, as in `coordination.relay.admission`.
+    room : float
+        Calls a second that the target can carry, of its usual mix.
+    work : dict
+        By route, the work of a call at the target; 1 is the mean of its mix.
+    offered : dict
+        By route, new requests a second of the sender's clients.
     calls : dict or None
-        Routes called by the runs of each route, when that is news.
+        By route, the calls that a run makes, by the route called; None if unchanged.
     """
 
     service: str
     target: str
     load: float
-    level: float
-    calls: dict[str, list[str]] | None = None
+    room: float
+    work: dict[str, float]
+    offered: dict[str, float]
+    calls: dict[str, dict[str, float]] | None = None
 
 
 class News(msgspec.Struct, array_like=True, tag=8):
--- /dev/null
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -0,0 +1,174 @@
+"""Admission of whole requests, also under replayed load in virtual time."""
+
+import pytest
+
+from buckthornshed.coordination.relay.admission import (
+    Admission,
+    OfferedRates,
+    allocate,
+)
+from buckthornshed.coordination.relay.call_graph import CallGraph
+from buckthornshed.coordination.relay.room import RoomEstimate
+from buckthornshed.protocol.relay_messages import Status
+from buckthornshed.state.catalog import RoutePart
+
+from .makers import make_catalog, make_route
+
+NOTICES = make_route("notices", rank=2, parts=(RoutePart("board", 1.0),))
+BOOK = make_route("book", rank=0, parts=(RoutePart("booking", 1.0),))
+SLOTS = make_route("slots", rank=2, parts=(RoutePart("farrier", 1.0),))
+ROSTER = make_route("roster", rank=1, parts=(RoutePart("farrier", 1.0),))
+CAPACITY = make_route("capacity", rank=1, parts=(RoutePart("stables", 1.0),))
+ROUTES = (NOTICES, BOOK, SLOTS, ROSTER, CAPACITY)
+
+CALLS = {
+    "notices": {"roster": 2.0},
+    "book": {"roster": 2.0},
+    "roster": {"capacity": 4.0},
+}
+
+
+def status(service, room, offered=None):
+    return Status(service, f"t-{service}", 0.5, room, {}, offered or {})
+
+
+def make_admission(offered, *, stables):
+    graph = CallGraph()
+    graph.take(CALLS)
+    admission = Admission(graph=graph)
+    admission.configure(make_catalog(routes=ROUTES))
+    admission.report(0.0, "i-1", status("stables", stables, offered))
+    for number, service in enumerate(("board", "booking", "farrier"), start=2):
+        admission.report(0.0, f"i-{number}", status(service, 10_000.0))
+    admission.compute(0.1)
+    return admission
+
+
+def test_a_short_service_deep_below_refuses_the_least_important_at_the_first_hop():
+    offered = {"notices": 100.0, "book": 50.0, "slots": 80.0}
+    admission = make_admission(offered, stables=800.0)
+    assert admission.shares["book"] == pytest.approx(1.0)
+    assert admission.shares["slots"] == pytest.approx(1.0)
+    assert admission.shares["notices"] == pytest.approx(0.5)
+
+
+def test_the_room_is_used_and_not_more():
+    offered = {"notices": 300.0, "book": 150.0}
+    admission = make_admission(offered, stables=1_800.0)
+    used = sum(rate * admission.shares[r] * 8.0 for r, rate in offered.items())
+    assert used == pytest.approx(1_800.0)
+
+
+def test_no_kind_is_shut_out_whole():
+    offered = {"notices": 100.0, "book": 100.0}
+    admission = make_admission(offered, stables=800.0)
+    assert admission.shares["notices"] == pytest.approx(0.3)
+    assert admission.shares["book"] == pytest.approx(0.7)
+
+
+def test_without_room_for_the_least_shares_all_shrink_alike():
+    offered = {"notices": 100.0, "book": 100.0}
+    admission = make_admission(offered, stables=160.0)
+    assert admission.shares["notices"] == pytest.approx(0.1)
+    assert admission.shares["book"] == pytest.approx(0.1)
+
+
+def test_old_reports_no_longer_count():
+    admission = make_admission({"notices": 100.0}, stables=80.0)
+    admission.compute(10.0)
+    assert admission.admits(NOTICES, b"any")
+
+
+def test_the_same_request_meets_the_same_decision_at_each_relay():
+    offered = {"notices": 100.0, "book": 50.0}
+    one = make_admission(offered, stables=800.0)
+    two = make_admission(offered, stables=800.0)
+    ids = [b"request-%d" % number for number in range(2_000)]
+    taken = [one.admits(NOTICES, each) for each in ids]
+    assert taken == [two.admits(NOTICES, each) for each in ids]
+    assert 0.45 <= sum(taken) / len(taken) <= 0.55
+
+
+def test_routes_of_one_rank_rise_together_until_each_meets_its_own_bound():
+    shares = allocate(
+        {"a": 10.0, "b": 10.0},
+        {"a": 1, "b": 1},
+        {"a": {"x": 1.0}, "b": {"y": 1.0}},
+        {"x": 5.0, "y": 100.0},
+    )
+    assert shares["a"] == pytest.approx(0.5)
+    assert shares["b"] == pytest.approx(1.0)
+
+
+def test_offered_rates_follow_the_load():
+    rates = OfferedRates()
+    now = 0.0
+    for _ in range(40):
+        rates.roll(now)
+        for _ in range(20):
+            rates.count("notices")
+        now += 0.2
+    assert rates.roll(now)["notices"] == pytest.approx(100.0, rel=0.05)
+
+
+def test_a_target_that_rejects_half_of_its_calls_has_half_the_room():
+    room = RoomEstimate()
+    for number in range(1_000):
+        room.served(rejected=number % 2 == 0)
+    assert room.calls_per_second(10, 0.1) == pytest.approx(50.0, rel=0.05)
+
+
+def run_surge(*, seconds, offered, limit=14, call=0.021, least=0.0):
+    """Return the used part of the true room, and the waits, while a surge lasts.
+
+    `offered` is the work asked as a part of the true room; what is admitted asks for it
+    0.3 s later.
+    """
+    room = RoomEstimate()
+    capacity = limit / call
+    now, step, backlog = 0.0, 0.025, 0.0
+    delayed = [0.0] * int(0.3 / step)
+    share, used, waits = 1.0, [], []
+    while now < seconds:
+        if round(now / step) % 8 == 0:
+            estimate = room.calls_per_second(limit, call)
+            share = min(1.0, estimate / (offered * capacity))
+        delayed.append(offered * capacity * step * max(share, least))
+        work = backlog + delayed.pop(0)
+        done = min(work, capacity * step)
+        backlog = work - done
+        now += step
+        room.move(
+            now,
+            running=round(limit * done / (capacity * step)),
+            limit=limit,
+            wait=backlog / capacity,
+        )
+        used.append(done / (capacity * step))
+        waits.append(backlog / capacity)
+    return used, waits
+
+
+@pytest.mark.parametrize("offered", [1.3, 1.8, 2.5])
+def test_under_a_lasting_surge_the_room_is_used_and_waits_stay_short(offered):
+    used, waits = run_surge(seconds=20.0, offered=offered)
+    later = len(used) // 4
+    assert sum(used[later:]) / len(used[later:]) >= 0.9
+    assert max(waits[later:]) <= 0.1
+
+
+def test_in_calm_nothing_waits():
+    _, waits = run_surge(seconds=10.0, offered=0.85)
+    assert max(waits) == 0.0
+
+
+def test_a_graph_learns_what_usual_runs_call_and_leaves_out_rare_calls():
+    graph = CallGraph()
+    for number in range(40):
+        graph.called("notices", "roster")
+        graph.called("notices", "roster")
+        if number % 10 == 0:
+            graph.called("notices", "rare")
+        graph.run_ended("notices")
+    assert graph.calls_of("notices") == {"roster": 2.0}
+    assert graph.calls_of("book") == {}
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ...coordination.relay.admission import Admission
+from ...coordination.relay.admission import Admission, OfferedRates
 from ...coordination.relay.beliefs import FleetBeliefs, Version, version_of
 from ...coordination.relay.dispatcher import (
     CancelCall,
@@ -45,12 +45,14 @@
 
 NO_CATALOG_RETRY_S = 0.5
 RESERVED_DESCRIPTORS = 400
-STATUS_TICKS = 6
+STATUS_TICKS = 8
 """Ticks between two reports of the own target's state."""
 STATUS_LOAD = 0.5
 """Load from which the own target's state is reported."""
-LEVEL_STEP = 0.2
-"""Change of the level that is worth a line in the log."""
+CALM_STATUSES = 4
+"""Reports of which one is sent while nothing is short."""
+SHARE_STEP = 0.15
+"""Change of a share that is worth a line in the log."""
 GRAPH_STATUSES = 16
 """Reports between two of which the routes below are told anew."""
 SLOW_TICKS = 20
@@ -121,8 +123,8 @@
         self.sessions: dict[int, PeerSession] = {}
         self.stopping = False
         self.ticks = 0
-        self.told_version = -1
-        self.logged_level = float("inf")
+        self.offered = OfferedRates()
+        self.logged_shares: dict[str, float] = {}
 
     @property
     def ready(self) -> bool:
@@ -187,6 +189,8 @@
         parent = self.target_side.parent_of(request_id)
         if parent is not None:
             self.target_side.graph.called(parent.route, route.name)
+        else:
+            self.offered.count(route.name)
         routed = RoutedRequest(
             route=route,
             request_id=request_id,
@@ -224,7 +228,7 @@
         elif isinstance(message, Ping):
             session.send(Pong(self.target_side.gate.load))
         elif isinstance(message, Status):
-            self._take_status(message)
+            self._take_status(session, message)
         elif isinstance(message, News):
             self._take_news(message)
 
@@ -317,8 +321,6 @@
         names = {route.name for routes in catalog.routes.values() for route in routes}
         self.dispatcher.split.keep(names)
         self.admission.configure(catalog)
-        ranks = [r.rank for routes in catalog.routes.values() for r in routes]
-        self.target_side.gate.pressure.set_ranks(max(ranks, default=0) + 1)
         self.links.broadcast(News(catalog=catalog))
 
     def _take_news(self, news: News) -> None:
@@ -359,54 +361,63 @@
         for name in self.placement.records.keys() - targets.keys():
             if not self.placement.records[name].outstanding:
                 self.placement.forget(name)
-                self.admission.forget(name)
 
     def _tell_status(self, now: float) -> None:
+        """Tell the other relays how the target fares and what clients ask for."""
         target = self.target_side.target
-        if target is None:
-            return
         gate = self.target_side.gate
-        level = gate.pressure.told
-        self.admission.report(now, target.service, target.name, level)
-        self._log_level(level)
-        graph = self.target_side.graph
-        due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
-        news = graph.version != self.told_version or due
-        pressed = level < float("inf") or gate.load >= STATUS_LOAD
-        if not (news or pressed):
-            return
-        self.told_version = graph.version
-        calls = graph.conclusions() if news else None
-        self.links.broadcast(
-            Status(target.service, target.name, gate.load, level, calls)
+        graph_due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
+        status = Status(
+            service=self.settings.target_service,
+            target="" if target is None else target.name,
+            load=round(gate.load, 2),
+            room=0.0 if gate.leaving else round(gate.calls_per_second, 1),
+            work=gate.work,
+            offered={r: round(v, 1) for r, v in self.offered.roll(now).items()},
+            calls=self.target_side.graph.learned() if graph_due else None,
         )
+        self.admission.report(now, self.instance, status)
+        self.admission.compute(now)
+        self._log_shares()
+        calm_due = self.ticks % (STATUS_TICKS * CALM_STATUSES) == 0
+        if gate.load >= STATUS_LOAD or calm_due or self._short():
+            self.links.broadcast(status)
 
-    def _log_level(self, level: float) -> None:
-        if abs(level - self.logged_level) < LEVEL_STEP or level == self.logged_level:
-            return
-        self.logged_level = level
-        gate = self.target_side.gate
-        log_event(
-            "level_moved",
-            admission=round(level, 2),
-            asked=round(gate.pressure.load, 2),
-            rejecting=round(gate.pressure.rejecting, 2),
-            running=gate.running,
-            waiting=gate.waiting_count,
-            room=gate.limit,
-            mean_ms=round(gate.mean * 1e3, 1),
-        )
+    def _short(self) -> bool:
+        return any(share < 1.0 for share in self.admission.shares.values())
 
-    def _take_status(self, status: Status) -> None:
+    def _take_status(self, session: PeerSession, status: Status) -> None:
         now = self.clock()
         target = self.beliefs.targets.get(status.target)
         if target is not None:
             record = self.placement.record(target)
             self.placement.reported(now, record, status.load)
-            self.admission.report(now, status.service, status.target, status.level)
+        self.admission.report(now, session.name, status)
         if status.calls is not None:
             self.target_side.graph.take(status.calls)
 
+    def _log_shares(self) -> None:
+        shares = {r: s for r, s in self.admission.shares.items() if s < 1.0}
+        names = self.logged_shares.keys() | shares.keys()
+        moved = max(
+            (abs(shares.get(n, 1.0) - self.logged_shares.get(n, 1.0)) for n in names),
+            default=0.0,
+        )
+        if moved < SHARE_STEP:
+            return
+        self.logged_shares = shares
+        gate = self.target_side.gate
+        log_event(
+            "shares_moved",
+            shares=" ".join(f"{n}:{s:.2f}" for n, s in sorted(shares.items())),
+            room=round(gate.calls_per_second, 1),
+            trim=round(gate.room.trim, 2),
+            rejecting=round(gate.room.rejecting, 2),
+            running=gate.running,
+            waiting=gate.waiting_count,
+            mean_ms=round(gate.mean * 1e3, 1),
+        )
+
     def close(self) -> None:
         """Close all sockets at once."""
         self.listener.stop_accepting()
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -187,7 +187,7 @@
         outcome = self._outcome(call, result)
         sound = isinstance(outcome, AnswerMessage)
         rejected = getattr(outcome, "reason", None) is RefusalReason.TARGET_FULL
-        self.gate.pressure.served(rejected=rejected)
+        self.gate.room.served(rejected=rejected)
         if sound:
             self.graph.run_ended(call.message.route)
         actions = self.gate.finished(self.clock(), call.key, sound=sound)
