Relays that stop serve as a last resort; targets without a report bound nothing

Cause: a test with two relays was refused 503 in calm: while one target drained, the room of its service was taken for 0 as the other's report had not come. Ruled out: rates and work of calls (both far under the room).

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -99,11 +99,15 @@
         share = self.shares.get(route.name, 1.0)
         return share >= 1.0 or _hash(request_id) < share * HASHES
 
-    def compute(self, now: float) -> None:
-        """Work out the shares from the reports that are fresh."""
+    def compute(self, now: float, usable: Mapping[str, int]) -> None:
+        """Work out the shares from the reports that are fresh.
+
+        `usable` is the number of targets of each service that take work; those that
+        have not reported count like the mean of those that have.
+        """
         fresh = [r.status for r in self.reports.values() if now - r.at < REPORT_AGE_S]
         offered = _offered(fresh)
-        rooms = _rooms(fresh)
+        rooms = _rooms(fresh, usable)
         needs = {
             route: self._needs(route, _relative_work(fresh))
             for route in offered
@@ -222,11 +226,15 @@
     return dict(rates)
 
 
-def _rooms(statuses: Iterable[Status]) -> dict[str, float]:
-    rooms: dict[str, float] = defaultdict(float)
+def _rooms(statuses: Iterable[Status], usable: Mapping[str, int]) -> dict[str, float]:
+    found: dict[str, list[float]] = defaultdict(list)
     for status in statuses:
-        rooms[status.service] += status.room
-    return dict(rooms)
+        if status.room > 0.0:
+            found[status.service].append(status.room)
+    return {
+        service: sum(rooms) * max(1.0, usable.get(service, 0) / len(rooms))
+        for service, rooms in found.items()
+    }
 
 
 def _relative_work(statuses: Iterable[Status]) -> dict[tuple[str, str], float]:
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -19,7 +19,7 @@
 from ...state.catalog import Route, Target
 from .admission import Admission
 from .beliefs import FleetBeliefs
-from .placement import Placement, TargetRecord
+from .placement import Placement, Standing, TargetRecord
 from .retry_budget import RetryBudget
 from .split import SplitChooser
 
@@ -153,8 +153,8 @@
         Bound on repeats.
     admission : Admission
         Decides which requests may begin.
-    reachable : callable
-        Whether the relay beside a target can be sent to.
+    standing : callable
+        Returns whether the relay beside a target can be sent to.
     rng : random.Random
         Source of the spread of return times.
     """
@@ -166,14 +166,14 @@
         placement: Placement,
         budget: RetryBudget,
         admission: Admission,
-        reachable: Callable[[Target], bool],
+        standing: Callable[[Target], Standing],
         rng: "Random",
     ) -> None:
         self.beliefs = beliefs
         self.placement = placement
         self.budget = budget
         self.admission = admission
-        self.reachable = reachable
+        self.standing = standing
         self.rng = rng
         self.split = SplitChooser()
         self.pending: dict[int, PendingRequest] = {}
@@ -289,12 +289,12 @@
         return route.attempts + (1 if reason in FREE_RESENDS else 0)
 
     def _candidates(self, pending: PendingRequest) -> list[Target]:
-        usable = self.beliefs.usable.get(pending.service, ())
-        return [
-            target
-            for target in usable
-            if target.name not in pending.tried and self.reachable(target)
-        ]
+        """Return the targets to choose from; those about to stop only if need be."""
+        found: dict[Standing, list[Target]] = {each: [] for each in Standing}
+        for target in self.beliefs.usable.get(pending.service, ()):
+            if target.name not in pending.tried:
+                found[self.standing(target)].append(target)
+        return found[Standing.UP] or found[Standing.LEAVING]
 
     def _send(self, now: float, pending: PendingRequest) -> list[DispatchAction]:
         request = pending.request
--- a/buckthornshed/coordination/relay/placement.py
+++ b/buckthornshed/coordination/relay/placement.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from ...state.catalog import Route, Target
@@ -13,7 +14,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["Placement", "TargetRecord"]
+__all__ = ["Placement", "Standing", "TargetRecord"]
 
 USUAL_S = 0.05
 """Expected time of a call before anything was reported."""
@@ -35,6 +36,15 @@
 """Age from which a reported load counts as half."""
 
 
+class Standing(Enum):
+    """Whether the relay beside a target can be sent to."""
+
+    UP = "up"
+    LEAVING = "leaving"
+    """It is about to stop: only where no other target is up."""
+    DOWN = "down"
+
+
 @dataclass(slots=True, kw_only=True)
 class TargetRecord:
     """What a relay knows of one incarnation of a target.
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -6,7 +6,7 @@
 from buckthornshed.coordination.relay.beliefs import FleetBeliefs
 from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.dispatcher import Dispatcher, RoutedRequest
-from buckthornshed.coordination.relay.placement import Placement
+from buckthornshed.coordination.relay.placement import Placement, Standing
 from buckthornshed.coordination.relay.retry_budget import RetryBudget
 from buckthornshed.coordination.relay.target_gate import GateCall
 from buckthornshed.protocol.relay_messages import CallMessage
@@ -89,7 +89,7 @@
     )
 
 
-def make_dispatcher(targets=(), *, unreachable=(), limits=None, seed=1):
+def make_dispatcher(targets=(), *, unreachable=(), leaving=(), limits=None, seed=1):
     beliefs = FleetBeliefs()
     for target in targets:
         beliefs.accept_target(target)
@@ -100,6 +100,12 @@
         placement=Placement(failure_domain="a", rng=rng),
         budget=RetryBudget(limits=limits),
         admission=Admission(graph=CallGraph()),
-        reachable=lambda target: target.name not in unreachable,
+        standing=lambda target: (
+            Standing.DOWN
+            if target.name in unreachable
+            else Standing.LEAVING
+            if target.name in leaving
+            else Standing.UP
+        ),
         rng=rng,
     )
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -28,6 +28,9 @@
 }
 
 
+ONE_EACH = dict.fromkeys(("board", "booking", "farrier", "stables"), 1)
+
+
 def status(service, room, offered=None):
     return Status(service, f"t-{service}", 0.5, room, {}, offered or {})
 
@@ -40,7 +43,7 @@
     admission.report(0.0, "i-1", status("stables", stables, offered))
     for number, service in enumerate(("board", "booking", "farrier"), start=2):
         admission.report(0.0, f"i-{number}", status(service, 10_000.0))
-    admission.compute(0.1)
+    admission.compute(0.1, ONE_EACH)
     return admission
 
 
@@ -75,10 +78,22 @@
 
 def test_old_reports_no_longer_count():
     admission = make_admission({"notices": 100.0}, stables=80.0)
-    admission.compute(10.0)
+    admission.compute(10.0, ONE_EACH)
     assert admission.admits(NOTICES, b"any")
 
 
+def test_targets_that_have_not_reported_count_like_those_that_have():
+    offered = {"notices": 100.0}
+    admission = make_admission(offered, stables=400.0)
+    admission.compute(0.1, ONE_EACH | {"stables": 2})
+    assert admission.shares["notices"] == pytest.approx(1.0)
+
+
+def test_a_target_that_takes_no_work_bounds_nothing():
+    admission = make_admission({"notices": 100.0}, stables=0.0)
+    assert admission.shares["notices"] == pytest.approx(1.0)
+
+
 def test_the_same_request_meets_the_same_decision_at_each_relay():
     offered = {"notices": 100.0, "book": 50.0}
     one = make_admission(offered, stables=800.0)
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -105,6 +105,16 @@
     assert isinstance(end, GiveUp) and not end.ran and end.retry_after > 0.0
 
 
+def test_a_target_whose_relay_stops_is_used_only_where_no_other_is_up():
+    dispatcher = make_dispatcher(TWO, leaving={"t-1"})
+    for token in range(20):
+        (send,) = dispatcher.request(0.0, token, make_request())
+        assert send.target.name == "t-2"
+    alone = make_dispatcher(TWO[:1], leaving={"t-1"})
+    (send,) = alone.request(0.0, 1, make_request())
+    assert send.target.name == "t-1"
+
+
 def test_a_split_keeps_its_shares_also_when_one_part_has_no_target():
     dispatcher = make_dispatcher(TWO)
     parts = (RoutePart("stalls", 90.0), RoutePart("elsewhere", 10.0))
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -83,6 +83,10 @@
         """Register the connection."""
         # uvloop's transports do not derive from the classes of asyncio.
         self.transport = cast(asyncio.Transport, transport)
+        if len(self.listener.connections) >= self.listener.connections_max:
+            self.finishing = True
+            self.transport.abort()
+            return
         self.idle_since = self.listener.clock()
         self.listener.connections.add(self)
 
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from ...coordination.relay.placement import Standing
 from ...errors import PeerError
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -25,7 +27,7 @@
 
 CONNECT_TIMEOUT_S = 0.8
 FIRST_RETRY_S = 0.1
-LAST_RETRY_S = 1.0
+LAST_RETRY_S = 0.5
 QUIET_S = 0.3
 """Silence after which a ping is sent."""
 SILENT_S = 0.6
@@ -68,6 +70,9 @@
         # uvloop's transports do not derive from the classes of asyncio.
         self.transport = cast(asyncio.Transport, transport)
         self.links.sessions.add(self)
+        peer = transport.get_extra_info("peername")
+        if peer is not None:
+            self.links.wake(peer[0])
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end."""
@@ -197,6 +202,7 @@
         self.links: dict[str, PeerLink] = {}
         self.keepers: dict[str, asyncio.Task[None]] = {}
         self.ended: dict[str, asyncio.Event] = {}
+        self.waiting: dict[str, asyncio.Event] = {}
         self.numbered = 0
         self.ticked_at = clock()
         self.server: asyncio.Server | None = None
@@ -221,10 +227,18 @@
             if link is not None:
                 link.cut()
 
-    def is_up(self, instance: str) -> bool:
-        """Whether a relay can be sent to and takes new work."""
+    def standing(self, instance: str) -> Standing:
+        """Return whether a relay can be sent to."""
         link = self.links.get(instance)
-        return link is not None and not link.leaving
+        if link is None:
+            return Standing.DOWN
+        return Standing.LEAVING if link.leaving else Standing.UP
+
+    def wake(self, instance: str) -> None:
+        """Connect to a relay at once, as it has shown that it runs."""
+        waiting = self.waiting.get(instance)
+        if waiting is not None:
+            waiting.set()
 
     def send(self, instance: str, message: RelayMessage) -> bool:
         """Send a message; return whether there was a connection."""
@@ -305,11 +319,19 @@
                         self.port,
                     )
             except (OSError, TimeoutError):
-                await asyncio.sleep(delay)
+                await self._pause(instance, delay)
                 delay = min(delay * 2, LAST_RETRY_S)
                 continue
             delay = FIRST_RETRY_S
             self.links[instance] = link
             self.handler.link_up(instance)
             await ended.wait()
-            await asyncio.sleep(delay)
+            await self._pause(instance, delay)
+
+    async def _pause(self, instance: str, seconds: float) -> None:
+        waiting = asyncio.Event()
+        self.waiting[instance] = waiting
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await waiting.wait()
+        del self.waiting[instance]
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -26,6 +26,11 @@
 READY_CONNECTIONS_MAX = 64
 
 
+def boot_time() -> float:
+    """Return seconds of a steady clock that counts while the instance is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Reader(Protocol):
     """Follows the configuration and the targets."""
 
@@ -74,11 +79,11 @@
     relay = Relay(
         settings=settings,
         names=names,
-        clock=time.monotonic,
+        clock=boot_time,
         wall=time.time,
         rng=random.Random(),
     )
-    reader = make_reader(relay, time.monotonic)
+    reader = make_reader(relay, boot_time)
     process = RelayProcess(relay=relay, reader=reader, ready_path=ready_path)
     anyio.run(process.run, backend="asyncio", backend_options={"use_uvloop": True})
 
@@ -138,9 +143,10 @@
         relay.stop()
         latest = begun + relay.settings.grace - END_MARGIN_S
         while relay.clock() < latest:
-            quiet = relay.clock() - begun >= QUIET_AFTER_STOP_S
-            if quiet and not relay.busy:
-                break
+            if relay.clock() - begun >= QUIET_AFTER_STOP_S:
+                relay.close_gate()
+                if not relay.busy:
+                    break
             await asyncio.sleep(TICK_S)
         relay.listener.stop_accepting()
 
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -13,7 +13,7 @@
     RoutedRequest,
     SendCall,
 )
-from ...coordination.relay.placement import Placement
+from ...coordination.relay.placement import Placement, Standing
 from ...coordination.relay.retry_budget import RetryBudget
 from ...protocol.http import Request, first
 from ...protocol.relay_messages import (
@@ -105,7 +105,7 @@
             placement=self.placement,
             budget=self.budget,
             admission=self.admission,
-            reachable=self._reachable,
+            standing=self._standing,
             rng=rng,
         )
         self.listener = ClientListener(
@@ -142,11 +142,14 @@
         await self.links.open(self.settings.peer_address.rpartition(":")[0])
 
     def stop(self) -> None:
-        """Take no new calls for the target; go on with what is under way."""
+        """Ask clients and other relays to go elsewhere; serve those who do not."""
         self.stopping = True
-        self.target_side.stop()
         self.links.tell_callers(Leaving())
 
+    def close_gate(self) -> None:
+        """Take no new calls for the target; go on with what is under way."""
+        self.target_side.stop()
+
     def tick(self) -> None:
         """Do what the time makes due."""
         now = self.clock()
@@ -377,7 +380,10 @@
             calls=self.target_side.graph.learned() if graph_due else None,
         )
         self.admission.report(now, self.instance, status)
-        self.admission.compute(now)
+        usable = self.beliefs.usable
+        self.admission.compute(
+            now, {name: len(found) for name, found in usable.items()}
+        )
         self._log_shares()
         calm_due = self.ticks % (STATUS_TICKS * CALM_STATUSES) == 0
         if gate.load >= STATUS_LOAD or calm_due or self._short():
@@ -432,10 +438,12 @@
             if target.instance == instance:
                 self.placement.reported(now, self.placement.record(target), load)
 
-    def _reachable(self, target: Target) -> bool:
-        if target.instance == self.instance:
-            return not self.target_side.gate.leaving
-        return self.links.is_up(target.instance)
+    def _standing(self, target: Target) -> Standing:
+        if target.instance != self.instance:
+            return self.links.standing(target.instance)
+        if self.target_side.gate.leaving:
+            return Standing.DOWN
+        return Standing.LEAVING if self.stopping else Standing.UP
 
     def _execute(self, actions: list[SendCall | CancelCall | Deliver | GiveUp]) -> None:
         for action in actions:
