--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -26,6 +26,7 @@
 RATE_WINDOW_S = 0.5
 """Time constant of the rates of offered requests."""
 DEPTH_MAX = 8
+NEGLIGIBLE = 1e-6
 HASHES = 2**32
 HASH_FACTOR = 2_654_435_761
 
@@ -161,29 +162,37 @@
         Room a second of each service; a service that is missing has no bound.
     """
     left = dict(rooms)
-    shares = {}
-    base = _uniform_share(list(rates), rates, needs, left, LEAST_SHARE)
-    for route in rates:
-        shares[route] = base
-        _take(left, needs[route], rates[route] * base)
+    shares = dict.fromkeys(rates, 0.0)
+    _raise(shares, list(rates), LEAST_SHARE, rates, needs, left)
     for rank in sorted(set(ranks.values())):
         group = [route for route in rates if ranks[route] == rank]
-        while group:
-            more = _uniform_share(group, rates, needs, left, 1.0 - shares[group[0]])
-            for route in group:
-                shares[route] += more
-                _take(left, needs[route], rates[route] * more)
-            # Routes that met a full service stay; the others may still rise.
-            group = [
-                route
-                for route in group
-                if shares[route] < 1.0 - 1e-6 and not _meets_full(needs[route], left)
-            ]
-            if more <= 1e-6:
-                break
+        _raise(shares, group, 1.0, rates, needs, left)
     return shares
 
 
+def _raise(
+    shares: dict[str, float],
+    group: list[str],
+    most: float,
+    rates: Mapping[str, float],
+    needs: Mapping[str, Mapping[str, float]],
+    left: dict[str, float],
+) -> None:
+    """Raise the shares of a group together, each until it meets a full service."""
+    rising = [route for route in group if shares[route] < most - NEGLIGIBLE]
+    while rising:
+        lowest = min(most - shares[route] for route in rising)
+        more = _uniform_share(rising, rates, needs, left, lowest)
+        for route in rising:
+            shares[route] += more
+            _take(left, needs[route], rates[route] * more)
+        rising = [
+            route
+            for route in rising
+            if shares[route] < most - NEGLIGIBLE and not _meets_full(needs[route], left)
+        ]
+
+
 def _hash(request_id: bytes) -> int:
     """Return an evenly spread number below `HASHES`, the same at each relay."""
     # The checksum alone keeps the pattern of identifiers that count up.
@@ -215,7 +224,10 @@
 
 
 def _meets_full(needs: Mapping[str, float], left: Mapping[str, float]) -> bool:
-    return any(left.get(service, 1.0) <= 1e-6 for service in needs)
+    return any(
+        need > 0.0 and left.get(service, 1.0) <= NEGLIGIBLE
+        for service, need in needs.items()
+    )
 
 
 def _offered(statuses: Iterable[Status]) -> dict[str, float]:
--- a/buckthornshed/coordination/relay/call_graph.py
+++ b/buckthornshed/coordination/relay/call_graph.py
@@ -10,7 +10,7 @@
 
 USUAL_CALLS = 0.3
 """Least calls of a route per run that count as usual."""
-RUNS_LEAST = 10.0
+RUNS_LEAST = 4.0
 """Runs of a route before what was counted is used."""
 RUNS_KEPT = 400.0
 """Runs at which the counts are halved."""
--- a/buckthornshed/coordination/relay/placement.py
+++ b/buckthornshed/coordination/relay/placement.py
@@ -18,18 +18,11 @@
 
 USUAL_S = 0.05
 """Expected time of a call before anything was reported."""
-REMOTE_S = 0.004
-"""What another failure domain counts as extra time."""
-LOCAL_LOAD = 0.85
-"""Load up to which a target of the own failure domain goes first."""
-LOCAL_FACTOR = 1.5
-"""How much longer than elsewhere a call may take there."""
-COLD_FACTOR = 2.0
+REMOTE_FACTOR = 1.3
+"""How many times as long a call to another failure domain counts."""
 FAILING_FACTOR = 6.0
 """How many times as long a call to a target counts that fails all of them."""
 FAILING_SMOOTHING = 0.05
-LOCAL_FAILING = 0.1
-"""Part of failing calls up to which a target of the own domain goes first."""
 SUSPENSION_S = 0.5
 """How long a target is avoided after a failure that was its own."""
 REPORT_AGE_S = 1.0
@@ -78,7 +71,7 @@
         seconds = usual * (1.0 + load * load) + waiting
         seconds *= 1.0 + FAILING_FACTOR * self.failing
         if self.target.failure_domain != own_domain:
-            seconds += REMOTE_S
+            seconds *= REMOTE_FACTOR
         return seconds
 
 
@@ -117,33 +110,26 @@
     ) -> TargetRecord | None:
         """Return the target for a call, if there is any.
 
-        It is one of the own failure domain that has room and is not much slower than
-        the rest, else the best of two drawn at random. A target that was suspended
-        after a failure is only taken when all are.
+        It is the better of two drawn at random, one of them of the own failure domain
+        if there is one. A target that was suspended after a failure is only taken when
+        all are.
         """
         if not candidates:
             return None
         records = [self.record(target) for target in candidates]
         trusted = [record for record in records if record.suspended_until <= now]
         records = trusted or records
-        if len(records) == 1:
-            return records[0]
-        times = [r.expected(now, route.name, self.failure_domain) for r in records]
-        slowest = LOCAL_FACTOR * min(times)
-        near = [
-            record
-            for record, seconds in zip(records, times, strict=True)
-            if record.target.failure_domain == self.failure_domain
-            and seconds <= slowest
-            and record.load_at(now) <= LOCAL_LOAD
-            and record.failing <= LOCAL_FAILING
-        ]
-        if near:
-            return min(near, key=lambda record: record.load_at(now))
-        places = list(range(len(records)))
-        if len(records) > 2:
-            places = self.rng.sample(places, 2)
-        return records[min(places, key=times.__getitem__)]
+        near = [r for r in records if r.target.failure_domain == self.failure_domain]
+        far = [r for r in records if r.target.failure_domain != self.failure_domain]
+        drawn = self._draw(near, 1 if far else 2) + self._draw(far, 1 if near else 2)
+        return min(
+            drawn, key=lambda each: each.expected(now, route.name, self.failure_domain)
+        )
+
+    def _draw(self, records: list[TargetRecord], count: int) -> list[TargetRecord]:
+        if len(records) <= count:
+            return records
+        return self.rng.sample(records, count)
 
     def sent(self, record: TargetRecord) -> None:
         """Count a call on its way to a target."""
--- a/buckthornshed/coordination/relay/room.py
+++ b/buckthornshed/coordination/relay/room.py
@@ -10,10 +10,10 @@
 WAIT_AIM_S = 0.02
 """Wait of a call that a whole chain can bear at each of its hops."""
 WAIT_RATIO_MAX = 3.0
-TRIM_LEAST = 0.6
+TRIM_LEAST = 0.75
 TRIM_MOST = 1.15
-TRIM_FALL = 0.15
-"""Fall of the trim a second when calls wait for the time that is aimed at."""
+TRIM_FALL = 0.1
+"""Fall of the trim a second when calls wait for twice the time that is aimed at."""
 TRIM_RISE = 0.1
 """Rise of the trim a second while slots are free."""
 BUSY_AIM = 0.92
@@ -44,9 +44,7 @@
         weight = min(1.0, elapsed / BUSY_SMOOTHING_S)
         self.busy += weight * (running / limit - self.busy)
         late = min(wait / WAIT_AIM_S, WAIT_RATIO_MAX)
-        change = -TRIM_FALL * late
-        if self.busy < BUSY_AIM and late < 0.1:
-            change = TRIM_RISE
+        change = TRIM_RISE if self.busy < BUSY_AIM else TRIM_FALL * (1.0 - late)
         moved = self.trim + change * min(elapsed, BUSY_SMOOTHING_S)
         self.trim = min(TRIM_MOST, max(TRIM_LEAST, moved))
 
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -115,6 +115,13 @@
     assert shares["b"] == pytest.approx(1.0)
 
 
+def test_a_route_that_does_not_need_the_short_service_is_not_refused():
+    offered = {"notices": 100.0, "book": 100.0, "slots": 80.0}
+    admission = make_admission(offered, stables=160.0)
+    assert admission.shares["slots"] == pytest.approx(1.0)
+    assert admission.shares["book"] == pytest.approx(0.1)
+
+
 def test_offered_rates_follow_the_load():
     rates = OfferedRates()
     now = 0.0
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -53,7 +53,7 @@
 """Reports of which one is sent while nothing is short."""
 SHARE_STEP = 0.15
 """Change of a share that is worth a line in the log."""
-GRAPH_STATUSES = 16
+GRAPH_STATUSES = 4
 """Reports between two of which the routes below are told anew."""
 SLOW_TICKS = 20
 """Ticks between two sweeps of connections and lapsed registrations."""
@@ -124,6 +124,7 @@
         self.stopping = False
         self.ticks = 0
         self.offered = OfferedRates()
+        self.told_calls: dict[str, dict[str, float]] = {}
         self.logged_shares: dict[str, float] = {}
 
     @property
@@ -260,6 +261,8 @@
             catalog=self.beliefs.catalog, targets=list(self.beliefs.targets.values())
         )
         self.links.send(instance, news)
+        # A relay that has just started has heard nothing of the calls below routes.
+        self.told_calls = {}
 
     def link_lost(self, instance: str, exchanges: list[int]) -> None:
         """End the calls that were under way on a connection."""
@@ -370,6 +373,9 @@
         target = self.target_side.target
         gate = self.target_side.gate
         graph_due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
+        learned = self.target_side.graph.learned() if graph_due else None
+        graph_news = learned is not None and learned != self.told_calls
+        self.told_calls = learned or self.told_calls
         status = Status(
             service=self.settings.target_service,
             target="" if target is None else target.name,
@@ -377,7 +383,7 @@
             room=0.0 if gate.leaving else round(gate.calls_per_second, 1),
             work=gate.work,
             offered={r: round(v, 1) for r, v in self.offered.roll(now).items()},
-            calls=self.target_side.graph.learned() if graph_due else None,
+            calls=learned if graph_news else None,
         )
         self.admission.report(now, self.instance, status)
         usable = self.beliefs.usable
@@ -386,7 +392,7 @@
         )
         self._log_shares()
         calm_due = self.ticks % (STATUS_TICKS * CALM_STATUSES) == 0
-        if gate.load >= STATUS_LOAD or calm_due or self._short():
+        if gate.load >= STATUS_LOAD or calm_due or graph_news or self._short():
             self.links.broadcast(status)
 
     def _short(self) -> bool:
