A bounded log with the decisions behind each request, and metrics

Cause: a failed request left one line without its sends or what they were chosen by, and the log could block the loop.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -26,7 +26,15 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["CancelCall", "Deliver", "Dispatcher", "GiveUp", "RoutedRequest", "SendCall"]
+__all__ = [
+    "Attempt",
+    "CancelCall",
+    "Deliver",
+    "Dispatcher",
+    "GiveUp",
+    "RoutedRequest",
+    "SendCall",
+]
 
 TIMEOUT_MARGIN_S = 0.06
 """How long after its deadline a request that was sent waits for its answer."""
@@ -70,15 +78,16 @@
     """A client's request with the route that it matched.
 
     `head` is the request's head as it goes to the target, without its last line;
-    `deadline` is in seconds of the monotonic clock. `inner` says that a target's run
-    made the request, `rank` is that of the request at the start of the chain, `repeat`
-    says that a run above is a repeat.
+    `arrived` and `deadline` are in seconds of the steady clock. `inner` says that a
+    target's run made the request, `rank` is that of the request at the start of the
+    chain, `repeat` says that a run above is a repeat.
     """
 
     route: Route
     request_id: bytes
     head: bytes
     body: bytes
+    arrived: float
     deadline: float
     rank: int
     inner: bool = False
@@ -99,13 +108,27 @@
     exchange: int
 
 
+class Attempt(NamedTuple):
+    """One send of a request and what decided it.
+
+    `at` is in seconds, `load` and `load_age` what was known of the target then,
+    `reason` how it ended without an answer; None if an answer came or is awaited.
+    """
+
+    target: Target
+    at: float
+    load: float
+    load_age: float
+    reason: RefusalReason | None = None
+
+
 class Deliver(NamedTuple):
     """Give a target's answer to the client."""
 
     token: int
     request: RoutedRequest
     answer: AnswerMessage
-    sends: int
+    attempts: tuple[Attempt, ...]
 
 
 class GiveUp(NamedTuple):
@@ -120,7 +143,7 @@
     reason: RefusalReason
     ran: bool
     retry_after: float
-    sends: int
+    attempts: tuple[Attempt, ...]
 
 
 DispatchAction = SendCall | CancelCall | Deliver | GiveUp
@@ -135,7 +158,7 @@
     service: str
     record: TargetRecord | None = None
     exchange: int = 0
-    sends: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
 
@@ -221,7 +244,8 @@
         self.placement.judged(record, failed=answer.status >= FAILED_STATUS)
         record.usual[pending.request.route.name] = answer.usual
         del self.pending[pending.token]
-        return [Deliver(pending.token, pending.request, answer, pending.sends)]
+        attempts = tuple(pending.attempts)
+        return [Deliver(pending.token, pending.request, answer, attempts)]
 
     def refused(self, now: float, refusal: RefusalMessage) -> list[DispatchAction]:
         """Take the end of a call without an answer of the target."""
@@ -230,6 +254,7 @@
             return []
         record = self._detach(pending)
         reason = refusal.reason
+        pending.attempts[-1] = pending.attempts[-1]._replace(reason=reason)
         self.placement.reported(now, record, refusal.load)
         if reason in FAILED:
             self.placement.judged(record, failed=True)
@@ -308,7 +333,9 @@
         self.next_exchange += 1
         pending.record = record
         pending.exchange = exchange
-        pending.sends += 1
+        pending.attempts.append(
+            Attempt(record.target, now, record.load_at(now), now - record.reported_at)
+        )
         pending.tried.add(record.target.name)
         self.exchanges[exchange] = pending
         self.placement.sent(record)
@@ -347,5 +374,5 @@
             reason=reason,
             ran=pending.may_have_run,
             retry_after=max(retry_after, 0.05) * spread,
-            sends=pending.sends,
+            attempts=tuple(pending.attempts),
         )
--- a/buckthornshed/platform/program.py
+++ b/buckthornshed/platform/program.py
@@ -2,11 +2,14 @@
 
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from ..errors import SettingsError
 from ..transport.logs import configure_logging, log_event
+from ..transport.relay.log_buffer import LogBuffer, LogBufferHandler
 from ..transport.relay.process import run_relay
+from ..transport.relay.relay import Relay
 from .reader import StoreReader
 from .settings import SETTINGS_VARIABLE, read_settings
 from .store import StoreClient
@@ -20,20 +23,28 @@
 
 def main() -> int:
     """Run a relay until it is told to stop; return the exit status."""
-    configure_logging(stream=sys.stdout)
+    buffer = LogBuffer(descriptor=sys.stdout.fileno())
+    configure_logging(
+        level="DEBUG", make_handler=lambda: LogBufferHandler(buffer=buffer)
+    )
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
     try:
         settings = read_settings(path)
     except SettingsError as error:
         log_event("settings_unusable", error=str(error))
+        buffer.drain(0.0)
         return EXIT_SETTINGS
+
+    def make_reader(relay: Relay, clock: Callable[[], float]) -> StoreReader:
+        client = StoreClient(address=settings.store_address, clock=clock)
+        relay.counts.store_calls = lambda: client.calls
+        return StoreReader(client=client, listener=relay)
+
     run_relay(
+        log_buffer=buffer,
         settings=settings,
         names=HEADERS,
         ready_path=READY_PATH,
-        make_reader=lambda relay, clock: StoreReader(
-            client=StoreClient(address=settings.store_address, clock=clock),
-            listener=relay,
-        ),
+        make_reader=make_reader,
     )
     return 0
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -85,6 +85,7 @@
         request_id=b"r-1",
         head=b"GET /avail/1 HTTP/1.1\r\n",
         body=b"",
+        arrived=now,
         deadline=now + left,
     )
 
--- a/buckthornshed/transport/logs.py
+++ b/buckthornshed/transport/logs.py
@@ -8,7 +8,8 @@
 import logging
 import re
 import sys
-from typing import Any, Literal, TextIO
+from collections.abc import Callable
+from typing import Any, Literal
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -35,25 +36,33 @@
 }
 
 
+def _standard_error() -> logging.Handler:
+    return logging.StreamHandler(sys.stderr)
+
+
 def configure_logging(
     *,
     form: Literal["keyvalue", "json"] = "keyvalue",
     level: str = "INFO",
-    stream: TextIO | None = None,
+    make_handler: Callable[[], logging.Handler] = _standard_error,
 ) -> None:
-    """Send the records of the package, and warnings of libraries, to a stream.
+    """Send the records of the package, and warnings of libraries, to handlers.
 
-    The stream is standard error unless another is given.
+    They write to standard error unless another maker of handlers is given.
     """
     formatter = FORMATTERS[form]
     logger = logging.getLogger("buckthornshed")
-    logger.handlers = [_handler(formatter(FIELDS, rename_fields=RENAMED), stream)]
+    handler = make_handler()
+    handler.setFormatter(formatter(FIELDS, rename_fields=RENAMED))
+    logger.handlers = [handler]
     logger.setLevel(level)
     logger.propagate = False
     libraries = formatter(
         LIBRARY_FIELDS, rename_fields=RENAMED, static_fields=LIBRARY_EVENT
     )
-    logging.getLogger().handlers = [_handler(libraries, stream)]
+    handler = make_handler()
+    handler.setFormatter(libraries)
+    logging.getLogger().handlers = [handler]
     logging.getLogger().setLevel(logging.WARNING)
 
 
@@ -63,12 +72,6 @@
     logging.getLogger("buckthornshed").log(level, {"event": event, **fields})
 
 
-def _handler(formatter: logging.Formatter, stream: TextIO | None) -> logging.Handler:
-    handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(formatter)
-    return handler
-
-
 def _quoted(value: object) -> str:
     text = str(value)
     return text if PLAIN.fullmatch(text) else json.dumps(text, ensure_ascii=False)
--- /dev/null
+++ b/buckthornshed/transport/relay/metrics.py
@@ -0,0 +1,141 @@
+"""Metrics of a relay by OpenTelemetry, as text for Prometheus.
+
+Counts are plain integers on the path of requests; they are read when metrics are
+collected. OpenTelemetry has no histogram that can be observed, and recording in its own
+takes 19 us, so latencies are collected for Prometheus beside it. This module is
+loaded when metrics are asked for the first time, as its libraries take 8 MB.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from itertools import accumulate
+from resource import RUSAGE_SELF, getrusage
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import HistogramMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from .counts import LATENCY_BUCKETS_S, RelayCounts, RelayGauges
+
+__all__ = ["RelayMetrics"]
+
+KIBIBYTE = 1_024
+
+
+class RelayMetrics:
+    """Renders the counts and the state of a relay.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    counts : RelayCounts
+        What the relay counts.
+    gauges : callable
+        Returns the present `RelayGauges`.
+    """
+
+    def __init__(
+        self, *, name: str, counts: RelayCounts, gauges: Callable[[], RelayGauges]
+    ) -> None:
+        self.counts = counts
+        self.gauges = gauges
+        self.registry = CollectorRegistry()
+        provider = MeterProvider(
+            metric_readers=[
+                PrometheusMetricReader(scope_info_enabled=False, registry=self.registry)
+            ],
+            resource=Resource({"service.name": "buckthornshed", "instance": name}),
+            shutdown_on_exit=False,
+        )
+        self.meter = provider.get_meter("buckthornshed")
+        self._observe_counts()
+        self._observe_gauges()
+        self.registry.register(LatencyCollector(counts=counts))
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
+
+    def _observe_counts(self) -> None:
+        self._counter(
+            "requests", self.counts.requests, ("route", "outcome"), "Requests answered"
+        )
+        self._counter("calls", self.counts.calls, ("outcome",), "Calls at the target")
+        self._counter("events", self.counts.events, ("event",), "Lines in the log")
+        self.meter.create_observable_counter(
+            "buckthornshed.sends_again",
+            callbacks=[lambda _: [Observation(self.counts.sends_again)]],
+            description="Sends after the first one of a request",
+        )
+        self.meter.create_observable_counter(
+            "buckthornshed.store_calls",
+            callbacks=[lambda _: [Observation(self.counts.store_calls())]],
+            description="Calls to the platform's store",
+        )
+
+    def _counter(
+        self,
+        name: str,
+        counter: Counter[tuple[str, ...]],
+        labels: tuple[str, ...],
+        description: str,
+    ) -> None:
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for key, count in counter.items():
+                yield Observation(count, dict(zip(labels, key, strict=True)))
+
+        self.meter.create_observable_counter(
+            f"buckthornshed.{name}", callbacks=[observe], description=description
+        )
+
+    def _observe_gauges(self) -> None:
+        for field in RelayGauges._fields:
+            self._gauge(field)
+        self.meter.create_observable_gauge(
+            "buckthornshed.memory_peak",
+            unit="By",
+            callbacks=[
+                lambda _: [Observation(getrusage(RUSAGE_SELF).ru_maxrss * KIBIBYTE)]
+            ],
+            description="Greatest resident memory so far",
+        )
+
+    def _gauge(self, field: str) -> None:
+        self.meter.create_observable_gauge(
+            f"buckthornshed.{field}",
+            callbacks=[lambda _: [Observation(getattr(self.gauges(), field))]],
+            description=f"See {RelayGauges.__name__}.{field}",
+        )
+
+
+class LatencyCollector(Collector):
+    """Hands the histograms of latencies to Prometheus.
+
+    Parameters
+    ----------
+    counts : RelayCounts
+        What the relay counts.
+    """
+
+    def __init__(self, *, counts: RelayCounts) -> None:
+        self.counts = counts
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the histogram of each route."""
+        family = HistogramMetricFamily(
+            "buckthornshed_request_seconds",
+            "Time of a request in the relay, from its last byte to its answer",
+            labels=["route"],
+        )
+        bounds = [*map(str, LATENCY_BUCKETS_S), "+Inf"]
+        for route, latencies in self.counts.latencies.items():
+            sums = accumulate(latencies.buckets)
+            family.add_metric(
+                [route], list(zip(bounds, sums, strict=True)), latencies.total
+            )
+        yield family
--- /dev/null
+++ b/buckthornshed/transport/relay/metrics_handler.py
@@ -0,0 +1,73 @@
+"""Answers operators who ask for metrics."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import anyio.to_thread
+
+from ...protocol.http import Request
+from .client_listener import Exchange
+
+if TYPE_CHECKING:
+    from .metrics import RelayMetrics
+    from .relay import Relay
+
+__all__ = ["MetricsHandler"]
+
+METRICS_PATH = b"/metrics"
+
+
+class MetricsHandler:
+    """Serves the metrics of a relay on ``/metrics``.
+
+    Parameters
+    ----------
+    relay : Relay
+        The relay that is asked about.
+    """
+
+    def __init__(self, *, relay: "Relay") -> None:
+        self.relay = relay
+        self.metrics: RelayMetrics | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def request_arrived(self, exchange: Exchange, request: Request) -> None:
+        """Answer, the first time after the libraries have been loaded."""
+        if request.path.partition(b"?")[0] != METRICS_PATH:
+            _respond(exchange, b"404 Not Found", b"")
+            return
+        if self.metrics is not None:
+            _respond(exchange, b"200 OK", self.metrics.text())
+            return
+        task = asyncio.get_running_loop().create_task(self._load_and_answer(exchange))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def client_left(self, exchange: Exchange) -> None:
+        """Nothing is under way for a question."""
+
+    def request_rejected(self, status: int, detail: str) -> bytes:
+        """Return the response to bytes that make no acceptable request."""
+        return b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n"
+
+    async def _load_and_answer(self, exchange: Exchange) -> None:
+        # In a thread, so that requests go on meanwhile.
+        metrics = await anyio.to_thread.run_sync(self._load)
+        self.metrics = self.metrics or metrics
+        _respond(exchange, b"200 OK", self.metrics.text())
+
+    def _load(self) -> "RelayMetrics":
+        from .metrics import RelayMetrics
+
+        relay = self.relay
+        return RelayMetrics(
+            name=relay.settings.name, counts=relay.counts, gauges=relay.gauges
+        )
+
+
+def _respond(exchange: Exchange, status: bytes, body: bytes) -> None:
+    data = (
+        b"HTTP/1.1 %s\r\ncontent-type: text/plain; version=0.0.4\r\n"
+        b"content-length: %d\r\n\r\n%s" % (status, len(body), body)
+    )
+    exchange.connection.respond(exchange, data, close=False)
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -1,6 +1,7 @@
 """The process around a relay: loop, signals, readiness, start and end."""
 
 import asyncio
+import logging
 import random
 import signal
 import time
@@ -14,16 +15,19 @@
 from ...state.relay_settings import RelaySettings
 from ..logs import log_event
 from .client_listener import ClientListener, Exchange
+from .log_buffer import LogBuffer
+from .metrics_handler import MetricsHandler
 from .relay import Relay
 from .responses import own_response
 
 __all__ = ["Reader", "run_relay"]
 
 TICK_S = 0.025
+DROPPED_TELL_S = 1.0
 QUIET_AFTER_STOP_S = 2.6
 """How long a stopping relay still takes requests, so that clients see it leave."""
 END_MARGIN_S = 0.6
-READY_CONNECTIONS_MAX = 64
+OPERATOR_CONNECTIONS_MAX = 64
 
 
 def boot_time() -> float:
@@ -74,6 +78,7 @@
     names: HeaderNames,
     ready_path: bytes,
     make_reader: Callable[[Relay, Callable[[], float]], Reader],
+    log_buffer: LogBuffer,
 ) -> None:
     """Run a relay until SIGTERM has been obeyed."""
     relay = Relay(
@@ -84,7 +89,9 @@
         rng=random.Random(),
     )
     reader = make_reader(relay, boot_time)
-    process = RelayProcess(relay=relay, reader=reader, ready_path=ready_path)
+    process = RelayProcess(
+        relay=relay, reader=reader, ready_path=ready_path, log_buffer=log_buffer
+    )
     anyio.run(process.run, backend="asyncio", backend_options={"use_uvloop": True})
 
 
@@ -99,22 +106,39 @@
         Follows the configuration and the targets.
     ready_path : bytes
         Path of the question whether the relay is ready.
+    log_buffer : LogBuffer
+        Lines of the log that wait to be written.
     """
 
-    def __init__(self, *, relay: Relay, reader: Reader, ready_path: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        relay: Relay,
+        reader: Reader,
+        ready_path: bytes,
+        log_buffer: LogBuffer,
+    ) -> None:
         self.relay = relay
         self.reader = reader
+        self.log_buffer = log_buffer
+        self.metrics = ClientListener(
+            handler=MetricsHandler(relay=relay),
+            connections_max=OPERATOR_CONNECTIONS_MAX,
+            clock=relay.clock,
+        )
         self.readiness = ClientListener(
             handler=ReadinessHandler(relay=relay, path=ready_path),
-            connections_max=READY_CONNECTIONS_MAX,
+            connections_max=OPERATOR_CONNECTIONS_MAX,
             clock=relay.clock,
         )
+        self.dropped_told_at = relay.clock()
 
     async def run(self) -> None:
         """Serve until a stop has been obeyed."""
         settings = self.relay.settings
         await self.relay.open()
         await self.readiness.open(settings.ready_address)
+        await self._open_metrics(settings.metrics_address)
         log_event("started", instance=settings.name, service=settings.target_service)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.reader.follow)
@@ -123,11 +147,34 @@
             await self._drain()
             tasks.cancel_scope.cancel()
         log_event("stopped", instance=settings.name)
+        self.log_buffer.drain(self.relay.clock())
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
             self.relay.tick()
+            self._drain_log()
+
+    def _drain_log(self) -> None:
+        now = self.relay.clock()
+        if now - self.dropped_told_at >= DROPPED_TELL_S:
+            self.dropped_told_at = now
+            dropped = self.log_buffer.take_dropped()
+            if dropped:
+                log_event("lines_dropped", level=logging.WARNING, lines=dropped)
+        self.log_buffer.drain(now)
+
+    async def _open_metrics(self, address: str) -> None:
+        try:
+            await self.metrics.open(address)
+        except OSError as error:
+            # Requests are served without metrics as well.
+            log_event(
+                "metrics_unavailable",
+                level=logging.WARNING,
+                address=address,
+                error=str(error),
+            )
 
     async def _wait_for_stop(self) -> None:
         loop = asyncio.get_running_loop()
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -34,7 +34,9 @@
 from ...state.relay_settings import RelaySettings
 from ..logs import log_event
 from .client_listener import ClientListener, Exchange
+from .counts import RelayCounts, RelayGauges
 from .peer_links import PeerLinks, PeerSession
+from .request_journal import RequestJournal
 from .responses import own_response, refusal_status, request_head
 from .target_side import CallKey, Outcome, TargetSide
 
@@ -90,6 +92,8 @@
         self.clock = clock
         self.calling_service = settings.target_service.encode()
         self.instance = settings.target_address.rpartition(":")[0]
+        self.counts = RelayCounts()
+        self.journal = RequestJournal(counts=self.counts)
         self.beliefs = FleetBeliefs()
         self.placement = Placement(failure_domain=settings.failure_domain, rng=rng)
         self.budget = RetryBudget(limits=settings.retry_limits)
@@ -97,6 +101,7 @@
             address=settings.target_address,
             names=names,
             deliver=self._target_outcome,
+            journal=self.journal,
             clock=clock,
         )
         self.admission = Admission(graph=self.target_side.graph)
@@ -137,6 +142,21 @@
         """Whether a request or a call is under way."""
         return bool(self.exchanges) or self.target_side.busy
 
+    def gauges(self) -> RelayGauges:
+        """Return what is true at the moment, for operators."""
+        gate = self.target_side.gate
+        catalog = self.beliefs.catalog
+        return RelayGauges(
+            generation=0 if catalog is None else catalog.generation,
+            targets=sum(map(len, self.beliefs.usable.values())),
+            peers=len(self.links.links),
+            requests=len(self.exchanges),
+            running=gate.running,
+            waiting=gate.waiting_count,
+            room=gate.calls_per_second,
+            least_share=min(self.admission.shares.values(), default=1.0),
+        )
+
     async def open(self) -> None:
         """Open the listening sockets."""
         await self.listener.open(self.settings.client_address)
@@ -200,6 +220,7 @@
             request_id=request_id,
             head=request_head(request, self.names, self.calling_service),
             body=request.body,
+            arrived=now,
             deadline=now + timeout,
             rank=route.rank if parent is None else parent.rank,
             inner=parent is not None,
@@ -497,23 +518,17 @@
         body = b"" if exchange.head_only else answer.body
         data = b"".join((answer.head, end, body))
         exchange.connection.respond(exchange, data, close=self.stopping)
+        self.journal.answered(self.clock(), action)
 
     def _give_up(self, action: GiveUp) -> None:
         exchange = self.exchanges.pop(action.token, None)
         if exchange is None:
             return
         status = refusal_status(action.reason, ran=action.ran)
-        log_event(
-            "request_given_up",
-            request=action.request.request_id.decode("latin-1"),
-            route=action.request.route.name,
-            reason=action.reason.name.lower(),
-            status=status,
-            sends=action.sends,
-            left=round(action.request.deadline - self.clock(), 3),
-        )
         retry_after = None if action.ran else action.retry_after
         self._answer(exchange, status, action.request.request_id, retry_after)
+        share = self.admission.shares.get(action.request.route.name, 1.0)
+        self.journal.given_up(self.clock(), action, status=status, share=share)
 
     def _answer(
         self,
--- /dev/null
+++ b/buckthornshed/transport/relay/request_journal.py
@@ -0,0 +1,131 @@
+"""One line in the log for how each request ended, with what decided it.
+
+Failures and refusals are always written. Plain successes are thinned by a hash of the
+identifier at the start of the chain, so that all relays keep the same requests.
+"""
+
+import logging
+import zlib
+from typing import Any
+
+from ...coordination.relay.dispatcher import Attempt, Deliver, GiveUp, RoutedRequest
+from ...protocol.relay_messages import AnswerMessage, CallMessage, RefusalMessage
+from ..logs import log_event
+from .counts import RelayCounts
+
+__all__ = ["RequestJournal"]
+
+SUCCESSES_PER_LINE = 32
+"""Plain successes of which one is written."""
+FAILED_STATUS = 500
+
+
+class RequestJournal:
+    """Writes and counts how requests and calls ended.
+
+    Parameters
+    ----------
+    counts : RelayCounts
+        Counters of the relay.
+    """
+
+    def __init__(self, *, counts: RelayCounts) -> None:
+        self.counts = counts
+
+    def answered(self, now: float, action: Deliver) -> None:
+        """Note a request that got a target's answer."""
+        request, status = action.request, action.answer.status
+        seconds = now - request.arrived
+        failed = status >= FAILED_STATUS
+        outcome = "target_failed" if failed else "answered"
+        sends = len(action.attempts)
+        self.counts.request_ended(request.route.name, outcome, seconds, sends)
+        if failed or sends > 1 or is_sampled(request.request_id):
+            log_event(
+                "request_answered",
+                level=logging.INFO if failed else logging.DEBUG,
+                **_request_fields(now, request),
+                status=status,
+                attempts=_trail(request, action.attempts),
+            )
+
+    def given_up(
+        self, now: float, action: GiveUp, *, status: int, share: float
+    ) -> None:
+        """Note a request that got an answer of the relay itself."""
+        request = action.request
+        reason = action.reason.name.lower()
+        seconds = now - request.arrived
+        sends = len(action.attempts)
+        self.counts.request_ended(request.route.name, reason, seconds, sends)
+        log_event(
+            "request_given_up",
+            **_request_fields(now, request),
+            status=status,
+            reason=reason,
+            may_have_run=action.ran,
+            retry_after=round(action.retry_after, 3),
+            share=round(share, 2),
+            attempts=_trail(request, action.attempts),
+        )
+
+    def call_ended(
+        self,
+        now: float,
+        message: CallMessage,
+        outcome: AnswerMessage | RefusalMessage,
+        *,
+        arrived: float,
+        started: float | None,
+    ) -> None:
+        """Note the end of a call for the target beside the relay."""
+        if isinstance(outcome, AnswerMessage):
+            result, failed = str(outcome.status), outcome.status >= FAILED_STATUS
+        else:
+            result, failed = outcome.reason.name.lower(), True
+        self.counts.calls[(result,)] += 1
+        if not failed and not is_sampled(message.request_id):
+            return
+        waited = (now if started is None else started) - arrived
+        log_event(
+            "call_ended",
+            level=logging.INFO if failed else logging.DEBUG,
+            request=message.request_id.decode("latin-1"),
+            route=message.route,
+            rank=message.rank,
+            target=message.target,
+            result=result,
+            waited_ms=round(waited * 1e3, 1),
+            ran_ms=0 if started is None else round((now - started) * 1e3, 1),
+            allowed_ms=round(message.left * 1e3, 1),
+            load=round(outcome.load, 2),
+        )
+
+
+def is_sampled(request_id: bytes) -> bool:
+    """Whether a plain success is written; alike for all calls of one chain."""
+    start = request_id.partition(b".")[0]
+    return zlib.crc32(start) % SUCCESSES_PER_LINE == 0
+
+
+def _request_fields(now: float, request: RoutedRequest) -> dict[str, Any]:
+    request_id = request.request_id.decode("latin-1")
+    return {
+        "request": request_id,
+        "parent": request_id.rpartition(".")[0] if request.inner else "-",
+        "route": request.route.name,
+        "rank": request.rank,
+        "ms": round((now - request.arrived) * 1e3, 1),
+        "left_ms": round((request.deadline - now) * 1e3, 1),
+    }
+
+
+def _trail(request: RoutedRequest, attempts: tuple[Attempt, ...]) -> str:
+    """Return the sends of a request: target, start, when, load and its age, end."""
+    return " ".join(
+        f"{attempt.target.name}/{attempt.target.started}"
+        f"@{(attempt.at - request.arrived) * 1e3:.0f}ms"
+        f",load={attempt.load:.2f},age={attempt.load_age * 1e3:.0f}ms"
+        f",end={'answer' if attempt.reason is None else attempt.reason.name.lower()}"
+        for attempt in attempts
+    )
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -16,6 +16,7 @@
 )
 from ...state.catalog import Target
 from ..logs import log_event
+from .request_journal import RequestJournal
 from .responses import response_head
 from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
 
@@ -50,8 +51,10 @@
         Headers of the deployment.
     deliver : callable
         Takes a call's key and its outcome.
+    journal : RequestJournal
+        Notes how calls ended.
     clock : callable
-        Returns seconds of the monotonic clock.
+        Returns seconds of the steady clock.
     """
 
     def __init__(
@@ -60,11 +63,13 @@
         address: str,
         names: HeaderNames,
         deliver: Callable[[CallKey, Outcome], None],
+        journal: RequestJournal,
         clock: Callable[[], float],
     ) -> None:
         self.address = address
         self.names = names
         self.deliver = deliver
+        self.journal = journal
         self.clock = clock
         self.gate = TargetGate()
         self.pool = TargetPool(
@@ -232,6 +237,13 @@
     def _deliver(self, call: GateCall, outcome: Outcome) -> None:
         key = call.key
         assert isinstance(key, CallKey)
+        self.journal.call_ended(
+            self.clock(),
+            call.message,
+            outcome,
+            arrived=call.arrived,
+            started=call.started,
+        )
         if key.session == 0:
             # The dispatcher may be in the middle of sending this very call.
             asyncio.get_running_loop().call_soon(self.deliver, key, outcome)
