Compressed streams between relays; settings are followed; process tests

Ruled out: fewer headers: what a client sent goes on unchanged. Change: each direction of a link is one deflate stream, the messages of one turn go out together; settings are read again on SIGHUP and every 2 s; the last answers of a stopping relay get 50 ms to leave.

--- a/buckthornshed/coordination/relay/retry_budget.py
+++ b/buckthornshed/coordination/relay/retry_budget.py
@@ -28,15 +28,18 @@
     """
 
     def __init__(self, *, limits: RetryLimits) -> None:
-        self.earned = limits.ratio * RATIO_SHARE
-        self.slack = limits.slack * SLACK_SHARE
-        self.window = limits.window
+        self.set_limits(limits)
         self.relays = 1
         self.tokens: dict[str, float] = {}
         self.updated: defaultdict[str, float] = defaultdict(float)
         self.spent = 0
         self.denied = 0
 
+    def set_limits(self, limits: RetryLimits) -> None:
+        """Take the fleet's bound."""
+        self.earned = limits.ratio * RATIO_SHARE
+        self.slack = limits.slack * SLACK_SHARE
+
     @property
     def capacity(self) -> float:
         """Tokens that may be saved up, this relay's part of the slack."""
--- a/buckthornshed/platform/program.py
+++ b/buckthornshed/platform/program.py
@@ -1,5 +1,6 @@
 """Puts one relay process together from the platform's settings."""
 
+import logging
 import os
 import sys
 from collections.abc import Callable
@@ -28,23 +29,23 @@
         level="DEBUG", make_handler=lambda: LogBufferHandler(buffer=buffer)
     )
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
-    try:
-        settings = read_settings(path)
-    except SettingsError as error:
-        log_event("settings_unusable", error=str(error))
-        buffer.drain(0.0)
-        return EXIT_SETTINGS
 
     def make_reader(relay: Relay, clock: Callable[[], float]) -> StoreReader:
-        client = StoreClient(address=settings.store_address, clock=clock)
+        address = relay.settings.store_address
+        client = StoreClient(address=address, clock=clock)
         relay.counts.store_calls = lambda: client.calls
         return StoreReader(client=client, listener=relay)
 
-    run_relay(
-        log_buffer=buffer,
-        settings=settings,
-        names=HEADERS,
-        ready_path=READY_PATH,
-        make_reader=make_reader,
-    )
+    try:
+        run_relay(
+            read_settings=lambda: read_settings(path),
+            names=HEADERS,
+            ready_path=READY_PATH,
+            make_reader=make_reader,
+            log_buffer=buffer,
+        )
+    except SettingsError as error:
+        log_event("settings_unusable", level=logging.ERROR, error=str(error))
+        buffer.drain(0.0)
+        return EXIT_SETTINGS
     return 0
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -1,9 +1,11 @@
 """Messages between relays, and the headers that a deployment names.
 
 Messages travel as MessagePack arrays behind a length of four bytes, many exchanges
-on one connection; docs/design/platform.md has the measurement behind it.
+on one connection, each direction compressed as one stream: heads of calls are alike,
+and bytes between failure domains are dear. docs/design/platform.md has the figures.
 """
 
+import zlib
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -17,6 +19,7 @@
     "CallMessage",
     "CancelMessage",
     "FrameReader",
+    "FrameWriter",
     "HeaderNames",
     "Hello",
     "Leaving",
@@ -27,10 +30,13 @@
     "RefusalReason",
     "RelayMessage",
     "Status",
-    "encode_frame",
 ]
 
 LENGTH_BYTES = 4
+COMPRESSION_LEVEL = 1
+WINDOW_BITS = 12
+MEMORY_LEVEL = 5
+"""With the window: 32 KiB a direction. Heads of calls repeat within a few of them."""
 FRAME_BYTES_MAX = 80 * 1024 * 1024
 
 
@@ -226,16 +232,34 @@
 DECODER = msgspec.msgpack.Decoder(RelayMessage)
 
 
-def encode_frame(message: RelayMessage) -> bytes:
-    """Return a message with its length in front."""
-    body = ENCODER.encode(message)
-    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+class FrameWriter:
+    """Turns messages into the compressed bytes of one direction of a connection."""
+
+    def __init__(self) -> None:
+        self.compressor = zlib.compressobj(
+            level=COMPRESSION_LEVEL, wbits=-WINDOW_BITS, memLevel=MEMORY_LEVEL
+        )
+        self.frames: list[bytes] = []
+
+    def add(self, message: RelayMessage) -> None:
+        """Add a message to those that go out with the next bytes."""
+        body = ENCODER.encode(message)
+        self.frames.append(len(body).to_bytes(LENGTH_BYTES, "big"))
+        self.frames.append(body)
+
+    def take(self) -> bytes:
+        """Return the bytes of all messages added since the last call."""
+        data = b"".join(self.frames)
+        self.frames.clear()
+        compressor = self.compressor
+        return compressor.compress(data) + compressor.flush(zlib.Z_SYNC_FLUSH)
 
 
 class FrameReader:
-    """Cuts a stream of bytes into messages."""
+    """Cuts the compressed bytes of one direction of a connection into messages."""
 
     def __init__(self) -> None:
+        self.decompressor = zlib.decompressobj(wbits=-WINDOW_BITS)
         self.held = bytearray()
 
     def feed(self, data: bytes) -> list[RelayMessage]:
@@ -246,7 +270,12 @@
         PeerError
             If a frame is too long or cannot be read.
         """
-        self.held += data
+        try:
+            self.held += self.decompressor.decompress(data)
+        except zlib.error as error:
+            raise PeerError(
+                subject="frame", found=str(error), expected="compressed messages"
+            ) from error
         messages: list[RelayMessage] = []
         begin = 0
         while len(self.held) - begin >= LENGTH_BYTES:
--- /dev/null
+++ b/buckthornshed/tests/relay/test_relay_process.py
@@ -0,0 +1,198 @@
+"""A relay as a real process: settings file, signals, readiness, metrics, log."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from typing import Any
+
+import pytest
+
+from .fleet import configuration as make_configuration
+from .fleet import free_port, read_response, until
+from .standin_store import StandinStore
+from .standin_target import StandinTarget
+
+pytestmark = pytest.mark.processes
+
+HOST = "127.0.0.1"
+
+
+class RelayUnderTest:
+    """One relay process with a store and a target."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = StandinStore()
+        self.target = StandinTarget("i-1")
+        self.ports = {name: free_port() for name in ("client", "ready")}
+        self.internal = sorted(free_port() for _ in range(2))
+        self.process: Any = None
+
+    async def start(self):
+        await self.store.open()
+        await self.target.open(HOST)
+        await self.store.put("op/config", make_configuration())
+        entry = {
+            "service": "stalls",
+            "addr": self.target.address,
+            "zone": "a",
+            "slots": 10,
+            "state": "ready",
+            "coldLeftS": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        await self.store.put("servers/i-1", entry)
+        path = self.folder / "node.conf"
+        path.write_text(self.settings())
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "buckthornshed.platform",
+            env={**os.environ, "BUCKTHORNSHED_BOOT": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        async with asyncio.timeout(20.0):
+            while await self.ready_status() != 200:
+                await asyncio.sleep(0.05)
+
+    def settings(self):
+        lines = {
+            "node": "instance-a-1",
+            "zone": "a",
+            "ip": HOST,
+            "listen.outbound": f"{HOST}:{self.ports['client']}",
+            "listen.ready": f"{HOST}:{self.ports['ready']}",
+            "internalPorts": f"{self.internal[0]},{self.internal[1]}",
+            "appAddr": self.target.address,
+            "service": "stalls",
+            "limits.maxFds": 1000,
+            "bounds.graceS": 6,
+            "bounds.retryRatio": 0.2,
+            "bounds.retryWindowS": 10,
+            "bounds.retrySlack": 49,
+            "platform.addr": self.store.address,
+        }
+        return "".join(f"{name}={value}\n" for name, value in lines.items())
+
+    async def ready_status(self):
+        try:
+            response = await self.get("ready", "/ready")
+        except ConnectionError:
+            return 0
+        return response.status
+
+    async def get(self, port, path, request_id="r-1"):
+        number = self.internal[1] if port == "metrics" else self.ports[port]
+        reader, writer = await asyncio.open_connection(HOST, number)
+        try:
+            writer.write(
+                f"GET {path} HTTP/1.1\r\nHost: stalls.example\r\n"
+                f"Request-Id: {request_id}\r\nDeadline-Ms: 5000\r\n\r\n".encode()
+            )
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def end(self):
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+        await self.process.wait()
+        self.store.close()
+        self.target.close()
+
+    async def log(self):
+        return (await self.process.stdout.read()).decode()
+
+
+def run(scenario, tmp_path):
+    async def whole():
+        relay = RelayUnderTest(tmp_path)
+        try:
+            await relay.start()
+            await scenario(relay)
+        finally:
+            await relay.end()
+
+    asyncio.run(whole())
+
+
+def test_a_planned_stop_ends_what_is_under_way_and_says_that_it_is_not_ready(tmp_path):
+    async def scenario(relay):
+        relay.target.scripts = ["slow"]
+        under_way = asyncio.create_task(relay.get("client", "/avail/1"))
+        await until(lambda: relay.target.ran)
+        relay.process.send_signal(signal.SIGTERM)
+        while await relay.ready_status() == 200:
+            await asyncio.sleep(0.02)
+        assert await relay.ready_status() == 503
+        later = await relay.get("client", "/avail/2", "r-2")
+        assert later.status == 200
+        relay.target.release.set()
+        response = await under_way
+        assert response.status == 200
+        assert response.body == b"answer to r-1 by i-1"
+        assert await relay.process.wait() == 0
+        log = await relay.log()
+        assert "event=stopping" in log
+        assert "event=stopped" in log
+
+    run(scenario, tmp_path)
+
+
+def test_changed_settings_are_taken_and_cut_no_request(tmp_path):
+    async def scenario(relay):
+        path = relay.folder / "node.conf"
+        path.write_text(relay.settings().replace("graceS=6", "graceS=4"))
+        relay.target.scripts = ["slow"]
+        under_way = asyncio.create_task(relay.get("client", "/avail/1"))
+        await until(lambda: relay.target.ran)
+        relay.process.send_signal(signal.SIGHUP)
+        assert (await relay.get("client", "/avail/2", "r-2")).status == 200
+        relay.target.release.set()
+        assert (await under_way).status == 200
+        path.write_text("node=\n")
+        relay.process.send_signal(signal.SIGHUP)
+        assert (await relay.get("client", "/avail/3", "r-3")).status == 200
+        relay.process.send_signal(signal.SIGTERM)
+        assert await relay.process.wait() == 0
+        log = await relay.log()
+        assert "event=settings_changed fields=grace" in log
+        assert "event=settings_rejected" in log
+
+    run(scenario, tmp_path)
+
+
+def test_metrics_are_served_as_text(tmp_path):
+    async def scenario(relay):
+        assert (await relay.get("client", "/avail/1")).status == 200
+        response = await relay.get("metrics", "/metrics")
+        text = response.body.decode()
+        line = 'buckthornshed_requests_total{outcome="answered",route="avail"} 1.0'
+        assert line in text
+        assert 'buckthornshed_request_seconds_count{route="avail"} 1.0' in text
+        assert "buckthornshed_generation 1.0" in text
+
+    run(scenario, tmp_path)
+
+
+def test_unusable_settings_end_the_process_with_a_clear_line(tmp_path):
+    async def scenario():
+        path = tmp_path / "node.conf"
+        path.write_text("node=a\n")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "buckthornshed.platform",
+            env={**os.environ, "BUCKTHORNSHED_BOOT": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        out, _ = await process.communicate()
+        assert process.returncode == 2
+        assert "event=settings_unusable" in out.decode()
+        assert "setting ip: found nothing" in out.decode()
+
+    asyncio.run(scenario())
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -284,6 +284,11 @@
             self.server.close()
             self.server = None
 
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def sweep(self) -> None:
         """End connections that are overdue, and those that have lingered."""
         now = self.clock()
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -15,11 +15,11 @@
     AnswerMessage,
     CallMessage,
     FrameReader,
+    FrameWriter,
     Hello,
     Ping,
     RefusalMessage,
     RelayMessage,
-    encode_frame,
 )
 from ..logs import log_event
 
@@ -55,6 +55,27 @@
         """Take the end of a connection and the calls that were under way on it."""
 
 
+class Outbox:
+    """Sends the messages of one turn of the event loop together."""
+
+    def __init__(self) -> None:
+        self.writer = FrameWriter()
+        self.scheduled = False
+
+    def send(self, transport: asyncio.Transport, message: RelayMessage) -> None:
+        """Send a message at the end of this turn."""
+        self.writer.add(message)
+        if not self.scheduled:
+            self.scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush, transport)
+
+    def _flush(self, transport: asyncio.Transport) -> None:
+        self.scheduled = False
+        data = self.writer.take()
+        if not transport.is_closing():
+            transport.write(data)
+
+
 class PeerSession(asyncio.Protocol):
     """A connection that another relay opened."""
 
@@ -63,6 +84,7 @@
         self.number = number
         self.name = ""
         self.reader = FrameReader()
+        self.outbox = Outbox()
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -98,7 +120,7 @@
     def send(self, message: RelayMessage) -> None:
         """Send a message, if the connection still stands."""
         if self.transport is not None:
-            self.transport.write(encode_frame(message))
+            self.outbox.send(self.transport, message)
 
 
 class PeerLink(asyncio.Protocol):
@@ -108,6 +130,7 @@
         self.links = links
         self.instance = instance
         self.reader = FrameReader()
+        self.outbox = Outbox()
         self.transport: asyncio.Transport | None = None
         self.exchanges: set[int] = set()
         self.heard_at = 0.0
@@ -147,7 +170,7 @@
         assert self.transport is not None
         if isinstance(message, CallMessage):
             self.exchanges.add(message.exchange)
-        self.transport.write(encode_frame(message))
+        self.outbox.send(self.transport, message)
 
     def tick(self, now: float, *, paused: bool) -> None:
         """Ask for a sign of life after silence; cut the connection without one."""
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from ...errors import SettingsError
 from ...protocol.http import Request
 from ...protocol.relay_messages import HeaderNames
 from ...state.relay_settings import RelaySettings
@@ -24,9 +25,13 @@
 
 TICK_S = 0.025
 DROPPED_TELL_S = 1.0
+SETTINGS_POLL_S = 2.0
+"""Time between two looks at the settings, which may change without a signal."""
 QUIET_AFTER_STOP_S = 2.6
 """How long a stopping relay still takes requests, so that clients see it leave."""
 END_MARGIN_S = 0.6
+LAST_BYTES_S = 0.05
+"""Time for what has been written to leave the process."""
 OPERATOR_CONNECTIONS_MAX = 64
 
 
@@ -74,15 +79,21 @@
 
 def run_relay(
     *,
-    settings: RelaySettings,
+    read_settings: Callable[[], RelaySettings],
     names: HeaderNames,
     ready_path: bytes,
     make_reader: Callable[[Relay, Callable[[], float]], Reader],
     log_buffer: LogBuffer,
 ) -> None:
-    """Run a relay until SIGTERM has been obeyed."""
+    """Run a relay until SIGTERM has been obeyed.
+
+    Raises
+    ------
+    SettingsError
+        If the settings cannot be used at the start.
+    """
     relay = Relay(
-        settings=settings,
+        settings=read_settings(),
         names=names,
         clock=boot_time,
         wall=time.time,
@@ -90,7 +101,11 @@
     )
     reader = make_reader(relay, boot_time)
     process = RelayProcess(
-        relay=relay, reader=reader, ready_path=ready_path, log_buffer=log_buffer
+        relay=relay,
+        reader=reader,
+        read_settings=read_settings,
+        ready_path=ready_path,
+        log_buffer=log_buffer,
     )
     anyio.run(process.run, backend="asyncio", backend_options={"use_uvloop": True})
 
@@ -104,6 +119,8 @@
         The relay.
     reader : Reader
         Follows the configuration and the targets.
+    read_settings : callable
+        Returns the settings as they stand now.
     ready_path : bytes
         Path of the question whether the relay is ready.
     log_buffer : LogBuffer
@@ -115,11 +132,13 @@
         *,
         relay: Relay,
         reader: Reader,
+        read_settings: Callable[[], RelaySettings],
         ready_path: bytes,
         log_buffer: LogBuffer,
     ) -> None:
         self.relay = relay
         self.reader = reader
+        self.read_settings = read_settings
         self.log_buffer = log_buffer
         self.metrics = ClientListener(
             handler=MetricsHandler(relay=relay),
@@ -132,6 +151,8 @@
             clock=relay.clock,
         )
         self.dropped_told_at = relay.clock()
+        self.rejected = ""
+        self.settings = relay.settings
 
     async def run(self) -> None:
         """Serve until a stop has been obeyed."""
@@ -143,6 +164,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.reader.follow)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._follow_settings)
             await self._wait_for_stop()
             await self._drain()
             tasks.cancel_scope.cancel()
@@ -196,6 +218,31 @@
                     break
             await asyncio.sleep(TICK_S)
         relay.listener.stop_accepting()
+        relay.listener.close_idle()
+        await asyncio.sleep(LAST_BYTES_S)
+
+    async def _follow_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            self._reload()
 
     def _reload(self) -> None:
-        log_event("settings_reload", changed=False)
+        """Take changed settings; addresses stay as they were at the start."""
+        relay = self.relay
+        try:
+            found = self.read_settings()
+        except SettingsError as error:
+            if str(error) != self.rejected:
+                self.rejected = str(error)
+                log_event("settings_rejected", level=logging.WARNING, error=str(error))
+            return
+        self.rejected = ""
+        changed = [
+            field
+            for field in found._fields
+            if getattr(found, field) != getattr(self.settings, field)
+        ]
+        self.settings = found
+        if changed:
+            relay.take_settings(found)
+            log_event("settings_changed", fields=",".join(changed))
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -451,6 +451,13 @@
             mean_ms=round(gate.mean * 1e3, 1),
         )
 
+    def take_settings(self, settings: RelaySettings) -> None:
+        """Take changed settings; addresses are those of the start."""
+        self.settings = self.settings._replace(
+            grace=settings.grace, retry_limits=settings.retry_limits
+        )
+        self.budget.set_limits(settings.retry_limits)
+
     def close(self) -> None:
         """Close all sockets at once."""
         self.listener.stop_accepting()
