Signal processes through their object, which knows when they have ended

Cause: Process.stop asked whether the process was alive and then signalled its number; one that had ended and been reaped in between raised ProcessLookupError over the error that a user should see, and a reused number would have been hit. Seen once in five runs of the suite as a failure of test_process_that_does_not_start_is_named_with_its_log. Ruled out: the ports of two drivers; they hold blocks of their own. Before: the four new tests fail, as the race is certain in them. After: they pass. Conclusion: kill, freeze and wake had the same shape and go the same way.

--- a/buckthornshed/load/processes.py
+++ b/buckthornshed/load/processes.py
@@ -1,6 +1,7 @@
 """Processes of the demo and the benches: start, wait, signal, stop."""
 
 import asyncio
+import contextlib
 import os
 import re
 import signal
@@ -113,15 +114,15 @@
 
     def kill(self) -> None:
         """End it at once."""
-        os.kill(self.running.pid, signal.SIGKILL)
+        self._signal(signal.SIGKILL)
 
     def freeze(self) -> None:
         """Pause it."""
-        os.kill(self.running.pid, signal.SIGSTOP)
+        self._signal(signal.SIGSTOP)
 
     def wake(self) -> None:
         """Let it go on."""
-        os.kill(self.running.pid, signal.SIGCONT)
+        self._signal(signal.SIGCONT)
 
     async def stop(self) -> int:
         """Ask it to stop by SIGTERM and return its exit code.
@@ -129,7 +130,7 @@
         A process that does not end in time is killed.
         """
         if self.alive():
-            os.kill(self.running.pid, signal.SIGTERM)
+            self._signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 return await self.running.wait()
@@ -137,6 +138,11 @@
             self.kill()
             return await self.running.wait()
 
+    def _signal(self, number: signal.Signals) -> None:
+        # Through the process object: a number that was reaped may be another's by now.
+        with contextlib.suppress(ProcessLookupError):
+            self.running.send_signal(number)
+
 
 def program(command: str) -> list[str]:
     """Return what starts a command of this program in another process."""
--- /dev/null
+++ b/buckthornshed/tests/test_load_processes.py
@@ -0,0 +1,41 @@
+"""Signals to processes that have ended meanwhile."""
+
+import asyncio
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from buckthornshed.load.processes import Process
+
+
+class EndedProcess:
+    """A process that has ended and been reaped, before the loop heard of it."""
+
+    def __init__(self):
+        ended = subprocess.Popen([sys.executable, "-c", "pass"])
+        ended.wait()
+        self.pid = ended.pid
+        self.returncode = None
+        self.signals = []
+
+    def send_signal(self, number):
+        raise ProcessLookupError
+
+    async def wait(self):
+        return 3
+
+
+@pytest.mark.parametrize("act", ["kill", "freeze", "wake"])
+def test_a_signal_to_a_process_that_has_just_ended_is_no_error(act):
+    running: Any = EndedProcess()
+    process = Process("gone", running, Path("gone.log"))
+    getattr(process, act)()
+
+
+def test_stopping_a_process_that_has_just_ended_returns_its_exit_code():
+    running: Any = EndedProcess()
+    process = Process("gone", running, Path("gone.log"))
+    assert asyncio.run(process.stop()) == 3
