Notice targets that answer nothing; answer before a client gives up

Cause: calls to a target that went dark were held until their deadlines, and a request bound by its client's own deadline was answered 60 ms after the client had left. Ruled out: the load that relays report; calls that hang look like slow ones. Change: after five usual times, 0.4 s at least, without any answer to two calls or more, idempotent calls are given up for another target and one call at a time tries again; the final answer leaves 30 ms before the client's deadline.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -36,7 +36,7 @@
     "SendCall",
 ]
 
-TIMEOUT_MARGIN_S = 0.06
+TIMEOUT_MARGIN_S = 0.02
 """How long after its deadline a request that was sent waits for its answer."""
 RESEND_LEAST_S = 0.02
 """Time that must be left for another send."""
--- a/buckthornshed/coordination/relay/target_gate.py
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -14,8 +14,9 @@
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
 from .room import RoomEstimate
+from .silence import SilenceWatch
 
-__all__ = ["GateCall", "Refused", "Start", "TargetGate"]
+__all__ = ["Abandon", "GateAction", "GateCall", "Refused", "Start", "TargetGate"]
 
 ROOM_SHARE = 0.94
 """Part of the slots that is used."""
@@ -23,6 +24,8 @@
 MEAN_SMOOTHING = 0.03
 USUAL_S = 0.05
 QUEUE_PER_SLOT = 4
+UNKNOWN_SLOTS = 8
+"""Slots of a target whose registration has not been heard of yet."""
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 2.0
 
@@ -45,6 +48,12 @@
     call: GateCall
 
 
+class Abandon(NamedTuple):
+    """Give up a running call that may run again; it may have run."""
+
+    call: GateCall
+
+
 class Refused(NamedTuple):
     """Turn a call away; it has not run."""
 
@@ -53,7 +62,7 @@
     retry_after: float
 
 
-GateAction = Start | Refused
+GateAction = Start | Refused | Abandon
 
 
 class TargetGate:
@@ -66,8 +75,7 @@
     """
 
     def __init__(self) -> None:
-        self.slots = 1
-        self.limit = 1
+        self.set_slots(UNKNOWN_SLOTS)
         self.leaving = False
         self.calls: dict[Hashable, GateCall] = {}
         self.running = 0
@@ -77,6 +85,7 @@
         self.usual: dict[str, float] = {}
         self.mean = USUAL_S
         self.room = RoomEstimate()
+        self.silence = SilenceWatch()
 
     @property
     def load(self) -> float:
@@ -113,6 +122,8 @@
             return [Refused(call, RefusalReason.LEAVING, RETRY_LEAST_S)]
         if call.deadline <= now:
             return [Refused(call, RefusalReason.EXPIRED, self.retry_after())]
+        if self.silence.closed(now) and self.running:
+            return [Refused(call, RefusalReason.UNREACHABLE, self.retry_after())]
         if self.running < self.limit and not self.waiting_count:
             return [self._start(now, call)]
         if not self._in_time(now, call):
@@ -124,12 +135,16 @@
         self.waiting_count += 1
         return self._fill(now)
 
-    def finished(self, now: float, key: Hashable, *, sound: bool) -> list[GateAction]:
+    def finished(
+        self, now: float, key: Hashable, *, sound: bool, answered: bool = True
+    ) -> list[GateAction]:
         """Take the end of a running call; a sound one tells how long calls take."""
         call = self.calls.pop(key, None)
         if call is None or call.started is None:
             return []
         self.running -= 1
+        if answered:
+            self.silence.heard(now)
         if sound:
             self._learn(call.message.route, now - call.started)
         return self._fill(now)
@@ -140,7 +155,7 @@
         if call is None:
             return False, []
         if call.started is not None:
-            return True, self.finished(now, key, sound=False)
+            return True, self.finished(now, key, sound=False, answered=False)
         del self.calls[key]
         call.dropped = True
         self.waiting_count -= 1
@@ -156,12 +171,27 @@
             left = call.deadline - now
             if not call.dropped and left < self.usual_time(call.message.route) / 2:
                 actions.append(self._turn_away(call, RefusalReason.EXPIRED))
-        return actions + self._fill(now)
+        return [*actions, *self._fall_silent(now), *self._fill(now)]
+
+    def _fall_silent(self, now: float) -> list[GateAction]:
+        """Give up on a target that answers nothing, as far as that is harmless."""
+        running = [call for call in self.calls.values() if call.started is not None]
+        slowest = max(
+            (self.usual_time(call.message.route) for call in running), default=0.0
+        )
+        if not self.silence.noticed(now, running=len(running), usual=slowest):
+            return []
+        actions: list[GateAction] = [
+            Abandon(call) for call in running if call.message.idempotent
+        ]
+        return actions + self.turn_all_away(RefusalReason.UNREACHABLE)
 
-    def turn_all_away(self) -> list[GateAction]:
-        """Turn away all that waits, as the target leaves."""
+    def turn_all_away(
+        self, reason: RefusalReason = RefusalReason.LEAVING
+    ) -> list[GateAction]:
+        """Turn away all that waits."""
         return [
-            self._turn_away(entry[3], RefusalReason.LEAVING)
+            self._turn_away(entry[3], reason)
             for entry in self.waiting
             if not entry[3].dropped
         ]
@@ -175,12 +205,16 @@
     def _start(self, now: float, call: GateCall) -> Start:
         self.calls[call.key] = call
         call.started = now
+        if not self.running:
+            self.silence.heard(now)
         self.running += 1
         return Start(call)
 
     def _fill(self, now: float) -> list[GateAction]:
         actions: list[GateAction] = []
         while self.waiting and self.running < self.limit:
+            if self.silence.closed(now) and self.running:
+                break
             call = heapq.heappop(self.waiting)[3]
             if call.dropped:
                 continue
--- a/buckthornshed/tests/relay/test_target_gate.py
+++ b/buckthornshed/tests/relay/test_target_gate.py
@@ -1,4 +1,9 @@
-from buckthornshed.coordination.relay.target_gate import Refused, Start, TargetGate
+from buckthornshed.coordination.relay.target_gate import (
+    Abandon,
+    Refused,
+    Start,
+    TargetGate,
+)
 from buckthornshed.protocol.relay_messages import RefusalReason
 
 from .makers import make_call
@@ -89,3 +94,55 @@
     gate.arrive(0.0, make_call(2, left=0.3))
     actions = gate.finished(0.4, 1, sound=True)
     assert refused(actions) == {2: RefusalReason.EXPIRED}
+
+
+def silent_gate(*, idempotent=True):
+    gate = gate_with(10)
+    for key in range(4):
+        gate.arrive(0.0, make_call(key, left=5.0, idempotent=idempotent))
+    return gate
+
+
+def ticks(gate, begin, end):
+    actions = []
+    steps = round((end - begin) / 0.025)
+    for step in range(steps):
+        actions += gate.tick(begin + 0.025 * step)
+    return actions
+
+
+def test_calls_to_a_target_that_answers_nothing_are_given_up_where_harmless():
+    gate = silent_gate()
+    assert ticks(gate, 0.0, 0.35) == []
+    actions = ticks(gate, 0.35, 0.6)
+    assert [type(action) for action in actions] == [Abandon] * 4
+    gate = silent_gate(idempotent=False)
+    assert ticks(gate, 0.0, 0.6) == []
+    assert gate.running == 4
+
+
+def test_a_silent_target_gets_no_new_work_until_it_answers():
+    gate = silent_gate(idempotent=False)
+    ticks(gate, 0.0, 0.6)
+    turned = gate.arrive(0.6, make_call(10, now=0.6))
+    assert refused(turned) == {10: RefusalReason.UNREACHABLE}
+    gate.finished(0.65, 0, sound=True)
+    assert started(gate.arrive(0.7, make_call(11, now=0.7))) == [11]
+
+
+def test_a_target_that_answers_slowly_is_not_silent():
+    gate = gate_with(10)
+    gate.usual["avail"] = 0.3
+    now = 0.0
+    for key in range(20):
+        gate.arrive(now, make_call(key, now=now, left=5.0))
+        assert [a for a in ticks(gate, now, now + 0.3) if isinstance(a, Abandon)] == []
+        now += 0.3
+        if key >= 3:
+            gate.finished(now, key - 3, sound=True)
+
+
+def test_a_pause_of_the_relay_itself_is_no_silence_of_the_target():
+    gate = silent_gate()
+    ticks(gate, 0.0, 0.2)
+    assert gate.tick(4.0) == []
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -46,6 +46,8 @@
 __all__ = ["Relay"]
 
 NO_CATALOG_RETRY_S = 0.5
+CLIENT_MARGIN_S = 0.03
+"""How long before a client gives up it has its final answer."""
 RESERVED_DESCRIPTORS = 400
 STATUS_TICKS = 8
 """Ticks between two reports of the own target's state."""
@@ -209,7 +211,9 @@
             self._answer(exchange, 404, request_id, None)
             return
         allowed = _milliseconds(first(request.headers, self.names.deadline))
-        timeout = route.timeout if allowed is None else min(route.timeout, allowed)
+        timeout = route.timeout
+        if allowed is not None:
+            timeout = min(timeout, allowed - CLIENT_MARGIN_S)
         parent = self.target_side.parent_of(request_id)
         if parent is not None:
             self.target_side.graph.called(parent.route, route.name)
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -5,7 +5,13 @@
 from typing import NamedTuple
 
 from ...coordination.relay.call_graph import CallGraph
-from ...coordination.relay.target_gate import GateCall, Refused, Start, TargetGate
+from ...coordination.relay.target_gate import (
+    Abandon,
+    GateAction,
+    GateCall,
+    Start,
+    TargetGate,
+)
 from ...protocol.http import first
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -153,10 +159,12 @@
             self._execute(self.gate.turn_all_away())
         self.gate.leaving = leaving
 
-    def _execute(self, actions: list[Start | Refused]) -> None:
+    def _execute(self, actions: list[GateAction]) -> None:
         for action in actions:
             if isinstance(action, Start):
                 self._start(action.call)
+            elif isinstance(action, Abandon):
+                self._abandon(action.call)
             else:
                 self._refuse(action.call, action.reason, action.retry_after)
 
@@ -183,6 +191,13 @@
         head_only = message.head.startswith(b"HEAD ")
         self.pool.send(number, message.request_id, data, head_only=head_only)
 
+    def _abandon(self, call: GateCall) -> None:
+        """End a call to a target that has gone silent."""
+        number = self.numbers[call.key]
+        self.pool.cancel(number)
+        fault = TargetFault(FaultKind.BROKEN, "the target answers nothing")
+        self._ended(number, fault)
+
     def _ended(self, number: int, result: TargetAnswer | TargetFault) -> None:
         call = self.running.pop(number, None)
         if call is None:
@@ -195,7 +210,10 @@
         self.gate.room.served(rejected=rejected)
         if sound:
             self.graph.run_ended(call.message.route)
-        actions = self.gate.finished(self.clock(), call.key, sound=sound)
+        answered = not isinstance(result, TargetFault)
+        actions = self.gate.finished(
+            self.clock(), call.key, sound=sound, answered=answered
+        )
         if isinstance(outcome, AnswerMessage):
             outcome.load = self.gate.load
             outcome.usual = self.gate.usual_time(call.message.route)
