--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -1,12 +1,12 @@
 """A few relays in one event loop, each with a target, on loopback addresses."""
 
 import asyncio
-import socket
 import time
 from contextlib import asynccontextmanager
 from random import Random
 from typing import NamedTuple
 
+from buckthornshed.load.processes import Ports
 from buckthornshed.platform.reader import StoreReader
 from buckthornshed.platform.store import StoreClient
 from buckthornshed.platform.wire import HEADERS
@@ -17,6 +17,7 @@
 from .standin_target import StandinTarget, parse_head
 
 HOST = "stalls.example"
+PORTS = Ports()
 
 
 class Response(NamedTuple):
@@ -206,6 +207,5 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that no other test run takes, below the ephemeral range."""
+    return int(PORTS.take().rpartition(":")[2])
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -255,7 +255,8 @@
             await until(lambda: sum(len(t.ran) for t in fleet.targets) == 2)
             before = len(target.ran)
             relay.stop()
-            await asyncio.sleep(0.05)
+            link = fleet.relays[0].links.links[relay.instance]
+            await until(lambda: link.leaving)
             for each in fleet.targets:
                 each.release.set()
             for task in under_way:
