--- a/buckthornshed/platform/program.py
+++ b/buckthornshed/platform/program.py
@@ -34,7 +34,7 @@
         address = relay.settings.store_address
         client = StoreClient(address=address, clock=clock)
         relay.counts.store_calls = lambda: client.calls
-        return StoreReader(client=client, listener=relay)
+        return StoreReader(client=client, listener=relay.news)
 
     try:
         run_relay(
--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -53,7 +53,7 @@
         )
         await relay.open()
         client = StoreClient(address=self.store.address, clock=time.monotonic)
-        reader = StoreReader(client=client, listener=relay)
+        reader = StoreReader(client=client, listener=relay.news)
         loop = asyncio.get_running_loop()
         self.tasks += [
             loop.create_task(reader.follow()),
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -181,7 +181,7 @@
             response = await fleet.ask(relay)
             assert response.status == 503
             entry = fleet.relays[0].beliefs.targets["i-2"]
-            fleet.relays[0].target_changed(
+            fleet.relays[0].news.target_changed(
                 entry._replace(
                     name=target.name, address=target.address, started=entry.started + 1
                 )
--- /dev/null
+++ b/buckthornshed/transport/relay/fleet_news.py
@@ -0,0 +1,130 @@
+"""News of configuration and targets, from the store and from other relays."""
+
+from collections.abc import Callable
+
+from ...coordination.relay.beliefs import FleetBeliefs, Version, version_of
+from ...protocol.relay_messages import News
+from ...state.catalog import Catalog, Target
+from ..logs import log_event
+
+__all__ = ["FleetNews"]
+
+
+class FleetNews:
+    """Brings news into force, logs them and hands them on.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds of the steady clock.
+    on_catalog : callable
+        Called without arguments when another configuration is in force.
+    on_targets : callable
+        Called without arguments when the targets have changed.
+    broadcast : callable
+        Sends news to all relays.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        on_catalog: Callable[[], None],
+        on_targets: Callable[[], None],
+        broadcast: Callable[[News], None],
+    ) -> None:
+        self.clock = clock
+        self.on_catalog = on_catalog
+        self.on_targets = on_targets
+        self.broadcast = broadcast
+        self.beliefs = FleetBeliefs()
+
+    # The platform's store.
+
+    def catalog_read(self, catalog: Catalog) -> None:
+        """Take a configuration from the store."""
+        self._take_catalog(catalog, "store")
+
+    def targets_read(self, targets: list[Target]) -> None:
+        """Take all registered targets."""
+        for name in self.beliefs.replace_targets(self.clock(), targets):
+            log_event("target_gone", target=name, source="store")
+        self.on_targets()
+
+    def target_changed(self, target: Target) -> None:
+        """Take a new registration."""
+        if self.beliefs.accept_target(target):
+            _log_seen(target, "store")
+            self.on_targets()
+            self.broadcast(News(targets=[target]))
+
+    def target_deleted(self, name: str) -> None:
+        """Take the end of a registration."""
+        known = self.beliefs.targets.get(name)
+        if known is not None and self.beliefs.remove_target(self.clock(), name):
+            log_event("target_gone", target=name, source="store")
+            self.on_targets()
+            self.broadcast(News(gone=[(name, *version_of(known))]))
+
+    def store_lost(self, detail: str) -> None:
+        """Take the news that the store cannot be read."""
+        log_event("store_lost", detail=detail)
+        self.beliefs.lose_store()
+
+    def store_found(self) -> None:
+        """Take the news that the store answers again."""
+        log_event("store_found")
+        self.beliefs.find_store(self.clock())
+
+    # Other relays.
+
+    def take(self, news: News) -> None:
+        """Take what another relay believes."""
+        if news.catalog is not None:
+            self._take_catalog(news.catalog, "peer")
+        changed = [t for t in news.targets if self.beliefs.accept_target(t)]
+        gone = [
+            name
+            for name, started, sequence in news.gone
+            if self.beliefs.accept_gone(name, Version(started, sequence))
+        ]
+        for target in changed:
+            _log_seen(target, "peer")
+        for name in gone:
+            log_event("target_gone", target=name, source="peer")
+        if changed or gone:
+            self.on_targets()
+
+    def all(self) -> News:
+        """Return all that is believed, for a relay that has just connected."""
+        return News(
+            catalog=self.beliefs.catalog, targets=list(self.beliefs.targets.values())
+        )
+
+    def expire(self) -> None:
+        """Drop registrations that lapsed while the store was away."""
+        names = self.beliefs.expire(self.clock())
+        for name in names:
+            log_event("target_gone", target=name, source="lapse")
+        if names:
+            self.on_targets()
+
+    def _take_catalog(self, catalog: Catalog, source: str) -> None:
+        if self.beliefs.accept_catalog(catalog):
+            log_event(
+                "configuration_in_force", generation=catalog.generation, source=source
+            )
+            self.on_catalog()
+            self.broadcast(News(catalog=catalog))
+
+
+def _log_seen(target: Target, source: str) -> None:
+    log_event(
+        "target_seen",
+        target=target.name,
+        started=target.started,
+        service=target.service,
+        address=target.address,
+        leaving=target.leaving,
+        source=source,
+    )
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ...coordination.relay.admission import Admission, OfferedRates
-from ...coordination.relay.beliefs import FleetBeliefs, Version, version_of
 from ...coordination.relay.dispatcher import (
     CancelCall,
     Deliver,
@@ -30,14 +28,16 @@
     RelayMessage,
     Status,
 )
-from ...state.catalog import Catalog, Target
+from ...state.catalog import Target
 from ...state.relay_settings import RelaySettings
 from ..logs import log_event
 from .client_listener import ClientListener, Exchange
 from .counts import RelayCounts, RelayGauges
+from .fleet_news import FleetNews
 from .peer_links import PeerLinks, PeerSession
 from .request_journal import RequestJournal
 from .responses import own_response, refusal_status, request_head
+from .status_exchange import StatusExchange
 from .target_side import CallKey, Outcome, TargetSide
 
 if TYPE_CHECKING:
@@ -51,14 +51,6 @@
 RESERVED_DESCRIPTORS = 400
 STATUS_TICKS = 8
 """Ticks between two reports of the own target's state."""
-STATUS_LOAD = 0.5
-"""Load from which the own target's state is reported."""
-CALM_STATUSES = 4
-"""Reports of which one is sent while nothing is short."""
-SHARE_STEP = 0.15
-"""Change of a share that is worth a line in the log."""
-GRAPH_STATUSES = 4
-"""Reports between two of which the routes below are told anew."""
 SLOW_TICKS = 20
 """Ticks between two sweeps of connections and lapsed registrations."""
 
@@ -96,7 +88,13 @@
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.journal = RequestJournal(counts=self.counts)
-        self.beliefs = FleetBeliefs()
+        self.news = FleetNews(
+            clock=clock,
+            on_catalog=self._catalog_changed,
+            on_targets=self._targets_changed,
+            broadcast=lambda news: self.links.broadcast(news),
+        )
+        self.beliefs = self.news.beliefs
         self.placement = Placement(failure_domain=settings.failure_domain, rng=rng)
         self.budget = RetryBudget(limits=settings.retry_limits)
         self.target_side = TargetSide(
@@ -106,7 +104,14 @@
             journal=self.journal,
             clock=clock,
         )
-        self.admission = Admission(graph=self.target_side.graph)
+        self.statuses = StatusExchange(
+            instance=settings.name,
+            service=settings.target_service,
+            gate=self.target_side.gate,
+            graph=self.target_side.graph,
+            broadcast=lambda status: self.links.broadcast(status),
+        )
+        self.admission = self.statuses.admission
         self.dispatcher = Dispatcher(
             beliefs=self.beliefs,
             placement=self.placement,
@@ -130,9 +135,6 @@
         self.sessions: dict[int, PeerSession] = {}
         self.stopping = False
         self.ticks = 0
-        self.offered = OfferedRates()
-        self.told_calls: dict[str, dict[str, float]] = {}
-        self.logged_shares: dict[str, float] = {}
 
     @property
     def ready(self) -> bool:
@@ -185,9 +187,7 @@
         if self.ticks % SLOW_TICKS == 0:
             self.listener.sweep()
             self.target_side.pool.sweep()
-            for name in self.beliefs.expire(now):
-                log_event("target_gone", target=name, source="lapse")
-                self._targets_changed()
+            self.news.expire()
 
     # Requests of clients and of the target.
 
@@ -218,7 +218,7 @@
         if parent is not None:
             self.target_side.graph.called(parent.route, route.name)
         else:
-            self.offered.count(route.name)
+            self.statuses.offered.count(route.name)
         routed = RoutedRequest(
             route=route,
             request_id=request_id,
@@ -259,7 +259,7 @@
         elif isinstance(message, Status):
             self._take_status(session, message)
         elif isinstance(message, News):
-            self._take_news(message)
+            self.news.take(message)
 
     def session_lost(self, session: PeerSession) -> None:
         """Cancel the calls of a relay whose connection ended."""
@@ -282,99 +282,24 @@
     def link_up(self, instance: str) -> None:
         """Tell a relay that can be reached what is believed here."""
         log_event("peer_found", peer=instance)
-        news = News(
-            catalog=self.beliefs.catalog, targets=list(self.beliefs.targets.values())
-        )
-        self.links.send(instance, news)
+        self.links.send(instance, self.news.all())
         # A relay that has just started has heard nothing of the calls below routes.
-        self.told_calls = {}
+        self.statuses.tell_all_again()
 
     def link_lost(self, instance: str, exchanges: list[int]) -> None:
         """End the calls that were under way on a connection."""
         log_event("peer_lost", peer=instance, calls=len(exchanges))
         self._execute(self.dispatcher.lost(self.clock(), exchanges))
 
-    # The platform's store.
-
-    def catalog_read(self, catalog: Catalog) -> None:
-        """Take a configuration from the store."""
-        self._take_catalog(catalog, "store")
-
-    def targets_read(self, targets: list[Target]) -> None:
-        """Take all registered targets."""
-        now = self.clock()
-        for name in self.beliefs.replace_targets(now, targets):
-            log_event("target_gone", target=name, source="store")
-        self._targets_changed()
-
-    def target_changed(self, target: Target) -> None:
-        """Take a new registration."""
-        if self.beliefs.accept_target(target):
-            log_event(
-                "target_seen",
-                target=target.name,
-                service=target.service,
-                address=target.address,
-                leaving=target.leaving,
-                source="store",
-            )
-            self._targets_changed()
-            self.links.broadcast(News(targets=[target]))
-
-    def target_deleted(self, name: str) -> None:
-        """Take the end of a registration."""
-        known = self.beliefs.targets.get(name)
-        if known is not None and self.beliefs.remove_target(self.clock(), name):
-            log_event("target_gone", target=name, source="store")
-            version = version_of(known)
-            self._targets_changed()
-            self.links.broadcast(News(gone=[(name, *version)]))
-
-    def store_lost(self, detail: str) -> None:
-        """Take the news that the store cannot be read."""
-        log_event("store_lost", detail=detail)
-        self.beliefs.lose_store()
-
-    def store_found(self) -> None:
-        """Take the news that the store answers again."""
-        log_event("store_found")
-        self.beliefs.find_store(self.clock())
-
     # Inside.
 
-    def _take_catalog(self, catalog: Catalog, source: str) -> None:
-        if not self.beliefs.accept_catalog(catalog):
-            return
-        log_event(
-            "configuration_in_force", generation=catalog.generation, source=source
-        )
+    def _catalog_changed(self) -> None:
+        catalog = self.beliefs.catalog
+        assert catalog is not None
         self.listener.limits = catalog.limits
         names = {route.name for routes in catalog.routes.values() for route in routes}
         self.dispatcher.split.keep(names)
         self.admission.configure(catalog)
-        self.links.broadcast(News(catalog=catalog))
-
-    def _take_news(self, news: News) -> None:
-        if news.catalog is not None:
-            self._take_catalog(news.catalog, "peer")
-        changed = [t for t in news.targets if self.beliefs.accept_target(t)]
-        gone = [
-            name
-            for name, started, sequence in news.gone
-            if self.beliefs.accept_gone(name, Version(started, sequence))
-        ]
-        for target in changed:
-            log_event(
-                "target_seen",
-                target=target.name,
-                service=target.service,
-                leaving=target.leaving,
-                source="peer",
-            )
-        for name in gone:
-            log_event("target_gone", target=name, source="peer")
-        if changed or gone:
-            self._targets_changed()
 
     def _targets_changed(self) -> None:
         targets = self.beliefs.targets
@@ -394,34 +319,13 @@
                 self.placement.forget(name)
 
     def _tell_status(self, now: float) -> None:
-        """Tell the other relays how the target fares and what clients ask for."""
         target = self.target_side.target
-        gate = self.target_side.gate
-        graph_due = self.ticks % (STATUS_TICKS * GRAPH_STATUSES) == 0
-        learned = self.target_side.graph.learned() if graph_due else None
-        graph_news = learned is not None and learned != self.told_calls
-        self.told_calls = learned or self.told_calls
-        status = Status(
-            service=self.settings.target_service,
-            target="" if target is None else target.name,
-            load=round(gate.load, 2),
-            room=0.0 if gate.leaving else round(gate.calls_per_second, 1),
-            work=gate.work,
-            offered={r: round(v, 1) for r, v in self.offered.roll(now).items()},
-            calls=learned if graph_news else None,
-        )
-        self.admission.report(now, self.instance, status)
         usable = self.beliefs.usable
-        self.admission.compute(
-            now, {name: len(found) for name, found in usable.items()}
+        self.statuses.tell(
+            now,
+            "" if target is None else target.name,
+            {name: len(found) for name, found in usable.items()},
         )
-        self._log_shares()
-        calm_due = self.ticks % (STATUS_TICKS * CALM_STATUSES) == 0
-        if gate.load >= STATUS_LOAD or calm_due or graph_news or self._short():
-            self.links.broadcast(status)
-
-    def _short(self) -> bool:
-        return any(share < 1.0 for share in self.admission.shares.values())
 
     def _take_status(self, session: PeerSession, status: Status) -> None:
         now = self.clock()
@@ -429,31 +333,7 @@
         if target is not None:
             record = self.placement.record(target)
             self.placement.reported(now, record, status.load)
-        self.admission.report(now, session.name, status)
-        if status.calls is not None:
-            self.target_side.graph.take(status.calls)
-
-    def _log_shares(self) -> None:
-        shares = {r: s for r, s in self.admission.shares.items() if s < 1.0}
-        names = self.logged_shares.keys() | shares.keys()
-        moved = max(
-            (abs(shares.get(n, 1.0) - self.logged_shares.get(n, 1.0)) for n in names),
-            default=0.0,
-        )
-        if moved < SHARE_STEP:
-            return
-        self.logged_shares = shares
-        gate = self.target_side.gate
-        log_event(
-            "shares_moved",
-            shares=" ".join(f"{n}:{s:.2f}" for n, s in sorted(shares.items())),
-            room=round(gate.calls_per_second, 1),
-            trim=round(gate.room.trim, 2),
-            rejecting=round(gate.room.rejecting, 2),
-            running=gate.running,
-            waiting=gate.waiting_count,
-            mean_ms=round(gate.mean * 1e3, 1),
-        )
+        self.statuses.take(now, session.name, status)
 
     def take_settings(self, settings: RelaySettings) -> None:
         """Take changed settings; addresses are those of the start."""
