trace: why a request ended as it did, from the logs of relays

Cause: the way from an identifier to its cause was a search by hand over all logs. Ruled out: a field for the parent alone; identifiers of calls begin with their run's, so one search finds the chain. Change: buckthornshed trace REQUEST LOG... prints the chain on one time line, counts broken lines and ends in a sentence; JSON by option.

--- a/buckthornshed/cli/main.py
+++ b/buckthornshed/cli/main.py
@@ -14,12 +14,13 @@
 from .node import Node
 from .platform import Platform
 from .target import Target
+from .trace import Trace
 
 __all__ = ["Buckthornshed", "Command", "main"]
 
 PROGRAM = "buckthornshed"
 
-Command = Node | Check | Build | Diff | Dump | Load | Demo | Platform | Target
+Command = Node | Check | Build | Diff | Dump | Trace | Load | Demo | Platform | Target
 """The commands of the program; each is a dataclass that is called."""
 
 
--- /dev/null
+++ b/buckthornshed/tests/test_cli_trace.py
@@ -0,0 +1,83 @@
+"""The trace of a request through the logs of several relays."""
+
+import pytest
+
+from buckthornshed.cli.main import main
+from buckthornshed.cli.trace import TraceError, conclude, read_lines
+
+ROOT = "9c41d07be2a35f68"
+CALL = f"{ROOT}.19fcbfffb4f6f22c"
+DEEP = f"{CALL}.473502e7d50ceea0"
+
+FIRST_HOP = f"""\
+time="2026-12-04 00:00:01,000" level=INFO event=request_answered request={ROOT} \
+parent=- route=notices rank=2 ms=300.1 left_ms=499.9 status=500 \
+attempts="i-1/17@0ms,load=0.50,age=40ms,end=answer"
+time="2026-12-04 00:00:01,000" level=INFO event=request_given_up request=other \
+route=notices status=503 reason=overload
+a line that {ROOT} cut
+"""
+SECOND_HOP = f"""\
+time="2026-12-04 00:00:00,900" level=INFO event=request_answered request={CALL} \
+parent={ROOT} route=roster status=500 attempts="i-3/17@0ms,end=answer"
+time="2026-12-04 00:00:00,800" level=INFO event=request_given_up request={DEEP} \
+parent={CALL} route=capacity status=503 reason=target_full attempts="i-4/17@0ms"
+"""
+
+
+@pytest.fixture
+def logs(tmp_path):
+    paths = [tmp_path / "a.log", tmp_path / "b.log"]
+    paths[0].write_text(FIRST_HOP)
+    paths[1].write_text(SECOND_HOP)
+    return paths
+
+
+def test_a_failure_deep_below_is_named_as_the_cause(logs):
+    extract = read_lines(ROOT, logs)
+    assert [line.request for line in extract.lines] == [DEEP, CALL, ROOT]
+    assert extract.broken == 1
+    sentence = conclude(ROOT, extract.lines)
+    assert DEEP in sentence and "the target rejected it" in sentence
+
+
+def test_a_refusal_by_a_relay_is_named_with_its_reason(logs):
+    extract = read_lines("other", logs)
+    assert conclude("other", extract.lines) == (
+        "other: ended with 503 by the relay a.log: "
+        "the target's queue could not start it in time"
+    )
+
+
+def test_a_request_that_no_log_has_is_an_error(logs):
+    with pytest.raises(TraceError):
+        read_lines("unknown", logs)
+
+
+def test_the_command_prints_the_time_line_and_the_sentence(logs, capsys):
+    main(["trace", ROOT, *map(str, logs)])
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 5
+    assert lines[0].startswith("2026-12-04 00:00:00,800 b.log request_given_up")
+    assert lines[3] == "lines that could not be read: 1"
+
+
+def test_the_command_prints_json(logs, capsys):
+    main(["trace", ROOT, *map(str, logs), "--json"])
+    assert '"conclusion"' in capsys.readouterr().out
+
+
+def test_a_log_that_cannot_be_read_ends_with_a_clear_error(tmp_path, capsys):
+    with pytest.raises(SystemExit) as raised:
+        main(["trace", ROOT, str(tmp_path / "missing.log")])
+    assert raised.value.code == 2
+    assert "expected a readable log" in capsys.readouterr().err
+
+
+def test_names_before_the_pairs_are_the_source(tmp_path):
+    path = tmp_path / "all.log"
+    path.write_text(
+        "".join(f"  1.0 relay-a {line}\n" for line in FIRST_HOP.split("\n"))
+    )
+    extract = read_lines("other", [path])
+    assert extract.lines[0].source == "relay-a"
