Never break off calls that run because their target is silent

Ruled out: the target and the links; logs of both relays show the calls end by us. Change: silence keeps new calls away and sends what waits elsewhere, once usual times of all running calls are known; what runs is left to its deadline.

--- a/buckthornshed/coordination/relay/silence.py
+++ b/buckthornshed/coordination/relay/silence.py
@@ -1,7 +1,7 @@
 """Notices a target that takes calls and answers none.
 
-Answers a target that went dark without closing its connections, or that hangs: its
-calls would otherwise be held until their deadlines. After silence is noticed one call
+Answers a target that went dark without closing its connections, or that hangs: calls
+would go on to it and be held until their deadlines. After silence is noticed one call
 at a time tries whether the target answers again.
 """
 
--- a/buckthornshed/coordination/relay/target_gate.py
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -16,7 +16,7 @@
 from .room import RoomEstimate
 from .silence import SilenceWatch
 
-__all__ = ["Abandon", "GateAction", "GateCall", "Refused", "Start", "TargetGate"]
+__all__ = ["GateAction", "GateCall", "Refused", "Start", "TargetGate"]
 
 ROOM_SHARE = 0.94
 """Part of the slots that is used."""
@@ -48,12 +48,6 @@
     call: GateCall
 
 
-class Abandon(NamedTuple):
-    """Give up a running call that may run again; it may have run."""
-
-    call: GateCall
-
-
 class Refused(NamedTuple):
     """Turn a call away; it has not run."""
 
@@ -62,7 +56,7 @@
     retry_after: float
 
 
-GateAction = Start | Refused | Abandon
+GateAction = Start | Refused
 
 
 class TargetGate:
@@ -174,17 +168,18 @@
         return [*actions, *self._fall_silent(now), *self._fill(now)]
 
     def _fall_silent(self, now: float) -> list[GateAction]:
-        """Give up on a target that answers nothing, as far as that is harmless."""
+        """Send what waits elsewhere when the target answers nothing.
+
+        Calls that run are left to their deadlines: the target may be at work on them.
+        """
         running = [call for call in self.calls.values() if call.started is not None]
-        slowest = max(
-            (self.usual_time(call.message.route) for call in running), default=0.0
-        )
-        if not self.silence.noticed(now, running=len(running), usual=slowest):
+        times = [self.usual.get(call.message.route) for call in running]
+        known = [seconds for seconds in times if seconds is not None]
+        if not known or len(known) < len(times):
             return []
-        actions: list[GateAction] = [
-            Abandon(call) for call in running if call.message.idempotent
-        ]
-        return actions + self.turn_all_away(RefusalReason.UNREACHABLE)
+        if not self.silence.noticed(now, running=len(running), usual=max(known)):
+            return []
+        return self.turn_all_away(RefusalReason.UNREACHABLE)
 
     def turn_all_away(
         self, reason: RefusalReason = RefusalReason.LEAVING
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -6,7 +6,6 @@
 
 from ...coordination.relay.call_graph import CallGraph
 from ...coordination.relay.target_gate import (
-    Abandon,
     GateAction,
     GateCall,
     Start,
@@ -163,8 +162,6 @@
         for action in actions:
             if isinstance(action, Start):
                 self._start(action.call)
-            elif isinstance(action, Abandon):
-                self._abandon(action.call)
             else:
                 self._refuse(action.call, action.reason, action.retry_after)
 
@@ -191,13 +188,6 @@
         head_only = message.head.startswith(b"HEAD ")
         self.pool.send(number, message.request_id, data, head_only=head_only)
 
-    def _abandon(self, call: GateCall) -> None:
-        """End a call to a target that has gone silent."""
-        number = self.numbers[call.key]
-        self.pool.cancel(number)
-        fault = TargetFault(FaultKind.BROKEN, "the target answers nothing")
-        self._ended(number, fault)
-
     def _ended(self, number: int, result: TargetAnswer | TargetFault) -> None:
         call = self.running.pop(number, None)
         if call is None:
