Answer all pipelined requests, also over the window and in a planned stop

Cause: reading was resumed only when exactly one less than the window was open, so a burst of answers left the connection paused for good; and a stopping relay closed behind the first answer of a pipeline and dropped those that were already with targets. Ruled out: the parser; found by reading the listener. Before: both new tests fail. After: they pass, 148 tests of relays in 13 s. Conclusion: only the last response of a pipeline ends its connection.

--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -269,3 +269,43 @@
             assert response.headers["connection"] == "close"
 
     run(scenario())
+
+
+def test_more_pipelined_requests_than_are_taken_at_once_are_all_answered():
+    async def scenario():
+        async with fleet_of(1, slots=80) as fleet:
+            target = fleet.targets[0]
+            target.scripts = ["slow"]
+            reader, writer = await fleet.connect(fleet.relays[0])
+            writer.write(b"".join(fleet.request("/avail/1") for _ in range(32)))
+            await until(lambda: len(target.ran) == 32)
+            writer.write(b"".join(fleet.request("/avail/1") for _ in range(40)))
+            target.release.set()
+            async with asyncio.timeout(10.0):
+                answers = [await read_response(reader) for _ in range(72)]
+            assert [a.headers["request-id"] for a in answers] == [
+                f"r-{number}" for number in range(1, 73)
+            ]
+            writer.close()
+
+    run(scenario())
+
+
+def test_a_planned_stop_answers_all_pipelined_requests_that_were_sent_on():
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            relay, target = fleet.relays[0], fleet.targets[0]
+            target.scripts = ["ok", "slow", "slow"]
+            reader, writer = await fleet.connect(relay)
+            writer.write(b"".join(fleet.request("/avail/1") for _ in range(3)))
+            await until(lambda: len(target.ran) == 3)
+            assert (await read_response(reader)).status == 200
+            relay.stop()
+            target.release.set()
+            answers = [await read_response(reader) for _ in range(2)]
+            assert [a.status for a in answers] == [200, 200]
+            assert "connection" not in answers[0].headers
+            assert answers[1].headers["connection"] == "close"
+            writer.close()
+
+    run(scenario())
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -67,6 +67,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchanges: deque[Exchange] = deque()
         self.finishing = False
+        self.paused = False
         self.closed_at: float | None = None
         self.begun_at: float | None = None
         self.head_bytes = 0
@@ -123,6 +124,9 @@
         """Write the response of an exchange, behind those of earlier ones."""
         exchange.data = data
         exchange.close = close
+        if close:
+            # What comes from now on counts as not read.
+            self.finishing = True
         if not self.exchanges or self.exchanges[0].data is None:
             return
         ready = []
@@ -139,9 +143,14 @@
             self._close()
             return
         self.idle_since = self.listener.clock()
-        if len(self.exchanges) == PIPELINED_MAX - 1:
+        if self.paused and len(self.exchanges) < PIPELINED_MAX:
+            self.paused = False
             self.transport.resume_reading()
 
+    def is_last(self, exchange: Exchange) -> bool:
+        """Whether no request has come behind that of an exchange."""
+        return bool(self.exchanges) and self.exchanges[-1] is exchange
+
     def close_if_idle(self) -> None:
         """Close unless a request is under way."""
         if not self.exchanges and self.begun_at is None:
@@ -177,7 +186,7 @@
             self._reject_size()
 
     def _head_complete(self) -> None:
-        if self.collector.too_large:
+        if self.collector.too_large or self.exchanges:
             return
         for name, value in self.collector.pairs:
             if name == b"expect" and value.lower() == b"100-continue":
@@ -205,7 +214,12 @@
             head_only=method == b"HEAD",
         )
         self.exchanges.append(exchange)
-        if len(self.exchanges) >= PIPELINED_MAX and self.transport is not None:
+        if (
+            len(self.exchanges) >= PIPELINED_MAX
+            and not self.paused
+            and self.transport is not None
+        ):
+            self.paused = True
             self.transport.pause_reading()
         request = Request(
             method, self.collector.url, self.collector.headers, self.collector.body
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -405,10 +405,11 @@
         if exchange is None:
             return
         answer = action.answer
-        end = b"connection: close\r\n\r\n" if self.stopping else b"\r\n"
+        close = self._closes(exchange)
+        end = b"connection: close\r\n\r\n" if close else b"\r\n"
         body = b"" if exchange.head_only else answer.body
         data = b"".join((answer.head, end, body))
-        exchange.connection.respond(exchange, data, close=self.stopping)
+        exchange.connection.respond(exchange, data, close=close)
         self.journal.answered(self.clock(), action)
 
     def _give_up(self, action: GiveUp) -> None:
@@ -428,10 +429,16 @@
         request_id: bytes,
         retry_after: float | None,
     ) -> None:
-        data = own_response(
-            status, self.names, request_id, retry_after, close=self.stopping
-        )
-        exchange.connection.respond(exchange, data, close=self.stopping)
+        close = self._closes(exchange)
+        data = own_response(status, self.names, request_id, retry_after, close=close)
+        exchange.connection.respond(exchange, data, close=close)
+
+    def _closes(self, exchange: Exchange) -> bool:
+        """Whether a response ends its connection: the last one while stopping.
+
+        Requests that came behind it may have been sent on, and are answered first.
+        """
+        return self.stopping and exchange.connection.is_last(exchange)
 
 
 def _milliseconds(value: bytes | None) -> float | None:
