Let failures of a target fade; stop within a short grace as well

Cause: a target whose relay was lost with its calls stood at half of its calls failing and was passed over, so that nothing new was learned of it. Ruled out: the suspension of 0.5 s, which ends by itself. Before: the new test fails (0 of 300 calls after 12 s). After: all 300 go to the own domain. Conclusion: failures fade by half every 2 s; the time in which a stopping relay takes requests is at most 0.45 of its grace.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -241,7 +241,7 @@
             return []
         record = self._detach(pending)
         self.placement.reported(now, record, answer.load)
-        self.placement.judged(record, failed=answer.status >= FAILED_STATUS)
+        self.placement.judged(now, record, failed=answer.status >= FAILED_STATUS)
         record.usual[pending.request.route.name] = answer.usual
         del self.pending[pending.token]
         attempts = tuple(pending.attempts)
@@ -257,7 +257,7 @@
         pending.attempts[-1] = pending.attempts[-1]._replace(reason=reason)
         self.placement.reported(now, record, refusal.load)
         if reason in FAILED:
-            self.placement.judged(record, failed=True)
+            self.placement.judged(now, record, failed=True)
         if reason in SUSPENDING:
             self.placement.suspend(now, record)
         if reason.ran:
--- a/buckthornshed/coordination/relay/placement.py
+++ b/buckthornshed/coordination/relay/placement.py
@@ -5,6 +5,7 @@
 so that relays with the same reports do not all move to the same target.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -23,6 +24,8 @@
 FAILING_FACTOR = 6.0
 """How many times as long a call to a target counts that fails all of them."""
 FAILING_SMOOTHING = 0.05
+FAILING_HALF_LIFE_S = 2.0
+"""A target that is passed over shows nothing new, so old failures fade."""
 SUSPENSION_S = 0.5
 """How long a target is avoided after a failure that was its own."""
 REPORT_AGE_S = 1.0
@@ -54,6 +57,7 @@
     outstanding: int = 0
     suspended_until: float = 0.0
     failing: float = 0.0
+    judged_at: float = 0.0
     usual: dict[str, float] = field(default_factory=dict)
 
     def load_at(self, now: float) -> float:
@@ -63,13 +67,18 @@
             return max(load / 2, self.outstanding / self.target.slots)
         return load
 
+    def failing_at(self, now: float) -> float:
+        """Return the part of its calls that it fails, as far as that still counts."""
+        half_lives = (now - self.judged_at) / FAILING_HALF_LIFE_S
+        return self.failing * math.pow(0.5, half_lives)
+
     def expected(self, now: float, route: str, own_domain: str) -> float:
         """Return the seconds in which a call is expected to finish."""
         usual = self.usual.get(route, USUAL_S)
         load = self.load_at(now)
         waiting = max(0.0, load - 1.0) * usual
         seconds = usual * (1.0 + load * load) + waiting
-        seconds *= 1.0 + FAILING_FACTOR * self.failing
+        seconds *= 1.0 + FAILING_FACTOR * self.failing_at(now)
         if self.target.failure_domain != own_domain:
             seconds *= REMOTE_FACTOR
         return seconds
@@ -140,9 +149,11 @@
         """Count the end of a call."""
         record.outstanding -= 1
 
-    def judged(self, record: TargetRecord, *, failed: bool) -> None:
+    def judged(self, now: float, record: TargetRecord, *, failed: bool) -> None:
         """Note whether a target served a call or failed it."""
-        record.failing += FAILING_SMOOTHING * (float(failed) - record.failing)
+        known = record.failing_at(now)
+        record.failing = known + FAILING_SMOOTHING * (float(failed) - known)
+        record.judged_at = now
 
     def reported(self, now: float, record: TargetRecord, load: float) -> None:
         """Take the load that a target's relay reported."""
--- a/buckthornshed/tests/relay/test_placement.py
+++ b/buckthornshed/tests/relay/test_placement.py
@@ -57,7 +57,7 @@
         report(placement, target, load=0.0 if target is NEAR else 0.7)
     record = placement.record(NEAR)
     for _ in range(60):
-        placement.judged(record, failed=True)
+        placement.judged(0.0, record, failed=True)
     assert shares(placement)["t-1"] == 0
 
 
@@ -72,7 +72,7 @@
 def test_a_new_incarnation_starts_with_a_clean_record():
     placement = make_placement()
     old = placement.record(NEAR)
-    placement.judged(old, failed=True)
+    placement.judged(0.0, old, failed=True)
     assert placement.record(NEAR._replace(started=2_000)).failing == 0.0
 
 
@@ -84,3 +84,16 @@
     for _ in range(10):
         placement.sent(record)
     assert shares(placement)["t-1"] == 0
+
+
+def test_failures_of_the_past_fade_so_that_a_target_is_used_again():
+    placement = make_placement()
+    for target in ALL:
+        report(placement, target, now=0.0)
+    record = placement.record(NEAR)
+    for _ in range(60):
+        placement.judged(0.0, record, failed=True)
+    assert shares(placement, now=0.1)["t-1"] == 0
+    for target in ALL:
+        report(placement, target, now=12.0)
+    assert shares(placement, now=12.0)["t-1"] == 300
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -29,6 +29,8 @@
 """Time between two looks at the settings, which may change without a signal."""
 QUIET_AFTER_STOP_S = 2.6
 """How long a stopping relay still takes requests, so that clients see it leave."""
+QUIET_SHARE = 0.45
+"""Greatest part of the time to stop in which requests are still taken."""
 END_MARGIN_S = 0.6
 LAST_BYTES_S = 0.05
 """Time for what has been written to leave the process."""
@@ -210,9 +212,11 @@
         begun = relay.clock()
         log_event("stopping", requests=len(relay.exchanges))
         relay.stop()
-        latest = begun + relay.settings.grace - END_MARGIN_S
+        grace = relay.settings.grace
+        latest = begun + grace - END_MARGIN_S
+        quiet = min(QUIET_AFTER_STOP_S, grace * QUIET_SHARE)
         while relay.clock() < latest:
-            if relay.clock() - begun >= QUIET_AFTER_STOP_S:
+            if relay.clock() - begun >= quiet:
                 relay.close_gate()
                 if not relay.busy:
                     break
