--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -158,7 +158,12 @@
         for line in lines
         if line.failed and line.request.startswith(request + SEPARATOR)
     ]
-    return max(below, key=lambda line: line.request.count(SEPARATOR), default=None)
+    return max(below, key=_weight, default=None)
+
+
+def _weight(line: LogLine) -> tuple[int, bool]:
+    """Return what makes a failure the cause: depth, then whether it says why."""
+    return line.request.count(SEPARATOR), "reason" in line.fields
 
 
 def _concerns(request: str, found: str) -> bool:
--- a/buckthornshed/tests/test_cli_trace.py
+++ b/buckthornshed/tests/test_cli_trace.py
@@ -22,6 +22,7 @@
 parent={ROOT} route=roster status=500 attempts="i-3/17@0ms,end=answer"
 time="2026-12-04 00:00:00,800" level=INFO event=request_given_up request={DEEP} \
 parent={CALL} route=capacity status=503 reason=target_full attempts="i-4/17@0ms"
+time="2026-12-04 00:00:00,700" level=INFO event=target_fault request={DEEP} kind=broken
 """
 
 
@@ -35,7 +36,7 @@
 
 def test_a_failure_deep_below_is_named_as_the_cause(logs):
     extract = read_lines(ROOT, logs)
-    assert [line.request for line in extract.lines] == [DEEP, CALL, ROOT]
+    assert [line.request for line in extract.lines] == [DEEP, DEEP, CALL, ROOT]
     assert extract.broken == 1
     sentence = conclude(ROOT, extract.lines)
     assert DEEP in sentence and "the target rejected it" in sentence
@@ -57,9 +58,9 @@
 def test_the_command_prints_the_time_line_and_the_sentence(logs, capsys):
     main(["trace", ROOT, *map(str, logs)])
     lines = capsys.readouterr().out.splitlines()
-    assert len(lines) == 5
-    assert lines[0].startswith("2026-12-04 00:00:00,800 b.log request_given_up")
-    assert lines[3] == "lines that could not be read: 1"
+    assert len(lines) == 6
+    assert lines[1].startswith("2026-12-04 00:00:00,800 b.log request_given_up")
+    assert lines[4] == "lines that could not be read: 1"
 
 
 def test_the_command_prints_json(logs, capsys):
