--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -309,3 +309,20 @@
             writer.close()
 
     run(scenario())
+
+
+def test_runs_that_failed_teach_nothing_of_usual_times_and_calls():
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            relay, target = fleet.relays[0], fleet.targets[0]
+            for _ in range(5):
+                assert (await fleet.ask(relay)).status == 200
+            side = relay.target_side
+            runs, usual = side.graph.runs["avail"], dict(side.gate.usual)
+            target.scripts = ["error"] * 5
+            for _ in range(5):
+                assert (await fleet.ask(relay)).status == 500
+            assert side.graph.runs["avail"] == runs == 5.0
+            assert side.gate.usual == usual
+
+    run(scenario())
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -31,6 +31,9 @@
 """Statuses that say "not run" to a client; a target that ran must not send them."""
 
 
+FAILED_STATUS = 500
+"""Least status of an answer that tells that the run failed."""
+
 PARENT_SEPARATOR = b"."
 """Between the identifier of a run and what tells its calls apart."""
 
@@ -194,7 +197,8 @@
             return
         del self.numbers[call.key]
         outcome = self._outcome(call, result)
-        sound = isinstance(outcome, AnswerMessage)
+        # A failed run was cut short: its time and its calls are not the usual ones.
+        sound = isinstance(outcome, AnswerMessage) and outcome.status < FAILED_STATUS
         rejected = getattr(outcome, "reason", None) is RefusalReason.TARGET_FULL
         self.gate.room.served(rejected=rejected)
         self._forget_run(call, whole=sound)
