Learn the calls below from failed runs until good ones are known; trim the room further

One slow target of stables was left; after the restart of all relays no notice run came to a good end, so its calls were never learned, it was admitted in full and kept the target full. While it was known, shares still let the queue stand at 50 calls, with the trim at its floor of 0.75. Ruled out: learning from all runs alike, as before: it lets the need shrink as runs fail. Before: the new test finds no calls. After: the most calls of a failed run stand in.

--- a/buckthornshed/coordination/relay/call_graph.py
+++ b/buckthornshed/coordination/relay/call_graph.py
@@ -23,6 +23,7 @@
         self.runs: defaultdict[str, float] = defaultdict(float)
         self.calls: defaultdict[str, dict[str, float]] = defaultdict(dict)
         self.open: dict[bytes, Counter[str]] = {}
+        self.most: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self.told: dict[str, dict[str, float]] = {}
 
     def called(self, run: bytes, route: str) -> None:
@@ -33,10 +34,14 @@
         """Count a run of a route with its calls, if it came to a good end.
 
         Calls are counted with their run, as those of runs that have just begun would
-        be too many for the runs that have ended.
+        be too many for the runs that have ended. A run that failed made fewer calls
+        than usual; the most of them stand until runs come to a good end. Without them a
+        relay that starts under overload would see no calls at all.
         """
         made = self.open.pop(run, None)
         if not whole:
+            if made is not None:
+                self.most[route] |= made
             return
         self.runs[route] += 1.0
         if made is not None:
@@ -53,7 +58,7 @@
         """Return the calls of a usual run of a route, by the route called."""
         if self.runs.get(route, 0.0) >= RUNS_LEAST:
             return self._learned(route)
-        return self.told.get(route, {})
+        return self.told.get(route) or self._least(route)
 
     def take(self, calls: dict[str, dict[str, float]]) -> None:
         """Take what another relay has learned."""
@@ -63,11 +68,15 @@
         """Return what was learned here, for other relays."""
         found = {
             route: self._learned(route)
-            for route, runs in self.runs.items()
-            if runs >= RUNS_LEAST
+            if self.runs[route] >= RUNS_LEAST
+            else self._least(route)
+            for route in self.runs.keys() | self.most.keys()
         }
         return {route: calls for route, calls in found.items() if calls}
 
+    def _least(self, route: str) -> dict[str, float]:
+        return {called: float(count) for called, count in self.most[route].items()}
+
     def _learned(self, route: str) -> dict[str, float]:
         runs = self.runs[route]
         return {
--- a/buckthornshed/coordination/relay/room.py
+++ b/buckthornshed/coordination/relay/room.py
@@ -10,9 +10,9 @@
 WAIT_AIM_S = 0.02
 """Wait of a call that a whole chain can bear at each of its hops."""
 WAIT_RATIO_MAX = 3.0
-TRIM_LEAST = 0.75
+TRIM_LEAST = 0.4
 TRIM_MOST = 1.15
-TRIM_FALL = 0.1
+TRIM_FALL = 0.15
 """Fall of the trim a second when calls wait for twice the time that is aimed at."""
 TRIM_RISE = 0.1
 """Rise of the trim a second while slots are free."""
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -207,10 +207,27 @@
     assert graph.calls_of("notices") == {"roster": 2.0}
 
 
-def test_runs_that_were_broken_off_teach_nothing():
+def test_runs_that_were_broken_off_do_not_lower_the_mean():
     graph = CallGraph()
     for number in range(20):
         graph.called(b"%d" % number, "roster")
         graph.run_ended(b"%d" % number, "notices", whole=number % 2 == 0)
     assert graph.calls_of("notices") == {"roster": 1.0}
     assert graph.open == {}
+
+
+def test_under_overload_from_the_start_failed_runs_show_the_calls_below():
+    graph = CallGraph()
+    for number in range(10):
+        run = b"%d" % number
+        for _ in range(1 + number % 4):
+            graph.called(run, "capacity")
+        graph.run_ended(run, "roster", whole=False)
+    assert graph.calls_of("roster") == {"capacity": 4.0}
+    assert graph.learned() == {"roster": {"capacity": 4.0}}
+    for number in range(10, 20):
+        run = b"%d" % number
+        graph.called(run, "capacity")
+        graph.called(run, "capacity")
+        graph.run_ended(run, "roster", whole=True)
+    assert graph.calls_of("roster") == {"capacity": 2.0}
