--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -19,7 +19,7 @@
 
 __all__ = ["Admission", "OfferedRates"]
 
-LEAST_SHARE = 0.3
+LEAST_SHARE = 0.2
 """Part of each kind of request that is admitted however short the room."""
 REPORT_AGE_S = 2.0
 """Age from which a report no longer counts."""
