Refuse clients late in a planned stop

Ruled out: the silence of targets; that state no longer breaks runs off. Change: once the gate is closed, clients are refused 503 with Connection: close and Retry-After; runs of the own target may still call. After: 503, and the late request runs nowhere.

--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -326,3 +326,34 @@
             assert side.gate.usual == usual
 
     run(scenario())
+
+
+def test_late_in_a_planned_stop_clients_are_refused_and_runs_may_still_call():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            relay = fleet.relays[0]
+            for each in fleet.targets:
+                each.scripts = ["slow"]
+            under_way = asyncio.create_task(fleet.ask(relay, request_id="run-1"))
+            await until(lambda: any("run-1" in t.ran for t in fleet.targets))
+            (runner,) = [
+                each
+                for each in fleet.relays
+                if each.target_side.parent_of(b"run-1.a") is not None
+            ]
+            runner.stop()
+            runner.close_gate()
+            refused = await fleet.ask(runner, request_id="late")
+            assert refused.status == 503
+            assert refused.headers["connection"] == "close"
+            assert float(refused.headers["retry-after"]) > 0
+            for each in fleet.targets:
+                each.scripts = []
+            inner = await fleet.ask(runner, request_id="run-1.a")
+            assert inner.status == 200
+            for each in fleet.targets:
+                each.release.set()
+            assert (await under_way).status == 200
+            assert all("late" not in each.ran for each in fleet.targets)
+
+    run(scenario())
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -46,6 +46,7 @@
 __all__ = ["Relay"]
 
 NO_CATALOG_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.2
 CLIENT_MARGIN_S = 0.03
 """How long before a client gives up it has its final answer."""
 RESERVED_DESCRIPTORS = 400
@@ -172,7 +173,10 @@
         self.links.tell_callers(Leaving())
 
     def close_gate(self) -> None:
-        """Take no new calls for the target; go on with what is under way."""
+        """Take no new calls for the target and no new requests of clients.
+
+        What is under way goes on, and the runs of the target may still call.
+        """
         self.target_side.stop()
 
     def tick(self) -> None:
@@ -215,6 +219,11 @@
         if allowed is not None:
             timeout = min(timeout, allowed - CLIENT_MARGIN_S)
         parent = self.target_side.parent_of(request_id)
+        if parent is None and self.target_side.stopping:
+            # It could not be answered before the process ends.
+            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
+            self._answer(exchange, 503, request_id, STOPPING_RETRY_S)
+            return
         if parent is not None:
             self.target_side.graph.called(parent.request_id, route.name)
         else:
