--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -179,9 +179,11 @@
     assert max(waits[later:]) <= 0.1
 
 
-def test_in_calm_nothing_waits():
-    _, waits = run_surge(seconds=10.0, offered=0.85)
+def test_in_calm_nothing_waits_and_nothing_is_refused():
+    used, waits = run_surge(seconds=10.0, offered=0.85)
     assert max(waits) == 0.0
+    later = used[len(used) // 10 :]
+    assert min(later) == pytest.approx(0.85)
 
 
 def test_a_graph_learns_what_usual_runs_call_and_leaves_out_rare_calls():
