Bound lesser requests by their even share, not by a fifth of what they ask

Cause: each kind of request kept a fifth of its offered rate, however short the room. Refused bookings then came back and swelled the load further.

Change: a kind keeps 0.35 of the share that it would have if all were treated alike, worked out for each service that it needs.

Ruled out: the room of a target that has left (its relay reports none); stale reports.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -5,7 +5,9 @@
 others what its clients ask for, what its target can carry and which calls runs make.
 From that each relay works out the same shares: the room of every service is given to
 the most important requests first, a request taking the room of all the calls that it
-will make. No kind of request is shut out whole: each keeps a small share.
+will make. No kind of request is shut out whole: each keeps a part of the share that it would
+have if all were treated alike, so repeats that swell the load of lesser requests take
+no more room from the important ones.
 """
 
 import zlib
@@ -19,8 +21,8 @@
 
 __all__ = ["Admission", "OfferedRates"]
 
-LEAST_SHARE = 0.2
-"""Part of each kind of request that is admitted however short the room."""
+LEAST_OF_EVEN = 0.35
+"""Least share of a kind of request, as a part of its share if all were treated alike."""
 REPORT_AGE_S = 2.0
 """Age from which a report no longer counts."""
 RATE_WINDOW_S = 0.5
@@ -162,26 +164,45 @@
         Room a second of each service; a service that is missing has no bound.
     """
     left = dict(rooms)
-    shares = dict.fromkeys(rates, 0.0)
-    _raise(shares, list(rates), LEAST_SHARE, rates, needs, left)
+    even = _even_shares(rates, needs, rooms)
+    shares = {route: LEAST_OF_EVEN * share for route, share in even.items()}
+    for route, share in shares.items():
+        _take(left, needs[route], rates[route] * share)
     for rank in sorted(set(ranks.values())):
         group = [route for route in rates if ranks[route] == rank]
-        _raise(shares, group, 1.0, rates, needs, left)
+        _raise(shares, group, rates, needs, left)
     return shares
 
 
+def _even_shares(
+    rates: Mapping[str, float],
+    needs: Mapping[str, Mapping[str, float]],
+    rooms: Mapping[str, float],
+) -> dict[str, float]:
+    """Return each route's share if the services that it needs preferred none."""
+    asked = _asked(rates, rates, needs)
+    fits = {
+        service: min(1.0, max(0.0, room) / asked[service])
+        for service, room in rooms.items()
+        if asked.get(service, 0.0) > 0.0
+    }
+    return {
+        route: min((fits.get(service, 1.0) for service in needs[route]), default=1.0)
+        for route in rates
+    }
+
+
 def _raise(
     shares: dict[str, float],
     group: list[str],
-    most: float,
     rates: Mapping[str, float],
     needs: Mapping[str, Mapping[str, float]],
     left: dict[str, float],
 ) -> None:
     """Raise the shares of a group together, each until it meets a full service."""
-    rising = [route for route in group if shares[route] < most - NEGLIGIBLE]
+    rising = [route for route in group if shares[route] < 1.0 - NEGLIGIBLE]
     while rising:
-        lowest = min(most - shares[route] for route in rising)
+        lowest = min(1.0 - shares[route] for route in rising)
         more = _uniform_share(rising, rates, needs, left, lowest)
         for route in rising:
             shares[route] += more
@@ -189,7 +210,7 @@
         rising = [
             route
             for route in rising
-            if shares[route] < most - NEGLIGIBLE and not _meets_full(needs[route], left)
+            if shares[route] < 1.0 - NEGLIGIBLE and not _meets_full(needs[route], left)
         ]
 
 
@@ -207,14 +228,23 @@
     most: float,
 ) -> float:
     """Return the greatest share, up to `most`, that fits for all of a group."""
+    for service, work in _asked(group, rates, needs).items():
+        if service in left and work > 0.0:
+            most = min(most, max(0.0, left[service]) / work)
+    return most
+
+
+def _asked(
+    group: Iterable[str],
+    rates: Mapping[str, float],
+    needs: Mapping[str, Mapping[str, float]],
+) -> dict[str, float]:
+    """Return the room a second that all requests of a group ask of each service."""
     asked: dict[str, float] = defaultdict(float)
     for route in group:
         for service, need in needs[route].items():
             asked[service] += rates[route] * need
-    for service, work in asked.items():
-        if service in left and work > 0.0:
-            most = min(most, max(0.0, left[service]) / work)
-    return most
+    return asked
 
 
 def _take(left: dict[str, float], needs: Mapping[str, float], rate: float) -> None:
