Shares: count relays that are not heard, and raise the least share of a kind that starves

Change: a service that is not heard keeps the room that it had; relays that are not heard count as the mean of those that are, for what they offer too.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -14,17 +14,24 @@
 import math
 import zlib
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ...protocol.relay_messages import Status
 from ...state.catalog import Catalog, Route
 from .call_graph import CallGraph
+from .served import ServedShares
 
 __all__ = ["Admission", "OfferedRates"]
 
 LEAST_OF_EVEN = 0.35
 """Least share of a kind of request, as a part of what equal treatment would give it."""
+LEAST_OF_EVEN_STARVING = 0.85
+"""The same for a kind that is served far less often than all requests are."""
+SERVED_LITTLE = 0.32
+"""Served part, as a part of that of all requests, below which the least share rises."""
+SERVED_LEAST = 0.24
+"""Served part at which the least share is greatest."""
 SUCCESS_LEAST = 0.3
 """Chance of success below which requests come after all others."""
 REPORT_AGE_S = 2.0
@@ -107,9 +114,11 @@
     def __init__(self, *, graph: CallGraph) -> None:
         self.graph = graph
         self.reports: dict[str, Report] = {}
+        self.mean_rooms: dict[str, float] = {}
         self.routes: dict[str, Route] = {}
         self.shares: dict[str, float] = {}
         self.full: frozenset[str] = frozenset()
+        self.served = ServedShares()
 
     def configure(self, catalog: Catalog) -> None:
         """Take a configuration."""
@@ -129,12 +138,19 @@
     def compute(self, now: float, usable: Mapping[str, int]) -> None:
         """Work out the shares from the reports that are fresh.
 
-        `usable` is the number of targets of each service that take work; those that
-        have not reported count like the mean of those that have.
+        `usable` is the number of targets of each service that take work. Relays beside
+        them that are not heard count like the mean of those that are, both for what
+        they offer and for their room; a service of which none is heard keeps the room
+        that it had.
         """
         fresh = [r.status for r in self.reports.values() if now - r.at < REPORT_AGE_S]
-        offered = _offered(fresh)
-        rooms = _rooms(fresh, usable)
+        offered = _offered(fresh, relays=sum(usable.values()))
+        self.mean_rooms |= _mean_rooms(fresh)
+        rooms = {
+            service: mean * max(usable.get(service, 0), _reporting(fresh, service))
+            for service, mean in self.mean_rooms.items()
+            if usable.get(service, 0) or _reporting(fresh, service)
+        }
         work = _relative_work(fresh)
         found = {route: self._need(route, work) for route in offered}
         rejecting = _rejecting(fresh)
@@ -147,7 +163,9 @@
             )
             for route in needs
         }
-        allocation = allocate(rates, precedence, needs, rooms)
+        self.served.fade(now)
+        least = {route: _least_of_even(self.served.relative(route)) for route in needs}
+        allocation = allocate(rates, precedence, needs, rooms, least)
         self.shares = allocation.shares
         self.full = allocation.full
 
@@ -187,6 +205,7 @@
     precedence: Mapping[str, Precedence],
     needs: Mapping[str, Mapping[str, float]],
     rooms: Mapping[str, float],
+    least: Mapping[str, float],
 ) -> Allocation:
     """Return the share of each route's requests that the rooms can carry.
 
@@ -200,10 +219,12 @@
         By route, the room that one request takes of each service.
     rooms : mapping
         Room a second of each service; a service that is missing has no bound.
+    least : mapping
+        Least share of each route, as a part of what equal treatment would give it.
     """
     left = dict(rooms)
     even = _even_shares(rates, needs, rooms)
-    shares = {route: LEAST_OF_EVEN * share for route, share in even.items()}
+    shares = {route: least[route] * share for route, share in even.items()}
     for route, share in shares.items():
         _take(left, needs[route], rates[route] * share)
     for step in sorted(set(precedence.values())):
@@ -213,6 +234,16 @@
     return Allocation(shares, frozenset(full))
 
 
+def _least_of_even(served: float) -> float:
+    """Return the least share of a kind of request by how often it is served.
+
+    `served` is its served part as a part of that of all requests.
+    """
+    known = min(SERVED_LITTLE, max(SERVED_LEAST, served))
+    hunger = (SERVED_LITTLE - known) / (SERVED_LITTLE - SERVED_LEAST)
+    return LEAST_OF_EVEN + hunger * (LEAST_OF_EVEN_STARVING - LEAST_OF_EVEN)
+
+
 def _even_shares(
     rates: Mapping[str, float],
     needs: Mapping[str, Mapping[str, float]],
@@ -299,23 +330,28 @@
     )
 
 
-def _offered(statuses: Iterable[Status]) -> dict[str, float]:
+def _offered(statuses: Sequence[Status], *, relays: int) -> dict[str, float]:
+    """Return the requests a second of all relays, by route."""
     rates: dict[str, float] = defaultdict(float)
     for status in statuses:
         for route, rate in status.offered.items():
             rates[route] += rate
-    return dict(rates)
+    scale = max(1.0, relays / max(1, len(statuses)))
+    return {route: rate * scale for route, rate in rates.items()}
 
 
-def _rooms(statuses: Iterable[Status], usable: Mapping[str, int]) -> dict[str, float]:
+def _mean_rooms(statuses: Iterable[Status]) -> dict[str, float]:
+    """Return the room of a target of each service, the mean of those that report."""
     found: dict[str, list[float]] = defaultdict(list)
     for status in statuses:
         if status.room > 0.0:
             found[status.service].append(status.room)
-    return {
-        service: sum(rooms) * max(1.0, usable.get(service, 0) / len(rooms))
-        for service, rooms in found.items()
-    }
+    return {service: sum(rooms) / len(rooms) for service, rooms in found.items()}
+
+
+def _reporting(statuses: Iterable[Status], service: str) -> int:
+    """Return how many targets of a service report that they take work."""
+    return sum(1 for each in statuses if each.service == service and each.room > 0.0)
 
 
 def _rejecting(statuses: Iterable[Status]) -> dict[str, float]:
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from ...coordination.relay.dispatcher import (
+    FAILED_STATUS,
     CancelCall,
     Deliver,
     Dispatcher,
@@ -419,6 +420,7 @@
         body = b"" if exchange.head_only else answer.body
         data = b"".join((answer.head, end, body))
         exchange.connection.respond(exchange, data, close=close)
+        self._count_end(action.request, served=answer.status < FAILED_STATUS)
         self.journal.answered(self.clock(), action)
 
     def _give_up(self, action: GiveUp) -> None:
@@ -428,9 +430,14 @@
         status = refusal_status(action.reason, ran=action.ran)
         retry_after = None if action.ran else action.retry_after
         self._answer(exchange, status, action.request.request_id, retry_after)
+        self._count_end(action.request, served=False)
         share = self.admission.shares.get(action.request.route.name, 1.0)
         self.journal.given_up(self.clock(), action, status=status, share=share)
 
+    def _count_end(self, request: RoutedRequest, *, served: bool) -> None:
+        if not request.inner:
+            self.admission.served.ended(request.route.name, served=served)
+
     def _answer(
         self,
         exchange: Exchange,
