Leave a target alone that breaks off most of its calls

Callers avoided it for 0.5 s each, but there are thirteen of them, and the relay beside the target, which saw all of it, passed everything on.

Change: the relay beside the target keeps the part of the latest calls that were broken off; from 0.45 it takes no call for 0.25 s, then 0.5 s, and then one at a time. What is turned away has not run, so it goes to another target for free. Such a target counts as carrying nothing in the shares.

Tests fail without the part: 400 calls in a row at most 8 sent; one good call in eight; one reset of all connections closes nothing.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -13,7 +13,7 @@
 
 import math
 import zlib
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -146,10 +146,11 @@
         fresh = [r.status for r in self.reports.values() if now - r.at < REPORT_AGE_S]
         offered = _offered(fresh, relays=sum(usable.values()))
         self.mean_rooms |= _mean_rooms(fresh)
+        carrying = _carrying(fresh, usable)
         rooms = {
-            service: mean * max(usable.get(service, 0), _reporting(fresh, service))
+            service: mean * carrying[service]
             for service, mean in self.mean_rooms.items()
-            if usable.get(service, 0) or _reporting(fresh, service)
+            if service in carrying
         }
         work = _relative_work(fresh)
         found = {route: self._need(route, work) for route in offered}
@@ -349,9 +350,20 @@
     return {service: sum(rooms) / len(rooms) for service, rooms in found.items()}
 
 
-def _reporting(statuses: Iterable[Status], service: str) -> int:
-    """Return how many targets of a service report that they take work."""
-    return sum(1 for each in statuses if each.service == service and each.room > 0.0)
+def _carrying(statuses: Iterable[Status], usable: Mapping[str, int]) -> dict[str, int]:
+    """Return how many targets of each service carry calls, so far as is known.
+
+    A target without a report counts as one that does, one that reports no room does
+    not, unless no other is left.
+    """
+    reporting: Counter[str] = Counter()
+    closed: Counter[str] = Counter()
+    for status in statuses:
+        (reporting if status.room > 0.0 else closed)[status.service] += 1
+    return {
+        service: max(reporting[service], usable.get(service, 0) - closed[service], 1)
+        for service in usable.keys() | reporting.keys()
+    }
 
 
 def _rejecting(statuses: Iterable[Status]) -> dict[str, float]:
--- a/buckthornshed/coordination/relay/target_gate.py
+++ b/buckthornshed/coordination/relay/target_gate.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
+from .breaks import BreakWatch
 from .room import RoomEstimate
 from .silence import SilenceWatch
 
@@ -80,6 +81,7 @@
         self.mean = USUAL_S
         self.room = RoomEstimate()
         self.silence = SilenceWatch()
+        self.breaks = BreakWatch()
 
     @property
     def load(self) -> float:
@@ -89,6 +91,8 @@
     @property
     def calls_per_second(self) -> float:
         """Calls a second that the target can carry."""
+        if self.leaving or self.breaks.suspected:
+            return 0.0
         return self.room.calls_per_second(self.limit, self.mean)
 
     @property
@@ -116,7 +120,7 @@
             return [Refused(call, RefusalReason.LEAVING, RETRY_LEAST_S)]
         if call.deadline <= now:
             return [Refused(call, RefusalReason.EXPIRED, self.retry_after())]
-        if self.silence.closed(now) and self.running:
+        if self._shut(now):
             return [Refused(call, RefusalReason.UNREACHABLE, self.retry_after())]
         if self.running < self.limit and not self.waiting_count:
             return [self._start(now, call)]
@@ -130,9 +134,19 @@
         return self._fill(now)
 
     def finished(
-        self, now: float, key: Hashable, *, sound: bool, answered: bool = True
+        self,
+        now: float,
+        key: Hashable,
+        *,
+        sound: bool,
+        answered: bool = True,
+        broken: bool = False,
     ) -> list[GateAction]:
-        """Take the end of a running call; a sound one tells how long calls take."""
+        """Take the end of a running call.
+
+        A sound one tells how long calls take; a broken one got no answer since its
+        connection ended or could not be made.
+        """
         call = self.calls.pop(key, None)
         if call is None or call.started is None:
             return []
@@ -140,7 +154,12 @@
         if answered:
             self.silence.heard(now)
         if sound:
+            self.breaks.served()
             self._learn(call.message.route, now - call.started)
+        if broken:
+            self.breaks.broke(now, started=call.started)
+            if self.breaks.suspected:
+                return self.turn_all_away(RefusalReason.UNREACHABLE)
         return self._fill(now)
 
     def cancelled(self, now: float, key: Hashable) -> tuple[bool, list[GateAction]]:
@@ -208,7 +227,7 @@
     def _fill(self, now: float) -> list[GateAction]:
         actions: list[GateAction] = []
         while self.waiting and self.running < self.limit:
-            if self.silence.closed(now) and self.running:
+            if self._shut(now):
                 break
             call = heapq.heappop(self.waiting)[3]
             if call.dropped:
@@ -220,6 +239,13 @@
             actions.append(self._start(now, call))
         return actions
 
+    def _shut(self, now: float) -> bool:
+        """Whether the target gets no call now, as it seems to be down."""
+        if self.breaks.closed(now):
+            return True
+        trial = self.silence.closed(now) or self.breaks.suspected
+        return trial and self.running > 0
+
     def _in_time(self, now: float, call: GateCall) -> bool:
         if self.waiting_count >= self.limit * QUEUE_PER_SLOT:
             return False
--- a/buckthornshed/tests/properties/test_relay_machine.py
+++ b/buckthornshed/tests/properties/test_relay_machine.py
@@ -281,8 +281,9 @@
 TestRelays = RelayMachine.TestCase
 TestRelays.settings = settings(max_examples=200, stateful_step_count=60)
 
+# Over 8 seeds the rarest fault was found after 22 to 1,101 examples, 400 on average.
 FOUND_WITHIN = settings(
-    max_examples=1_000,
+    max_examples=6_000,
     stateful_step_count=60,
     phases=[Phase.generate],
     report_multiple_bugs=False,
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -139,6 +139,14 @@
     assert admission.shares["notices"] == pytest.approx(2 * 400.0 / (150.0 * 8.0))
 
 
+def test_a_target_that_says_it_carries_nothing_is_not_counted():
+    offered = {"notices": 100.0}
+    admission = make_admission(offered, stables=400.0)
+    admission.report(0.1, "i-9", status("stables", 0.0))
+    admission.compute(0.1, ONE_EACH | {"stables": 2})
+    assert admission.shares["notices"] == pytest.approx(400.0 / (100.0 * 8.0))
+
+
 def test_a_target_that_takes_no_work_bounds_nothing():
     admission = make_admission({"notices": 100.0}, stables=0.0)
     assert admission.shares["notices"] == pytest.approx(1.0)
--- a/buckthornshed/tests/relay/test_target_gate.py
+++ b/buckthornshed/tests/relay/test_target_gate.py
@@ -158,3 +158,75 @@
     gate = silent_gate()
     ticks(gate, 0.0, 0.2)
     assert gate.tick(4.0) == []
+
+
+def break_off(gate, begin, keys, *, every=0.01):
+    """Let the target break off calls that are sent one after the other."""
+    sent = 0
+    for number, key in enumerate(keys):
+        now = begin + every * number
+        if started(gate.arrive(now, make_call(key, now=now))):
+            gate.finished(now + 0.001, key, sound=False, answered=False, broken=True)
+            sent += 1
+    return sent
+
+
+def test_a_target_that_breaks_off_every_call_is_left_alone():
+    gate = gate_with(15)
+    sent = break_off(gate, 0.0, range(400))
+    assert sent <= 8
+    turned = gate.arrive(4.0, make_call(900, now=4.0))
+    assert started(turned) or refused(turned) == {900: RefusalReason.UNREACHABLE}
+    assert gate.calls_per_second == 0.0
+
+
+def test_what_waits_for_a_target_that_breaks_off_calls_goes_elsewhere():
+    gate = gate_with(1)
+    gate.arrive(0.0, make_call(1))
+    gate.arrive(0.0, make_call(2, left=5.0))
+    gate.breaks.broken = 0.4
+    actions = gate.finished(0.1, 1, sound=False, answered=False, broken=True)
+    assert refused(actions) == {2: RefusalReason.UNREACHABLE}
+
+
+def test_a_target_that_answers_again_gets_its_calls_at_once():
+    gate = gate_with(15)
+    break_off(gate, 0.0, range(400))
+    assert started(gate.arrive(6.0, make_call(1_000, now=6.0))) == [1_000]
+    assert refused(gate.arrive(6.0, make_call(1_001, now=6.0)))
+    for number in range(8):
+        now = 6.05 + 0.05 * number
+        gate.finished(now, 1_000 + 2 * number, sound=True)
+        gate.arrive(now, make_call(1_002 + 2 * number, now=now))
+    assert started(gate.arrive(6.5, make_call(1_101, now=6.5))) == [1_101]
+    assert started(gate.arrive(6.5, make_call(1_102, now=6.5))) == [1_102]
+
+
+def test_a_target_that_serves_one_call_in_eight_is_left_alone_too():
+    gate = gate_with(15)
+    sent = 0
+    for key in range(800):
+        now = 0.005 * key
+        if started(gate.arrive(now, make_call(key, now=now))):
+            sent += 1
+            bad = sent % 8 != 0
+            gate.finished(now + 0.001, key, sound=not bad, answered=False, broken=bad)
+    assert sent <= 24
+
+
+def test_one_reset_of_all_connections_closes_nothing():
+    gate = gate_with(15)
+    for key in range(10):
+        gate.arrive(0.0, make_call(key))
+    for key in range(10):
+        gate.finished(0.5, key, sound=False, answered=False, broken=True)
+    assert started(gate.arrive(0.51, make_call(20, now=0.51))) == [20]
+
+
+def test_a_target_that_breaks_off_some_calls_stays_open():
+    gate = gate_with(15)
+    for key in range(300):
+        now = 0.01 * key
+        assert started(gate.arrive(now, make_call(key, now=now))) == [key]
+        bad = key % 3 == 0
+        gate.finished(now + 0.005, key, sound=not bad, answered=not bad, broken=bad)
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -76,7 +76,7 @@
             service=self.service,
             target=target,
             load=round(gate.load, 2),
-            room=0.0 if gate.leaving else round(gate.calls_per_second, 1),
+            room=round(gate.calls_per_second, 1),
             work=gate.work,
             offered={r: round(v, 1) for r, v in self.offered.roll(now).items()},
             calls=calls,
--- a/buckthornshed/transport/relay/target_side.py
+++ b/buckthornshed/transport/relay/target_side.py
@@ -202,9 +202,13 @@
         rejected = getattr(outcome, "reason", None) is RefusalReason.TARGET_FULL
         self.gate.room.served(rejected=rejected)
         self._forget_run(call, whole=sound)
-        answered = not isinstance(result, TargetFault)
+        fault = result.kind if isinstance(result, TargetFault) else None
         actions = self.gate.finished(
-            self.clock(), call.key, sound=sound, answered=answered
+            self.clock(),
+            call.key,
+            sound=sound,
+            answered=fault is None,
+            broken=fault in (FaultKind.BROKEN, FaultKind.UNREACHABLE),
         )
         if isinstance(outcome, AnswerMessage):
             outcome.load = self.gate.load
