Put the decisions of the node into folders by question; break the import circle

Change: folders entry, routing, knowledge, outcomes beside relay; routing.py is routing/target_draw.py there. The handlers take a ConfigurationHolder, a protocol of what they use.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -12,10 +12,10 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.admission import AdmissionController, level
-from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
-from buckthornshed.coordination.path_thresholds import PathThresholds
-from buckthornshed.coordination.thresholds import DownstreamThresholds
+from buckthornshed.coordination.entry.admission import AdmissionController, level
+from buckthornshed.coordination.entry.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.entry.path_thresholds import PathThresholds
+from buckthornshed.coordination.entry.thresholds import DownstreamThresholds
 from buckthornshed.protocol.messages import CallContext
 
 from .chain_model import (
--- a/benchmarks/allowance.py
+++ b/benchmarks/allowance.py
@@ -13,7 +13,7 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.allowance import AllowanceAccount
+from buckthornshed.coordination.entry.allowance import AllowanceAccount
 
 TREE = ((((),),), (((),),), (((),),))
 GRANTED = 3
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,10 +12,10 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.admission import AdmissionController, level
-from buckthornshed.coordination.allowance import AllowanceAccount, ClientRepeats
-from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
-from buckthornshed.coordination.thresholds import DownstreamThresholds
+from buckthornshed.coordination.entry.admission import AdmissionController, level
+from buckthornshed.coordination.entry.allowance import AllowanceAccount, ClientRepeats
+from buckthornshed.coordination.entry.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.entry.thresholds import DownstreamThresholds
 from buckthornshed.protocol.messages import CallContext
 from buckthornshed.state.objects import Admission
 from buckthornshed.state.table import BoundedTable
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,7 +21,7 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.fleet_actions import ReadValue
+from buckthornshed.coordination.knowledge.fleet_actions import ReadValue
 from buckthornshed.protocol.peer_messages import Version
 from buckthornshed.tests.exchange import (
     Exchange,
--- a/benchmarks/fleet_sets.py
+++ b/benchmarks/fleet_sets.py
@@ -16,9 +16,9 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.dissemination import Dissemination
-from buckthornshed.coordination.fleet_actions import Activate
-from buckthornshed.coordination.node_formats import node_formats
+from buckthornshed.coordination.knowledge.dissemination import Dissemination
+from buckthornshed.coordination.knowledge.fleet_actions import Activate
+from buckthornshed.coordination.knowledge.node_formats import node_formats
 from buckthornshed.protocol.canonical import canonical_bytes
 from buckthornshed.protocol.encoded_sets import (
     decode_object,
--- a/benchmarks/fleet_wire.py
+++ b/benchmarks/fleet_wire.py
@@ -19,7 +19,7 @@
 import anyio
 from tabulate import tabulate
 
-from buckthornshed.coordination.fleet_actions import Activate
+from buckthornshed.coordination.knowledge.fleet_actions import Activate
 from buckthornshed.protocol.authentication import Authenticator
 from buckthornshed.protocol.peer_codec import PeerCodec
 from buckthornshed.protocol.peer_messages import (
--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -15,11 +15,11 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.handover import OwnershipGate
-from buckthornshed.coordination.idempotency import KeyTable, Replay, Started
-from buckthornshed.coordination.integrity import KeySource, Resend, Sends
-from buckthornshed.coordination.keys import mint_key, parse_key, random_key
-from buckthornshed.coordination.ownership import OwnerSet
+from buckthornshed.coordination.knowledge.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.handover import OwnershipGate
+from buckthornshed.coordination.outcomes.idempotency import KeyTable, Replay, Started
+from buckthornshed.coordination.outcomes.integrity import KeySource, Resend, Sends
+from buckthornshed.coordination.outcomes.keys import mint_key, parse_key, random_key
 from buckthornshed.protocol.messages import Answer
 from buckthornshed.protocol.outcome import Outcome
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -14,7 +14,7 @@
 
 from tabulate import tabulate
 
-from buckthornshed.coordination.routing import Router
+from buckthornshed.coordination.routing.target_draw import Router
 from buckthornshed.protocol.messages import NO_SIGNAL, Fault
 
 DOMAINS = ("a", "b", "c")
--- a/buckthornshed/coordination/admission.py
+++ b/buckthornshed/coordination/entry/admission.py
@@ -8,13 +8,13 @@
 
 from math import exp
 
-from ..protocol.messages import CallContext
-from ..protocol.outcome import Reason
-from ..state.objects import Admission
-from ..state.random_source import RandomSource
+from ...protocol.messages import CallContext
+from ...protocol.outcome import Reason
+from ...state.objects import Admission
+from ...state.random_source import RandomSource
+from ..pause import PAUSE_S
 from .deadlines import can_finish
 from .demand import Demand
-from .pause import PAUSE_S
 from .return_times import ReturnTimes
 from .thresholds import level
 
--- a/buckthornshed/coordination/allowance.py
+++ b/buckthornshed/coordination/entry/allowance.py
@@ -10,7 +10,7 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
-from ..state.table import BoundedTable
+from ...state.table import BoundedTable
 
 __all__ = ["UNCORRELATED_ALLOWANCE", "AllowanceAccount", "ClientRepeats", "ClientTurn"]
 
--- a/buckthornshed/coordination/calls_below.py
+++ b/buckthornshed/coordination/entry/calls_below.py
@@ -4,15 +4,15 @@
 
 import xxhash
 
-from ..protocol.http import Request, forwardable
-from ..protocol.messages import Call
-from ..protocol.outcome import Outcome, Reason
+from ...protocol.http import Request, forwardable
+from ...protocol.messages import Call
+from ...protocol.outcome import Outcome, Reason
+from ..knowledge.view import RoutePolicies
+from ..outcomes.idempotency import Refused
+from ..outcomes.integrity import KeySource
+from ..outcomes.keys import derive_key, fingerprint, is_marked, key_text, parse_key
 from .deadlines import deadline_below
-from .idempotency import Refused
 from .ingress import CallBelow, RunningCall
-from .integrity import KeySource
-from .keys import derive_key, fingerprint, is_marked, key_text, parse_key
-from .view import RoutePolicies
 
 __all__ = ["KeyChoice", "call_below", "choose_key", "may_ask"]
 
--- a/buckthornshed/coordination/edge.py
+++ b/buckthornshed/coordination/entry/edge.py
@@ -2,13 +2,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..protocol.http import DEADLINE_HEADER, KEY_HEADER, Request, first
-from ..protocol.messages import CallContext
+from ...protocol.http import DEADLINE_HEADER, KEY_HEADER, Request, first
+from ...protocol.messages import CallContext
+from ..knowledge.view import RoutePolicies
+from ..outcomes.idempotency import Refused, check_new_key
+from ..outcomes.integrity import KeySource
+from ..outcomes.keys import mint_key, mint_raw, parse_key
 from .allowance import AllowanceAccount, ClientRepeats, ClientTurn
-from .idempotency import Refused, check_new_key
-from .integrity import KeySource
-from .keys import mint_key, mint_raw, parse_key
-from .view import RoutePolicies
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/coordination/ingress.py
+++ b/buckthornshed/coordination/entry/ingress.py
@@ -3,19 +3,19 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..protocol.messages import Answer, Call, Fault, NodeSignal, Pairs, refusal
-from ..protocol.outcome import REASONS, Outcome, Reason
-from .actions import CancelTarget, StartTarget
+from ...protocol.messages import Answer, Call, Fault, NodeSignal, Pairs, refusal
+from ...protocol.outcome import REASONS, Outcome, Reason
+from ..actions import CancelTarget, StartTarget
+from ..drain import DrainState
+from ..knowledge.view import View
+from ..outcomes.idempotency import Begun, InProgress, KeyTable, Refused, Replay, Started
+from ..outcomes.integrity import HopEvent, Progress, hop_outcome
+from ..outcomes.keys import fingerprint
 from .admission import AdmissionController
 from .allowance import AllowanceAccount
 from .call_queue import CallQueue, QueuedCall
-from .drain import DrainState
-from .idempotency import Begun, InProgress, KeyTable, Refused, Replay, Started
-from .integrity import HopEvent, Progress, hop_outcome
-from .keys import fingerprint
 from .path_thresholds import PathThresholds
 from .thresholds import level
-from .view import View
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/coordination/path_thresholds.py
+++ b/buckthornshed/coordination/entry/path_thresholds.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from ..state.table import BoundedTable
+from ...state.table import BoundedTable
 from .thresholds import DownstreamThresholds
 
 __all__ = ["PathThresholds"]
--- a/buckthornshed/coordination/return_times.py
+++ b/buckthornshed/coordination/entry/return_times.py
@@ -9,7 +9,7 @@
 
 from math import exp
 
-from ..state.random_source import RandomSource
+from ...state.random_source import RandomSource
 from .thresholds import RANKS
 
 __all__ = ["ReturnTimes"]
--- a/buckthornshed/coordination/thresholds.py
+++ b/buckthornshed/coordination/entry/thresholds.py
@@ -9,7 +9,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ..state.table import BoundedTable
+from ...state.table import BoundedTable
 
 __all__ = ["BUCKETS", "LEVELS", "RANKS", "DownstreamThresholds", "level"]
 
--- a/buckthornshed/coordination/acceptance.py
+++ b/buckthornshed/coordination/knowledge/acceptance.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from ..errors import BuckthornshedError, ConfigurationError
-from ..protocol.peer_messages import Delta, Version
+from ...errors import BuckthornshedError, ConfigurationError
+from ...protocol.peer_messages import Delta, Version
 from .config_log import ConfigLog, apply_chain, difference
 from .fleet_actions import Formats, Report
 from .joining import Candidate
--- a/buckthornshed/coordination/config_log.py
+++ b/buckthornshed/coordination/knowledge/config_log.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from ..protocol.peer_messages import NO_VERSION, Delta, Version, size_of
+from ...protocol.peer_messages import NO_VERSION, Delta, Version, size_of
 
 __all__ = ["MAX_LOG_BYTES", "MAX_LOG_DELTAS", "ConfigLog", "apply_chain", "difference"]
 
--- a/buckthornshed/coordination/dissemination.py
+++ b/buckthornshed/coordination/knowledge/dissemination.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum, auto
 
-from ..errors import BuckthornshedError
-from ..protocol.peer_messages import (
+from ...errors import BuckthornshedError
+from ...protocol.peer_messages import (
     NO_VERSION,
     Delta,
     Digest,
--- a/buckthornshed/coordination/fleet_actions.py
+++ b/buckthornshed/coordination/knowledge/fleet_actions.py
@@ -4,7 +4,7 @@
 from enum import IntEnum
 from typing import Literal, NamedTuple, Protocol
 
-from ..protocol.peer_messages import Delta, Peer, PeerMessage, Version
+from ...protocol.peer_messages import Delta, Peer, PeerMessage, Version
 
 __all__ = [
     "Action",
--- a/buckthornshed/coordination/joining.py
+++ b/buckthornshed/coordination/knowledge/joining.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from ..protocol.peer_messages import NO_VERSION, Digest, Pull, Version
+from ...protocol.peer_messages import NO_VERSION, Digest, Pull, Version
 from .fleet_actions import Action, Priority, ReadValue, Report, Rng, Send
 from .platform_watch import SET
 from .survey import Survey
--- a/buckthornshed/coordination/membership.py
+++ b/buckthornshed/coordination/knowledge/membership.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from ..protocol.peer_messages import MAX_NODE_STATES, NodeState, PeerState
+from ...protocol.peer_messages import MAX_NODE_STATES, NodeState, PeerState
 from .fleet_actions import Rng
 
 __all__ = ["Evidence", "Membership"]
--- a/buckthornshed/coordination/node_formats.py
+++ b/buckthornshed/coordination/knowledge/node_formats.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..protocol.encoded_sets import (
+from ...protocol.encoded_sets import (
     EncodedObjects,
     EncodedSets,
     decode_objects,
@@ -13,9 +13,9 @@
     encode_set,
     split_key,
 )
-from ..protocol.peer_messages import Peer, Version
-from ..protocol.published_values import decode_delta_value, decode_head_value
-from ..state.objects import ConfigurationSet, Target, empty_set
+from ...protocol.peer_messages import Peer, Version
+from ...protocol.published_values import decode_delta_value, decode_head_value
+from ...state.objects import ConfigurationSet, Target, empty_set
 from .fleet_actions import Activate, Formats
 
 __all__ = ["ActiveConfiguration", "ActiveSet", "node_formats"]
--- a/buckthornshed/coordination/peer_handlers.py
+++ b/buckthornshed/coordination/knowledge/peer_handlers.py
@@ -1,10 +1,10 @@
 """What a node does with each message of another node about configuration."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from ..errors import BuckthornshedError
-from ..protocol.peer_messages import (
+from ...errors import BuckthornshedError
+from ...protocol.peer_messages import (
     NO_VERSION,
     Busy,
     Changes,
@@ -14,14 +14,12 @@
     WholeSet,
 )
 from .fleet_actions import Action, Priority, Report, Send
+from .holder import ConfigurationHolder
 from .repair import PUSH_BYTES, chain_size
 
-if TYPE_CHECKING:
-    from .dissemination import Dissemination
-
 __all__ = ["MESSAGE_HANDLERS"]
 
-Handler = Callable[["Dissemination", float, str, Any], list[Action]]
+Handler = Callable[[ConfigurationHolder, float, str, Any], list[Action]]
 MESSAGE_HANDLERS: dict[type, Handler] = {}
 
 
@@ -37,7 +35,7 @@
 
 @handles(Digest)
 def take_digest(
-    node: "Dissemination", now: float, address: str, message: Digest
+    node: ConfigurationHolder, now: float, address: str, message: Digest
 ) -> list[Action]:
     """Compare what another node has in force with what this one has."""
     theirs = message.version
@@ -61,7 +59,7 @@
 
 
 def offer(
-    node: "Dissemination", now: float, address: str, version: Version
+    node: ConfigurationHolder, now: float, address: str, version: Version
 ) -> list[Action]:
     """Send a node that is behind the short chain it lacks, or a digest."""
     chain = node.acceptance.log.since(version)
@@ -73,7 +71,7 @@
 
 @handles(Pull)
 def take_pull(
-    node: "Dissemination", now: float, address: str, message: Pull
+    node: ConfigurationHolder, now: float, address: str, message: Pull
 ) -> list[Action]:
     """Answer with a chain of deltas or the whole set."""
     node.push.learn(address, message.version.generation)
@@ -84,7 +82,7 @@
 
 @handles(Busy)
 def take_busy(
-    node: "Dissemination", now: float, address: str, message: Busy
+    node: ConfigurationHolder, now: float, address: str, message: Busy
 ) -> list[Action]:
     """Pull again after the pause that the other node asks for."""
     node.joining.busy(now, address, message.retry_after)
@@ -94,7 +92,7 @@
 
 @handles(Changes)
 def take_changes(
-    node: "Dissemination", now: float, address: str, message: Changes
+    node: ConfigurationHolder, now: float, address: str, message: Changes
 ) -> list[Action]:
     """Keep the deltas of another node until they can be applied."""
     if not node.has_set or not message.deltas:
@@ -110,7 +108,7 @@
 
 @handles(WholeSet)
 def take_whole_set(
-    node: "Dissemination", now: float, address: str, message: WholeSet
+    node: ConfigurationHolder, now: float, address: str, message: WholeSet
 ) -> list[Action]:
     """Put the whole set of another node in force if it is higher."""
     node.repair.answered(now, address)
--- a/buckthornshed/coordination/platform_watch.py
+++ b/buckthornshed/coordination/knowledge/platform_watch.py
@@ -1,7 +1,7 @@
 """When a node reads the platform, and which values."""
 
-from ..protocol.peer_messages import NO_VERSION, Version
-from ..protocol.published_values import HEAD, SET, delta_key
+from ...protocol.peer_messages import NO_VERSION, Version
+from ...protocol.published_values import HEAD, SET, delta_key
 from .fleet_actions import ReadValue, Rng
 
 __all__ = ["HEAD", "SET", "PlatformWatch", "delta_key"]
--- a/buckthornshed/coordination/push.py
+++ b/buckthornshed/coordination/knowledge/push.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..protocol.peer_messages import Changes, Delta, PeerMessage, Version
+from ...protocol.peer_messages import Changes, Delta, PeerMessage, Version
 from .config_log import ConfigLog
 from .fleet_actions import Action, Priority, Rng, Send
 from .repair import PUSH_BYTES, chain_size
--- a/buckthornshed/coordination/readers.py
+++ b/buckthornshed/coordination/knowledge/readers.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from ..protocol.peer_messages import Peer
+from ...protocol.peer_messages import Peer
 
 __all__ = [
     "READERS_PER_DOMAIN",
--- a/buckthornshed/coordination/repair.py
+++ b/buckthornshed/coordination/knowledge/repair.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..protocol.peer_messages import (
+from ...protocol.peer_messages import (
     MAX_CHANGES_BYTES,
     MAX_DELTAS,
     NO_VERSION,
--- a/buckthornshed/coordination/survey.py
+++ b/buckthornshed/coordination/knowledge/survey.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..protocol.peer_messages import NO_VERSION, Version
+from ...protocol.peer_messages import NO_VERSION, Version
 
 __all__ = ["SURVEY_S", "Survey"]
 
--- a/buckthornshed/coordination/value_handlers.py
+++ b/buckthornshed/coordination/knowledge/value_handlers.py
@@ -1,17 +1,14 @@
 """What a node does with each value of the platform."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from .fleet_actions import Action, Report
+from .holder import ConfigurationHolder
 from .platform_watch import HEAD, SET
 
-if TYPE_CHECKING:
-    from .dissemination import Dissemination
-
 __all__ = ["value_handler"]
 
-Handler = Callable[["Dissemination", float, bytes], list[Action]]
+Handler = Callable[[ConfigurationHolder, float, bytes], list[Action]]
 VALUE_HANDLERS: dict[str, Handler] = {}
 
 
@@ -31,7 +28,7 @@
 
 
 @handles(HEAD)
-def take_head(node: "Dissemination", now: float, body: bytes) -> list[Action]:
+def take_head(node: ConfigurationHolder, now: float, body: bytes) -> list[Action]:
     """Compare the head of the platform with what is in force.
 
     Raises
@@ -51,12 +48,14 @@
 
 
 @handles(SET)
-def take_whole_value(node: "Dissemination", now: float, body: bytes) -> list[Action]:
-    """Take the whole set of the platform; see ``Dissemination.take_set``."""
+def take_whole_value(
+    node: ConfigurationHolder, now: float, body: bytes
+) -> list[Action]:
+    """Take the whole set of the platform; see `take_set`."""
     return node.take_set(now, body)
 
 
-def take_delta(node: "Dissemination", now: float, body: bytes) -> list[Action]:
+def take_delta(node: ConfigurationHolder, now: float, body: bytes) -> list[Action]:
     """Keep a delta of the platform until it can be applied.
 
     Raises
--- a/buckthornshed/coordination/view.py
+++ b/buckthornshed/coordination/knowledge/view.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from ..protocol.route_table import RouteTable
-from ..state.objects import (
+from ...protocol.route_table import RouteTable
+from ...state.objects import (
     Admission,
     ConfigurationSet,
     Idempotency,
--- a/buckthornshed/coordination/node.py
+++ b/buckthornshed/coordination/node.py
@@ -9,17 +9,17 @@
 from ..protocol.messages import Answer, Call, Fault, Pairs, refusal
 from ..protocol.outcome import REASONS, Outcome, Reason
 from .actions import Action, CancelPeer, Reply, SendPeer
-from .calls_below import call_below, choose_key, may_ask
 from .drain import DrainState
-from .edge import Edge, key_of
-from .egress import Egress
-from .idempotency import Refused
-from .ingress import Ingress, RunningCall
-from .integrity import KeySource
-from .key_owner import KeyOwner
-from .path_thresholds import PathThresholds
+from .entry.calls_below import call_below, choose_key, may_ask
+from .entry.edge import Edge, key_of
+from .entry.ingress import Ingress, RunningCall
+from .entry.path_thresholds import PathThresholds
+from .knowledge.view import View
+from .outcomes.idempotency import Refused
+from .outcomes.integrity import KeySource
+from .outcomes.key_owner import KeyOwner
 from .pause import PauseDetector
-from .view import View
+from .routing.egress import Egress
 
 if TYPE_CHECKING:
     from random import Random
--- /dev/null
+++ b/buckthornshed/coordination/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""What ran, and what may be said of it."""
--- a/buckthornshed/coordination/handover.py
+++ b/buckthornshed/coordination/outcomes/handover.py
@@ -8,11 +8,11 @@
 
 from typing import NamedTuple
 
-from ..protocol.outcome import Outcome, Reason
-from ..protocol.peer_messages import OwnerQuery, OwnerReply
+from ...protocol.outcome import Outcome, Reason
+from ...protocol.peer_messages import OwnerQuery, OwnerReply
+from ..knowledge.ownership import OwnerSet
 from .idempotency import Refused, barrier_after
 from .keys import ParsedKey
-from .ownership import OwnerSet
 
 __all__ = ["MOVES", "Move", "OwnerQuery", "OwnerReply", "OwnershipGate"]
 
--- a/buckthornshed/coordination/idempotency.py
+++ b/buckthornshed/coordination/outcomes/idempotency.py
@@ -10,10 +10,10 @@
 from math import inf
 from typing import NamedTuple, Protocol
 
-from ..errors import ContextError
-from ..protocol.messages import Answer
-from ..protocol.outcome import Outcome, Reason
-from ..state.table import BoundedTable
+from ...errors import ContextError
+from ...protocol.messages import Answer
+from ...protocol.outcome import Outcome, Reason
+from ...state.table import BoundedTable
 from .keys import ParsedKey, is_marked, parse_key
 
 __all__ = [
--- a/buckthornshed/coordination/integrity.py
+++ b/buckthornshed/coordination/outcomes/integrity.py
@@ -8,9 +8,9 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from ..protocol.messages import Answer, Fault
-from ..protocol.outcome import Outcome, Reason
-from ..state.table import BoundedTable
+from ...protocol.messages import Answer, Fault
+from ...protocol.outcome import Outcome, Reason
+from ...state.table import BoundedTable
 
 __all__ = [
     "COMBINED",
--- a/buckthornshed/coordination/key_owner.py
+++ b/buckthornshed/coordination/outcomes/key_owner.py
@@ -1,10 +1,10 @@
 """The part of a node that acts as an owner of keys: their table and its gate."""
 
-from ..state.objects import Target
+from ...state.objects import Target
+from ..knowledge.ownership import owner_id
+from ..knowledge.view import View
 from .handover import OwnerQuery, OwnerReply, OwnershipGate
 from .idempotency import KeyTable
-from .ownership import owner_id
-from .view import View
 
 __all__ = ["KeyOwner"]
 
--- a/buckthornshed/coordination/keys.py
+++ b/buckthornshed/coordination/outcomes/keys.py
@@ -9,8 +9,8 @@
 import re
 from typing import NamedTuple, Protocol
 
-from ..errors import ContextError
-from ..protocol.messages import Call
+from ...errors import ContextError
+from ...protocol.messages import Call
 
 __all__ = [
     "FINGERPRINT_BYTES",
--- /dev/null
+++ b/buckthornshed/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where a call goes."""
--- a/buckthornshed/coordination/egress.py
+++ b/buckthornshed/coordination/routing/egress.py
@@ -2,11 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..protocol.messages import Answer, Call, Fault, refusal
-from ..protocol.outcome import REASONS, Outcome, Reason
-from .actions import CancelPeer, Reply, SendPeer
-from .allowance import AllowanceAccount
-from .integrity import (
+from ...protocol.messages import Answer, Call, Fault, refusal
+from ...protocol.outcome import REASONS, Outcome, Reason
+from ..actions import CancelPeer, Reply, SendPeer
+from ..entry.allowance import AllowanceAccount
+from ..knowledge.view import RoutePolicies
+from ..outcomes.integrity import (
     HopEvent,
     KeySource,
     Progress,
@@ -16,7 +17,6 @@
 )
 from .pending_calls import PendingCall
 from .target_choice import TargetChoice
-from .view import RoutePolicies
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/coordination/outliers.py
+++ b/buckthornshed/coordination/routing/outliers.py
@@ -1,6 +1,6 @@
 """Ejection of targets that fail, and their return by way of real calls."""
 
-from ..state.random_source import RandomSource
+from ...state.random_source import RandomSource
 
 __all__ = ["EJECTION_MAX_S", "EJECTION_MIN_S", "FAILURES_TO_EJECT", "FailureRecord"]
 
--- a/buckthornshed/coordination/pending_calls.py
+++ b/buckthornshed/coordination/routing/pending_calls.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from ..protocol.messages import Call
-from .allowance import AllowanceAccount
-from .integrity import Sends
-from .view import RoutePolicies
+from ...protocol.messages import Call
+from ..entry.allowance import AllowanceAccount
+from ..knowledge.view import RoutePolicies
+from ..outcomes.integrity import Sends
 
 __all__ = ["PendingCall"]
 
--- a/buckthornshed/coordination/ranking.py
+++ b/buckthornshed/coordination/routing/ranking.py
@@ -6,8 +6,8 @@
 
 import math
 
-from ..protocol.messages import NodeSignal
-from ..state.objects import Target
+from ...protocol.messages import NodeSignal
+from ...state.objects import Target
 from .outliers import FailureRecord
 
 __all__ = ["COLD_S", "COLD_WEIGHT", "FORGET_S", "TargetView"]
--- a/buckthornshed/coordination/shift.py
+++ b/buckthornshed/coordination/routing/shift.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from ..state.objects import Shift
+from ...state.objects import Shift
 
 __all__ = ["Placement", "provider_of"]
 
--- a/buckthornshed/coordination/target_choice.py
+++ b/buckthornshed/coordination/routing/target_choice.py
@@ -2,18 +2,18 @@
 
 from typing import TYPE_CHECKING
 
-from ..protocol.http import first
-from ..protocol.messages import Answer, Call, Fault
-from ..protocol.outcome import Outcome, Reason
-from .integrity import KeySource
-from .keys import is_marked, parse_key
-from .ownership import owner_id
+from ...protocol.http import first
+from ...protocol.messages import Answer, Call, Fault
+from ...protocol.outcome import Outcome, Reason
+from ..entry.return_times import ReturnTimes
+from ..entry.thresholds import DownstreamThresholds, level
+from ..knowledge.ownership import owner_id
+from ..knowledge.view import RoutePolicies, View
+from ..outcomes.integrity import KeySource
+from ..outcomes.keys import is_marked, parse_key
 from .pending_calls import PendingCall
-from .return_times import ReturnTimes
-from .routing import Router
 from .shift import provider_of
-from .thresholds import DownstreamThresholds, level
-from .view import RoutePolicies, View
+from .target_draw import Router
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/coordination/routing.py
+++ b/buckthornshed/coordination/routing/target_draw.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from ..protocol.messages import Fault, NodeSignal
-from ..state.objects import Target
-from ..state.random_source import RandomSource
+from ...protocol.messages import Fault, NodeSignal
+from ...state.objects import Target
+from ...state.random_source import RandomSource
 from .ranking import TargetView
 
 __all__ = ["DISTANCE_FACTORS", "Router", "TargetSnapshot"]
--- a/buckthornshed/integration/keys.py
+++ b/buckthornshed/integration/keys.py
@@ -3,7 +3,7 @@
 import time
 from random import SystemRandom
 
-from ..coordination.keys import random_key
+from ..coordination.outcomes.keys import random_key
 
 __all__ = ["create_key"]
 
--- a/buckthornshed/tests/exchange.py
+++ b/buckthornshed/tests/exchange.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from ..coordination.config_log import difference
-from ..coordination.dissemination import Dissemination
-from ..coordination.fleet_actions import (
+from ..coordination.knowledge.config_log import difference
+from ..coordination.knowledge.dissemination import Dissemination
+from ..coordination.knowledge.fleet_actions import (
     Action,
     Activate,
     Formats,
@@ -24,7 +24,7 @@
     Report,
     Send,
 )
-from ..coordination.platform_watch import HEAD, SET, delta_key
+from ..coordination.knowledge.platform_watch import HEAD, SET, delta_key
 from ..errors import ConfigurationError
 from ..protocol.authentication import Authenticator
 from ..protocol.peer_codec import PeerCodec
--- a/buckthornshed/tests/node_parts.py
+++ b/buckthornshed/tests/node_parts.py
@@ -9,8 +9,8 @@
     SendPeer,
     StartTarget,
 )
+from buckthornshed.coordination.knowledge.view import View
 from buckthornshed.coordination.node import NodeCore
-from buckthornshed.coordination.view import View
 from buckthornshed.protocol.http import Request
 from buckthornshed.protocol.messages import Answer, Call, CallContext, NodeSignal
 from buckthornshed.protocol.outcome import Outcome, Reason
--- a/buckthornshed/tests/properties/at_most_once_parts.py
+++ b/buckthornshed/tests/properties/at_most_once_parts.py
@@ -3,11 +3,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 
-from buckthornshed.coordination.handover import OwnershipGate
-from buckthornshed.coordination.idempotency import KeyTable
-from buckthornshed.coordination.integrity import KeySource, Sends
-from buckthornshed.coordination.keys import parse_key
-from buckthornshed.coordination.ownership import OwnerSet
+from buckthornshed.coordination.knowledge.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.handover import OwnershipGate
+from buckthornshed.coordination.outcomes.idempotency import KeyTable
+from buckthornshed.coordination.outcomes.integrity import KeySource, Sends
+from buckthornshed.coordination.outcomes.keys import parse_key
 from buckthornshed.protocol.outcome import Outcome
 
 BOUND = 1.0
--- a/buckthornshed/tests/properties/test_allowance_machine.py
+++ b/buckthornshed/tests/properties/test_allowance_machine.py
@@ -20,7 +20,7 @@
     run_state_machine_as_test,
 )
 
-from buckthornshed.coordination.allowance import (
+from buckthornshed.coordination.entry.allowance import (
     AllowanceAccount,
     ClientRepeats,
     ClientTurn,
--- a/buckthornshed/tests/properties/test_at_most_once_machine.py
+++ b/buckthornshed/tests/properties/test_at_most_once_machine.py
@@ -10,16 +10,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import precondition, rule
 
-from buckthornshed.coordination.handover import OwnerQuery
-from buckthornshed.coordination.idempotency import (
+from buckthornshed.coordination.knowledge.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.handover import OwnerQuery
+from buckthornshed.coordination.outcomes.idempotency import (
     Refused,
     Replay,
     Started,
     check_new_key,
 )
-from buckthornshed.coordination.integrity import Resend
-from buckthornshed.coordination.keys import mint_key, parse_key, random_key
-from buckthornshed.coordination.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.integrity import Resend
+from buckthornshed.coordination.outcomes.keys import mint_key, parse_key, random_key
 from buckthornshed.protocol.messages import Answer
 from buckthornshed.protocol.outcome import Outcome, Reason
 
--- a/buckthornshed/tests/properties/test_at_most_once_removed.py
+++ b/buckthornshed/tests/properties/test_at_most_once_removed.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from buckthornshed.coordination.handover import OwnershipGate
-from buckthornshed.coordination.idempotency import barrier_after
-from buckthornshed.coordination.keys import parse_key
-from buckthornshed.coordination.ownership import OwnerSet
+from buckthornshed.coordination.knowledge.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.handover import OwnershipGate
+from buckthornshed.coordination.outcomes.idempotency import barrier_after
+from buckthornshed.coordination.outcomes.keys import parse_key
 from buckthornshed.protocol.outcome import Outcome
 
 from .at_most_once_parts import BOUND, ENTRIES, FIRST_OWNERS
--- a/buckthornshed/tests/properties/test_generation_machine.py
+++ b/buckthornshed/tests/properties/test_generation_machine.py
@@ -14,8 +14,8 @@
     run_state_machine_as_test,
 )
 
-from ...coordination.acceptance import Acceptance
-from ...coordination.survey import Survey
+from ...coordination.knowledge.acceptance import Acceptance
+from ...coordination.knowledge.survey import Survey
 from ...protocol.peer_messages import NO_VERSION, Version
 from ..exchange import Exchange, FakePlatform, fleet, objects_of
 
--- a/buckthornshed/tests/properties/test_nodes_machine.py
+++ b/buckthornshed/tests/properties/test_nodes_machine.py
@@ -27,12 +27,12 @@
     SendPeer,
     StartTarget,
 )
-from buckthornshed.coordination.allowance import AllowanceAccount
-from buckthornshed.coordination.idempotency import KeyTable
-from buckthornshed.coordination.integrity import Sends
-from buckthornshed.coordination.keys import random_key
+from buckthornshed.coordination.entry.allowance import AllowanceAccount
+from buckthornshed.coordination.knowledge.view import View
 from buckthornshed.coordination.node import NodeCore
-from buckthornshed.coordination.view import View
+from buckthornshed.coordination.outcomes.idempotency import KeyTable
+from buckthornshed.coordination.outcomes.integrity import Sends
+from buckthornshed.coordination.outcomes.keys import random_key
 from buckthornshed.protocol.http import KEY_HEADER, Request
 from buckthornshed.protocol.messages import Fault
 from buckthornshed.protocol.outcome import Outcome
--- a/buckthornshed/tests/properties/test_outcome_machine.py
+++ b/buckthornshed/tests/properties/test_outcome_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from buckthornshed.coordination.integrity import (
+from buckthornshed.coordination.outcomes.integrity import (
     HOP_OUTCOMES,
     Accepted,
     Exchanges,
--- a/buckthornshed/tests/scenarios/driver.py
+++ b/buckthornshed/tests/scenarios/driver.py
@@ -22,11 +22,11 @@
     SendPeer,
     StartTarget,
 )
-from ...coordination.deadlines import deadline_of, remaining_ms
-from ...coordination.integrity import find_flaw
-from ...coordination.keys import random_key
+from ...coordination.entry.deadlines import deadline_of, remaining_ms
+from ...coordination.knowledge.view import View
 from ...coordination.node import NodeCore
-from ...coordination.view import View
+from ...coordination.outcomes.integrity import find_flaw
+from ...coordination.outcomes.keys import random_key
 from ...protocol.configuration import read_set
 from ...protocol.http import KEY_HEADER, Request
 from ...protocol.messages import Answer, Call, Fault
--- a/buckthornshed/tests/scenarios/test_planned_stop.py
+++ b/buckthornshed/tests/scenarios/test_planned_stop.py
@@ -5,7 +5,7 @@
 import pytest
 
 from buckthornshed.coordination.drain import DrainState
-from buckthornshed.coordination.routing import Router
+from buckthornshed.coordination.routing.target_draw import Router
 from buckthornshed.protocol.messages import NO_SIGNAL
 from buckthornshed.state.objects import Target
 
--- a/buckthornshed/tests/test_admission.py
+++ b/buckthornshed/tests/test_admission.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from buckthornshed.coordination.admission import AdmissionController, level
-from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
-from buckthornshed.coordination.path_thresholds import PathThresholds
-from buckthornshed.coordination.thresholds import (
+from buckthornshed.coordination.entry.admission import AdmissionController, level
+from buckthornshed.coordination.entry.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.entry.path_thresholds import PathThresholds
+from buckthornshed.coordination.entry.thresholds import (
     BUCKETS,
     LEVELS,
     RANKS,
--- a/buckthornshed/tests/test_allowance.py
+++ b/buckthornshed/tests/test_allowance.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from buckthornshed.coordination.allowance import AllowanceAccount, ClientRepeats
+from buckthornshed.coordination.entry.allowance import AllowanceAccount, ClientRepeats
 
 
 def test_a_lent_part_comes_back_once_and_never_more_than_was_lent():
--- a/buckthornshed/tests/test_call_queue.py
+++ b/buckthornshed/tests/test_call_queue.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornshed.coordination.call_queue import CallQueue, QueuedCall
+from buckthornshed.coordination.entry.call_queue import CallQueue, QueuedCall
 
 STEPS = st.lists(
     st.tuples(
--- a/buckthornshed/tests/test_config_log.py
+++ b/buckthornshed/tests/test_config_log.py
@@ -1,5 +1,5 @@
-from ..coordination import config_log
-from ..coordination.config_log import ConfigLog, apply_chain, difference
+from ..coordination.knowledge import config_log
+from ..coordination.knowledge.config_log import ConfigLog, apply_chain, difference
 from ..protocol.peer_messages import Delta, Version
 
 
--- a/buckthornshed/tests/test_control_budget.py
+++ b/buckthornshed/tests/test_control_budget.py
@@ -1,6 +1,6 @@
-from ..coordination import control_budget as module
-from ..coordination.control_budget import ControlBudget
-from ..coordination.fleet_actions import Priority, Send
+from ..coordination.knowledge import control_budget as module
+from ..coordination.knowledge.control_budget import ControlBudget
+from ..coordination.knowledge.fleet_actions import Priority, Send
 from ..protocol.peer_messages import Busy, Leaving
 
 
--- a/buckthornshed/tests/test_deadlines.py
+++ b/buckthornshed/tests/test_deadlines.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornshed.coordination import deadlines
+from buckthornshed.coordination.entry import deadlines
 
 TIMES = st.floats(0, 1e6)
 
--- a/buckthornshed/tests/test_dissemination.py
+++ b/buckthornshed/tests/test_dissemination.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from ..coordination import acceptance, dissemination
-from ..coordination.acceptance import Acceptance
-from ..coordination.config_log import ConfigLog
-from ..coordination.dissemination import Phase
-from ..coordination.joining import Step
-from ..coordination.repair import PUSH_BYTES
-from ..coordination.survey import Survey
+from ..coordination.knowledge import acceptance, dissemination
+from ..coordination.knowledge.acceptance import Acceptance
+from ..coordination.knowledge.config_log import ConfigLog
+from ..coordination.knowledge.dissemination import Phase
+from ..coordination.knowledge.joining import Step
+from ..coordination.knowledge.repair import PUSH_BYTES
+from ..coordination.knowledge.survey import Survey
 from ..protocol.peer_messages import NO_VERSION, Changes, Delta, Version, WholeSet
 from .exchange import (
     Exchange,
--- a/buckthornshed/tests/test_docs.py
+++ b/buckthornshed/tests/test_docs.py
@@ -9,7 +9,7 @@
 import pytest
 
 from buckthornshed.cli.main import Command
-from buckthornshed.coordination.fleet_actions import Notice
+from buckthornshed.coordination.knowledge.fleet_actions import Notice
 from buckthornshed.protocol.outcome import REASONS, Outcome, Reason
 from buckthornshed.transport.metrics import Gauges, NodeMetrics
 from buckthornshed.transport.settings import NodeSettings
--- a/buckthornshed/tests/test_egress.py
+++ b/buckthornshed/tests/test_egress.py
@@ -1,7 +1,7 @@
 """Tests of what a node sends again, where, and what it tells."""
 
 from buckthornshed.coordination.actions import CancelPeer, Reply, SendPeer, StartTarget
-from buckthornshed.coordination.keys import mint_key, random_key
+from buckthornshed.coordination.outcomes.keys import mint_key, random_key
 from buckthornshed.protocol.messages import Answer, Fault
 from buckthornshed.protocol.outcome import Outcome, Reason
 
--- a/buckthornshed/tests/test_fleet.py
+++ b/buckthornshed/tests/test_fleet.py
@@ -8,8 +8,8 @@
 import httpx
 import pytest
 
-from ..coordination.fleet_actions import Activate
-from ..coordination.membership import Evidence
+from ..coordination.knowledge.fleet_actions import Activate
+from ..coordination.knowledge.membership import Evidence
 from ..errors import PeerError
 from ..protocol.authentication import Authenticator
 from ..protocol.peer_codec import PeerCodec
--- a/buckthornshed/tests/test_handover.py
+++ b/buckthornshed/tests/test_handover.py
@@ -2,9 +2,9 @@
 
 import random
 
-from buckthornshed.coordination.handover import MOVES, OwnershipGate
-from buckthornshed.coordination.keys import parse_key, random_key
-from buckthornshed.coordination.ownership import OwnerSet
+from buckthornshed.coordination.knowledge.ownership import OwnerSet
+from buckthornshed.coordination.outcomes.handover import MOVES, OwnershipGate
+from buckthornshed.coordination.outcomes.keys import parse_key, random_key
 from buckthornshed.protocol.outcome import Reason
 
 BOUND = 1.0
--- a/buckthornshed/tests/test_idempotency.py
+++ b/buckthornshed/tests/test_idempotency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornshed.coordination.idempotency import (
+from buckthornshed.coordination.outcomes.idempotency import (
     InProgress,
     KeyTable,
     Refused,
@@ -12,7 +12,7 @@
     Started,
     check_new_key,
 )
-from buckthornshed.coordination.keys import mint_key, random_key
+from buckthornshed.coordination.outcomes.keys import mint_key, random_key
 from buckthornshed.protocol.messages import Answer
 from buckthornshed.protocol.outcome import Outcome, Reason
 
--- a/buckthornshed/tests/test_ingress.py
+++ b/buckthornshed/tests/test_ingress.py
@@ -5,8 +5,8 @@
 import pytest
 
 from buckthornshed.coordination.actions import CancelTarget, Reply, StartTarget
-from buckthornshed.coordination.keys import random_key
 from buckthornshed.coordination.node import NodeCore
+from buckthornshed.coordination.outcomes.keys import random_key
 from buckthornshed.protocol.messages import Fault
 from buckthornshed.protocol.outcome import Outcome, Reason
 
--- a/buckthornshed/tests/test_integration.py
+++ b/buckthornshed/tests/test_integration.py
@@ -2,7 +2,7 @@
 import httpx
 import pytest
 
-from buckthornshed.coordination.keys import parse_key
+from buckthornshed.coordination.outcomes.keys import parse_key
 from buckthornshed.integration import (
     CallError,
     CallFailedError,
--- a/buckthornshed/tests/test_integrity.py
+++ b/buckthornshed/tests/test_integrity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornshed.coordination.integrity import (
+from buckthornshed.coordination.outcomes.integrity import (
     COMBINED,
     HOP_OUTCOMES,
     Accepted,
--- a/buckthornshed/tests/test_keys.py
+++ b/buckthornshed/tests/test_keys.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from buckthornshed.coordination.keys import (
+from buckthornshed.coordination.outcomes.keys import (
     derive_key,
     fingerprint,
     is_marked,
--- a/buckthornshed/tests/test_membership.py
+++ b/buckthornshed/tests/test_membership.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ..coordination import membership as module
-from ..coordination.membership import TRANSITIONS, Evidence, Membership
+from ..coordination.knowledge import membership as module
+from ..coordination.knowledge.membership import TRANSITIONS, Evidence, Membership
 from ..protocol.peer_messages import MAX_NODE_STATES, NodeState, PeerState
 
 LIVE, SUSPECT, LEAVING, GONE = PeerState
--- a/buckthornshed/tests/test_node_formats.py
+++ b/buckthornshed/tests/test_node_formats.py
@@ -9,8 +9,12 @@
 import httpx
 import pytest
 
-from ..coordination.fleet_actions import Activate
-from ..coordination.node_formats import ActiveConfiguration, ActiveSet, node_formats
+from ..coordination.knowledge.fleet_actions import Activate
+from ..coordination.knowledge.node_formats import (
+    ActiveConfiguration,
+    ActiveSet,
+    node_formats,
+)
 from ..errors import BuckthornshedError
 from ..protocol.encoded_sets import encode_objects
 from ..protocol.peer_messages import Peer, Version
--- a/buckthornshed/tests/test_node_outcomes.py
+++ b/buckthornshed/tests/test_node_outcomes.py
@@ -5,9 +5,9 @@
 import pytest
 
 from ..coordination.actions import Reply, StartTarget
-from ..coordination.keys import random_key
+from ..coordination.knowledge.view import View
 from ..coordination.node import NodeCore
-from ..coordination.view import View
+from ..coordination.outcomes.keys import random_key
 from ..protocol.http import KEY_HEADER, Request
 from ..protocol.messages import Answer, Call, CallContext
 from ..protocol.outcome import Outcome, Reason
--- a/buckthornshed/tests/test_publication.py
+++ b/buckthornshed/tests/test_publication.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ..coordination.config_log import apply_chain
-from ..coordination.node_formats import node_formats
+from ..coordination.knowledge.config_log import apply_chain
+from ..coordination.knowledge.node_formats import node_formats
 from ..errors import BuckthornshedError, ConfigurationError
 from ..protocol.encoded_sets import encode_objects
 from ..protocol.published import encode_published, publish
--- a/buckthornshed/tests/test_readers.py
+++ b/buckthornshed/tests/test_readers.py
@@ -1,4 +1,4 @@
-from ..coordination.readers import Topology, rank
+from ..coordination.knowledge.readers import Topology, rank
 from .exchange import make_peers
 
 PEERS = make_peers(40, 4)
--- a/buckthornshed/tests/test_routing.py
+++ b/buckthornshed/tests/test_routing.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from buckthornshed.coordination.ranking import COLD_S, FORGET_S
-from buckthornshed.coordination.routing import Router
+from buckthornshed.coordination.routing.ranking import COLD_S, FORGET_S
+from buckthornshed.coordination.routing.target_draw import Router
 from buckthornshed.protocol.messages import NO_SIGNAL, Fault
 
 DOMAINS = {"near": "a", "mid": "b", "far": "c"}
--- a/buckthornshed/tests/test_scenarios_fail_first.py
+++ b/buckthornshed/tests/test_scenarios_fail_first.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from ..coordination import idempotency
-from ..coordination.admission import AdmissionController
-from ..coordination.allowance import AllowanceAccount
 from ..coordination.drain import DrainState
-from ..coordination.egress import Egress
-from ..coordination.handover import OwnershipGate
-from ..coordination.idempotency import KeyTable
-from ..coordination.integrity import Sends
-from ..coordination.survey import Survey
+from ..coordination.entry.admission import AdmissionController
+from ..coordination.entry.allowance import AllowanceAccount
+from ..coordination.knowledge.survey import Survey
+from ..coordination.outcomes import idempotency
+from ..coordination.outcomes.handover import OwnershipGate
+from ..coordination.outcomes.idempotency import KeyTable
+from ..coordination.outcomes.integrity import Sends
+from ..coordination.routing.egress import Egress
 from ..protocol.outcome import Outcome
 from .scenarios import driver
 from .scenarios.driver import ScenarioExchange, World
--- a/buckthornshed/tests/test_shift.py
+++ b/buckthornshed/tests/test_shift.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornshed.coordination.shift import Placement, provider_of
+from buckthornshed.coordination.routing.shift import Placement, provider_of
 from buckthornshed.state.objects import Shift
 
 REQUESTS = [random.Random(seed).randbytes(16) for seed in range(4000)]
--- a/buckthornshed/transport/fleet.py
+++ b/buckthornshed/transport/fleet.py
@@ -11,9 +11,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..coordination.control_budget import ControlBudget
-from ..coordination.dissemination import WAKE_GAP_S, Dissemination
-from ..coordination.fleet_actions import (
+from ..coordination.knowledge.control_budget import ControlBudget
+from ..coordination.knowledge.dissemination import WAKE_GAP_S, Dissemination
+from ..coordination.knowledge.fleet_actions import (
     Action,
     Activate,
     Formats,
@@ -23,7 +23,7 @@
     Rng,
     Send,
 )
-from ..coordination.membership import Evidence, Membership
+from ..coordination.knowledge.membership import Evidence, Membership
 from ..errors import PlatformError
 from ..protocol.authentication import Authenticator
 from ..protocol.peer_codec import PeerCodec, encode_body
--- a/buckthornshed/transport/fleet_events.py
+++ b/buckthornshed/transport/fleet_events.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, TypedDict
 
-from ..coordination.membership import Evidence
+from ..coordination.knowledge.membership import Evidence
 from ..errors import PlatformError
 from ..protocol.peer_messages import NodeState, OwnerMessage
 from .peers import Delivered, Lost
--- a/buckthornshed/transport/node_process.py
+++ b/buckthornshed/transport/node_process.py
@@ -9,11 +9,11 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..coordination.fleet_actions import Activate, Report
-from ..coordination.handover import OwnerQuery, OwnerReply
+from ..coordination.knowledge.fleet_actions import Activate, Report
+from ..coordination.knowledge.node_formats import ActiveSet, node_formats
+from ..coordination.knowledge.view import View
 from ..coordination.node import NodeCore
-from ..coordination.node_formats import ActiveSet, node_formats
-from ..coordination.view import View
+from ..coordination.outcomes.handover import OwnerQuery, OwnerReply
 from ..protocol.authentication import Authenticator
 from ..protocol.wire_context import ContextCodec
 from .admin import AdminServer
