--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -192,11 +192,14 @@
         relay.tick()
 
 
-async def until(condition, *, seconds=20.0):
-    """Wait for a condition; a test that hangs ends with a clear error."""
+async def until(condition, *, ask=None, seconds=20.0):
+    """Wait for a condition; a test that hangs ends with a clear error.
+
+    `ask` returns a request to send at each look.
+    """
     async with asyncio.timeout(seconds):
         while not condition():
-            await asyncio.sleep(0.01)
+            await (asyncio.sleep(0.01) if ask is None else ask())
 
 
 async def read_response(reader):
