--- a/buckthornshed/load/plan.py
+++ b/buckthornshed/load/plan.py
@@ -1,12 +1,11 @@
 """The plan of a load run, read from TOML."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import Field
 
-from ..errors import SettingsError
+from ..toml_file import read_toml
 
 __all__ = ["ClientHabits", "Phase", "Plan", "Traffic", "Trigger", "read_plan"]
 
@@ -144,11 +143,4 @@
     SettingsError
         If the file cannot be read or a field is unknown or out of range.
     """
-    try:
-        with path.open("rb") as file:
-            content = tomllib.load(file)
-        return TypeAdapter(Plan).validate_python(content)
-    except (OSError, tomllib.TOMLDecodeError, ValidationError) as error:
-        raise SettingsError(
-            subject=str(path), found=str(error), expected="a load plan"
-        ) from error
+    return read_toml(path, Plan, expected="a load plan")
--- a/buckthornshed/standins/behaviour.py
+++ b/buckthornshed/standins/behaviour.py
@@ -1,12 +1,12 @@
 """What emulated targets do, read from TOML."""
 
-import tomllib
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, NamedTuple
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import Field
 
 from ..errors import SettingsError
+from ..toml_file import read_toml
 
 __all__ = [
     "CallBelow",
@@ -118,14 +118,7 @@
     SettingsError
         If the file cannot be read or a field is unknown or out of range.
     """
-    try:
-        with path.open("rb") as file:
-            content: dict[str, Any] = tomllib.load(file)
-        return TypeAdapter(Deployment).validate_python(content)
-    except (OSError, tomllib.TOMLDecodeError, ValidationError) as error:
-        raise SettingsError(
-            subject=str(path), found=str(error), expected="behaviour of services"
-        ) from error
+    return read_toml(path, Deployment, expected="behaviour of services")
 
 
 def find_route(
