--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -2,14 +2,11 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.admission import (
-    AdmissionController,
-    OfferedRates,
-    Precedence,
-    allocate,
-)
+from buckthornshed.coordination.relay.admission import AdmissionController
+from buckthornshed.coordination.relay.allocation import Precedence, allocate
 from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.capacity import CapacityEstimate
+from buckthornshed.coordination.relay.offered_rates import OfferedRates
 from buckthornshed.protocol.relay_messages import Status
 from buckthornshed.state.catalog import RouteDestination
 
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Mapping
 
-from ...coordination.relay.admission import AdmissionController, OfferedRates
+from ...coordination.relay.admission import AdmissionController
 from ...coordination.relay.call_graph import CallGraph
 from ...coordination.relay.concurrency_limiter import ConcurrencyLimiter
+from ...coordination.relay.offered_rates import OfferedRates
 from ...protocol.relay_messages import Status
 from ..logs import log_event
 
