Express capacity in slots and demand in slot seconds

Cause: capacity was reported as slots over a mean time of mixed calls, and demand relative to that mean. Kinds that differ by 16 in work moved both by chance. Change: targets report slots and the call time of each route; the call time of a service is the harmonic mean over its targets, weighted by slots.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -2,10 +2,10 @@
 
 A client request can need many calls of one overloaded service far downstream. If its
 last call is refused, the work of all its other calls is wasted, so overload is shed at
-the first hop. Each relay reports the request rates of its clients, the capacity of its
-target and the calls that each route makes. From these reports every relay computes the
-same admission shares: the capacity of each service goes to the requests of the highest
-priority first, and a request consumes the capacity of all the calls that it will make.
+the first hop. Each relay reports the request rates of its clients, the slots and call
+times of its target and the calls that each route makes. From these reports every relay
+computes the same admission shares: the slots of each service go to the requests of the
+highest priority first, and a request holds a slot for the time of each of its calls.
 
 No route is shut out entirely. Each keeps a fraction of the share that it would have if
 all routes were treated alike, so that retries which inflate the rate of low-priority
@@ -26,10 +26,10 @@
 from .call_graph import CallGraph
 from .fleet_load import (
     Report,
-    mean_capacities,
+    call_times,
+    mean_slots,
     offered_rates,
     rejection_rates,
-    relative_costs,
     serving_targets,
 )
 from .success_rates import SuccessRates
@@ -48,6 +48,8 @@
 """Probability of success below which a route's requests come after all others."""
 MAX_REPORT_AGE_S = 2.0
 """Age from which a report is ignored."""
+DEFAULT_CALL_TIME_S = 0.05
+"""Time per call that is assumed of a route until a target reports it."""
 MAX_CALL_DEPTH = 8
 HASH_RANGE = 2**32
 HASH_FACTOR = 2_654_435_761
@@ -56,11 +58,10 @@
 class RouteDemand(NamedTuple):
     """Demand of one request on each service, including all downstream calls.
 
-    `capacity` is in calls of the service's average cost, `calls` is the plain number
-    of calls.
+    `slot_seconds` is the time that its calls hold slots, `calls` is their number.
     """
 
-    capacity: dict[str, float]
+    slot_seconds: dict[str, float]
     calls: dict[str, float]
 
 
@@ -83,7 +84,8 @@
     def __init__(self, *, graph: CallGraph) -> None:
         self.graph = graph
         self.reports: dict[str, Report] = {}
-        self.mean_capacities: dict[str, float] = {}
+        self.mean_slots: dict[str, float] = {}
+        self.call_times: dict[tuple[str, str], float] = {}
         self.routes: dict[str, Route] = {}
         self.shares: dict[str, float] = {}
         self.saturated: frozenset[str] = frozenset()
@@ -109,8 +111,8 @@
 
         `usable` is the number of targets of each service that accept work. A relay
         without a recent report is assumed to have the mean request rate and the mean
-        capacity of those that report. A service without any report keeps its last
-        known capacity.
+        slots of those that report. A service without any report keeps its last known
+        slots and call times.
         """
         statuses = [
             r.status
@@ -118,18 +120,18 @@
             if now - r.received_at < MAX_REPORT_AGE_S
         ]
         offered = offered_rates(statuses, relays=sum(usable.values()))
-        self.mean_capacities |= mean_capacities(statuses)
+        self.mean_slots |= mean_slots(statuses)
+        self.call_times |= call_times(statuses)
         serving = serving_targets(statuses, usable)
         capacities = {
             service: mean * serving[service]
-            for service, mean in self.mean_capacities.items()
+            for service, mean in self.mean_slots.items()
             if service in serving
         }
-        costs = relative_costs(statuses)
-        route_demands = {route: self._route_demand(route, costs) for route in offered}
+        route_demands = {route: self._route_demand(route) for route in offered}
         rejections = rejection_rates(statuses)
         demands = {
-            route: demand.capacity
+            route: demand.slot_seconds
             for route, demand in route_demands.items()
             if demand.calls
         }
@@ -153,11 +155,9 @@
         self.shares = allocation.shares
         self.saturated = allocation.saturated
 
-    def _route_demand(
-        self, route: str, costs: Mapping[tuple[str, str], float]
-    ) -> RouteDemand:
+    def _route_demand(self, route: str) -> RouteDemand:
         """Return the demand of one request of a route, empty for an unknown route."""
-        capacity: dict[str, float] = defaultdict(float)
+        slot_seconds: dict[str, float] = defaultdict(float)
         calls: dict[str, float] = defaultdict(float)
         level = {route: 1.0}
         for _ in range(MAX_CALL_DEPTH):
@@ -172,15 +172,15 @@
                 for destination in known_route.destinations:
                     share = times * destination.weight / total
                     calls[destination.service] += share
-                    capacity[destination.service] += share * costs.get(
-                        (destination.service, name), 1.0
+                    slot_seconds[destination.service] += share * self.call_times.get(
+                        (destination.service, name), DEFAULT_CALL_TIME_S
                     )
                 for called, count in self.graph.calls_per_run(name).items():
                     next_level[called] += times * count
             if not next_level:
                 break
             level = next_level
-        return RouteDemand(dict(capacity), dict(calls))
+        return RouteDemand(dict(slot_seconds), dict(calls))
 
 
 def _min_fair_share_fraction(relative_success_rate: float) -> float:
--- a/buckthornshed/coordination/relay/allocation.py
+++ b/buckthornshed/coordination/relay/allocation.py
@@ -45,9 +45,9 @@
     precedence : mapping
         Precedence by route.
     demands : mapping
-        By route, the capacity that one request consumes of each service.
+        By route, the time that one request holds slots of each service, in seconds.
     capacities : mapping
-        Capacity of each service per second; a missing service is unlimited.
+        Slots of each service; a missing service is unlimited.
     min_fractions : mapping
         Minimum share of each route, as a fraction of its fair share.
     """
@@ -127,7 +127,7 @@
     rates: Mapping[str, float],
     demands: Mapping[str, Mapping[str, float]],
 ) -> dict[str, float]:
-    """Return the capacity per second that a group demands of each service."""
+    """Return the slots that a group demands of each service."""
     total: dict[str, float] = defaultdict(float)
     for route in group:
         for service, demand in demands[route].items():
--- a/buckthornshed/coordination/relay/capacity.py
+++ b/buckthornshed/coordination/relay/capacity.py
@@ -1,9 +1,8 @@
-"""Estimate of a target's capacity in calls per second.
+"""Estimate of a target's capacity in slots.
 
-The estimate is the concurrency limit divided by the mean call time, times a correction
-factor that follows from feedback: queued calls lower it, and slots that stay free while
-requests are shed raise it. The capacity shrinks by the fraction of calls that the
-target rejects.
+The estimate is the concurrency limit times a correction factor that follows from
+feedback: queued calls lower it, and slots that stay free while requests are shed raise
+it. The capacity shrinks by the fraction of calls that the target rejects.
 """
 
 __all__ = ["CapacityEstimate"]
@@ -84,11 +83,6 @@
             else 0.0
         )
 
-    def calls_per_second(self, limit: int, mean_call_time: float) -> float:
-        """Return the estimated capacity; `mean_call_time` is in seconds."""
-        return (
-            self.correction
-            * (1.0 - self.rejection_rate)
-            * limit
-            / max(mean_call_time, 1e-4)
-        )
+    def usable_slots(self, limit: int) -> float:
+        """Return the estimated number of slots that admitted calls may fill."""
+        return self.correction * (1.0 - self.rejection_rate) * limit
--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -30,6 +30,7 @@
 CALL_TIME_SMOOTHING = 0.1
 MEAN_CALL_TIME_SMOOTHING = 0.03
 DEFAULT_CALL_TIME_S = 0.05
+MIN_CALL_TIME_S = 1e-4
 QUEUE_PER_SLOT = 4
 DEFAULT_SLOTS = 8
 """Slots that are assumed until the target's registration is known."""
@@ -95,19 +96,16 @@
         return (self.running + self.queue_length) / self.limit
 
     @property
-    def calls_per_second(self) -> float:
+    def usable_slots(self) -> float:
         """Estimated capacity; 0 while draining or the circuit breaker is tripped."""
         if self.draining or self.circuit_breaker.tripped:
             return 0.0
-        return self.capacity.calls_per_second(self.limit, self.mean_call_time)
+        return self.capacity.usable_slots(self.limit)
 
     @property
-    def relative_costs(self) -> dict[str, float]:
-        """Call time of each route relative to the mean call time."""
-        return {
-            r: round(seconds / self.mean_call_time, 2)
-            for r, seconds in self.call_times.items()
-        }
+    def calls_per_second(self) -> float:
+        """Estimated capacity in calls of the current mix per second."""
+        return self.usable_slots / max(self.mean_call_time, MIN_CALL_TIME_S)
 
     def set_slots(self, slots: int) -> None:
         """Set the number of calls that the target can run concurrently."""
--- a/buckthornshed/coordination/relay/fleet_load.py
+++ b/buckthornshed/coordination/relay/fleet_load.py
@@ -8,14 +8,17 @@
 
 __all__ = [
     "Report",
-    "mean_capacities",
+    "call_times",
+    "mean_slots",
     "offered_rates",
     "rejection_rates",
-    "relative_costs",
     "serving_targets",
 ]
 
 
+MIN_CALL_TIME_S = 1e-4
+
+
 class Report(NamedTuple):
     """A relay's status and the time at which it was received, in seconds."""
 
@@ -33,15 +36,31 @@
     return {route: rate * scale for route, rate in rates.items()}
 
 
-def mean_capacities(statuses: Iterable[Status]) -> dict[str, float]:
-    """Return the mean capacity of the reporting targets of each service."""
-    capacities: dict[str, list[float]] = defaultdict(list)
+def mean_slots(statuses: Iterable[Status]) -> dict[str, float]:
+    """Return the mean of the usable slots of each service's reporting targets."""
+    slots: dict[str, list[float]] = defaultdict(list)
     for status in statuses:
-        if status.capacity > 0.0:
-            capacities[status.service].append(status.capacity)
-    return {
-        service: sum(values) / len(values) for service, values in capacities.items()
-    }
+        if status.slots > 0.0:
+            slots[status.service].append(status.slots)
+    return {service: sum(values) / len(values) for service, values in slots.items()}
+
+
+def call_times(statuses: Iterable[Status]) -> dict[tuple[str, str], float]:
+    """Return the time that a call holds a slot, in seconds, by service and route.
+
+    The slots of all targets over this time are the calls that they complete together
+    per second, so it is the harmonic mean over the targets, weighted by slots.
+    """
+    slots: dict[tuple[str, str], float] = defaultdict(float)
+    calls_per_second: dict[tuple[str, str], float] = defaultdict(float)
+    for status in statuses:
+        if status.slots <= 0.0:
+            continue
+        for route, seconds in status.call_times.items():
+            key = (status.service, route)
+            slots[key] += status.slots
+            calls_per_second[key] += status.slots / max(seconds, MIN_CALL_TIME_S)
+    return {key: slots[key] / calls_per_second[key] for key in slots}
 
 
 def serving_targets(
@@ -49,13 +68,13 @@
 ) -> dict[str, int]:
     """Return the number of targets of each service that are assumed to serve calls.
 
-    A target without a report counts. One that reports zero capacity does not, but the
+    A target without a report counts. One that reports no usable slots does not, but the
     number is at least one.
     """
     reporting: Counter[str] = Counter()
     unavailable: Counter[str] = Counter()
     for status in statuses:
-        (reporting if status.capacity > 0.0 else unavailable)[status.service] += 1
+        (reporting if status.slots > 0.0 else unavailable)[status.service] += 1
     return {
         service: max(
             reporting[service], usable.get(service, 0) - unavailable[service], 1
@@ -68,18 +87,9 @@
     """Return the mean rejection rate of the targets of each service."""
     rejection_rates: dict[str, list[float]] = defaultdict(list)
     for status in statuses:
-        if status.capacity > 0.0:
+        if status.slots > 0.0:
             rejection_rates[status.service].append(status.rejection_rate)
     return {
         service: sum(values) / len(values)
         for service, values in rejection_rates.items()
     }
-
-
-def relative_costs(statuses: Iterable[Status]) -> dict[tuple[str, str], float]:
-    """Return the mean relative cost that targets report, by service and route."""
-    costs: dict[tuple[str, str], list[float]] = defaultdict(list)
-    for status in statuses:
-        for route, cost in status.relative_costs.items():
-            costs[(status.service, route)].append(cost)
-    return {key: sum(values) / len(values) for key, values in costs.items()}
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -194,10 +194,10 @@
         Service and name of the target; `target` is empty if the name is not known.
     load : float
         As in answers.
-    capacity : float
-        Estimated capacity of the target in calls of its current mix per second.
-    relative_costs : dict
-        By route, the call time at the target relative to the target's mean call time.
+    slots : float
+        Estimated number of the target's slots that admitted calls may fill.
+    call_times : dict
+        By route, the time that a call holds a slot of the target, in seconds.
     offered : dict
         By route, new requests per second of the sender's clients.
     calls : dict or None
@@ -209,8 +209,8 @@
     service: str
     target: str
     load: float
-    capacity: float
-    relative_costs: dict[str, float]
+    slots: float
+    call_times: dict[str, float]
     offered: dict[str, float]
     calls: dict[str, dict[str, float]] | None = None
     rejection_rate: float = 0.0
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -6,11 +6,12 @@
 from buckthornshed.coordination.relay.allocation import Precedence, allocate
 from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.capacity import CapacityEstimate
+from buckthornshed.coordination.relay.concurrency_limiter import ConcurrencyLimiter
 from buckthornshed.coordination.relay.offered_rates import OfferedRates
 from buckthornshed.protocol.relay_messages import Status
 from buckthornshed.state.catalog import RouteDestination
 
-from .makers import make_catalog, make_route
+from .makers import make_call, make_catalog, make_route
 
 NOTICES = make_route("notices", rank=2, destinations=(RouteDestination("board", 1.0),))
 BOOK = make_route("book", rank=0, destinations=(RouteDestination("booking", 1.0),))
@@ -31,10 +32,16 @@
 ONE_EACH = dict.fromkeys(("board", "booking", "farrier", "stables"), 1)
 
 
-def status(service, capacity, offered=None, rejection_rate=0.0):
+CALL_TIME_S = 0.02
+
+
+def status(service, calls_per_second, offered=None, rejection_rate=0.0):
+    """Return the status of a target whose calls of all routes take `CALL_TIME_S`."""
     target = f"t-{service}"
+    slots = calls_per_second * CALL_TIME_S
+    call_times = {route.name: CALL_TIME_S for route in ROUTES}
     return Status(
-        service, target, 0.5, capacity, {}, offered or {}, None, rejection_rate
+        service, target, 0.5, slots, call_times, offered or {}, None, rejection_rate
     )
 
 
@@ -199,7 +206,7 @@
     estimator = CapacityEstimate()
     for number in range(1_000):
         estimator.record_result(rejected=number % 2 == 0)
-    assert estimator.calls_per_second(10, 0.1) == pytest.approx(50.0, rel=0.05)
+    assert estimator.usable_slots(10) == pytest.approx(5.0, rel=0.05)
 
 
 def simulate_overload(*, seconds, offered, limit=14, call_time=0.021, min_share=0.0):
@@ -215,7 +222,7 @@
     share, utilizations, queue_delays = 1.0, [], []
     while now < seconds:
         if round(now / step) % 8 == 0:
-            estimate = estimator.calls_per_second(limit, call_time)
+            estimate = estimator.usable_slots(limit) / call_time
             share = min(1.0, estimate / (offered * capacity))
         delayed.append(offered * capacity * step * max(share, min_share))
         work = backlog + delayed.pop(0)
@@ -288,7 +295,7 @@
     estimator = CapacityEstimate()
     for number in range(400):
         estimator.update(0.025 * number, running=6, limit=14, queue_delay=0.0)
-    assert estimator.calls_per_second(14, 0.02) <= 1.02 * 14 / 0.02
+    assert estimator.usable_slots(14) <= 1.02 * 14
 
 
 def test_below_capacity_nothing_waits_and_nothing_is_refused():
@@ -345,3 +352,66 @@
         graph.record_call(run, "capacity")
         graph.record_run_end(run, "roster", succeeded=True)
     assert graph.calls_per_run("roster") == {"capacity": 2.0}
+
+
+def kinds_status(target, *, slots, times, offered=None):
+    """Return a status of `farrier` with the call times of both of its routes."""
+    call_times = dict(zip(("slots", "roster"), times, strict=True))
+    return Status("farrier", target, 0.9, slots, call_times, offered or {})
+
+
+def test_admitted_load_fits_targets_that_finish_different_mixes_of_calls():
+    """Targets whose latest calls were of other routes report the same capacity.
+
+    `slots` holds a slot 16 times as long as `roster`. What a target reports may not
+    depend on which of the two it has finished last.
+    """
+    admission = AdmissionController(graph=CallGraph())
+    admission.configure(make_catalog(routes=ROUTES))
+    offered = {"slots": 30.0, "roster": 400.0}
+    admission.report(
+        0.0, "i-1", kinds_status("t-1", slots=20.0, times=(0.8, 0.05), offered=offered)
+    )
+    admission.report(0.0, "i-2", kinds_status("t-2", slots=20.0, times=(0.8, 0.05)))
+    admission.update_shares(0.1, {"farrier": 2})
+    used = sum(
+        offered[route] * admission.shares[route] * seconds
+        for route, seconds in (("slots", 0.8), ("roster", 0.05))
+    )
+    assert used == pytest.approx(40.0)
+
+
+def test_a_slow_target_counts_with_the_calls_that_it_can_complete():
+    admission = AdmissionController(graph=CallGraph())
+    admission.configure(make_catalog(routes=ROUTES))
+    offered = {"slots": 400.0}
+    for number, seconds in enumerate((0.1, 0.1, 1.0)):
+        admission.report(
+            0.0,
+            f"i-{number}",
+            kinds_status(
+                f"t-{number}",
+                slots=10.0,
+                times=(seconds, seconds),
+                offered={"slots": 400.0 / 3},
+            ),
+        )
+    admission.update_shares(0.1, {"farrier": 3})
+    completed = 10.0 / 0.1 + 10.0 / 0.1 + 10.0 / 1.0
+    assert offered["slots"] * admission.shares["slots"] == pytest.approx(completed)
+
+
+def test_the_mix_of_finished_calls_does_not_change_the_reported_slots():
+    """A run of long calls must not look like a loss of capacity."""
+    limiter = ConcurrencyLimiter()
+    limiter.set_slots(20)
+    reported = []
+    for number in range(200):
+        now = float(number)
+        long = number >= 100
+        call = make_call(number, now=now, route="slots" if long else "roster")
+        limiter.submit(now, call)
+        limiter.finish(now + (0.8 if long else 0.05), number, succeeded=True)
+        reported.append(limiter.usable_slots)
+    assert max(reported) == min(reported)
+    assert limiter.call_times == pytest.approx({"slots": 0.8, "roster": 0.05})
