Count calls that have not ended in call times

Cause: only calls that succeed were measured. A target that turns so slow that its calls end at their timeout kept the call time from before and went on attracting calls. Change: calls that run or were cancelled count from when they exceed the mean; statuses carry the times, so that a relay knows them before its own first answer. A target that reported none counts with the mean of the others.

--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
+from .call_times import CallTimes, RunningCall
 from .capacity import CapacityEstimate
 from .circuit_breaker import CircuitBreaker
 from .stall_detector import StallDetector
@@ -27,9 +28,6 @@
 
 USABLE_SLOT_FRACTION = 0.94
 """Fraction of the target's slots that is used."""
-CALL_TIME_SMOOTHING = 0.1
-MEAN_CALL_TIME_SMOOTHING = 0.03
-DEFAULT_CALL_TIME_S = 0.05
 MIN_CALL_TIME_S = 1e-4
 QUEUE_PER_SLOT = 4
 DEFAULT_SLOTS = 8
@@ -84,8 +82,7 @@
         self.queue: list[tuple[int, float, int, LimiterCall]] = []
         self.queue_length = 0
         self.arrivals = 0
-        self.call_times: dict[str, float] = {}
-        self.mean_call_time = DEFAULT_CALL_TIME_S
+        self.call_times = CallTimes()
         self.capacity = CapacityEstimate()
         self.stall_detector = StallDetector()
         self.circuit_breaker = CircuitBreaker()
@@ -105,20 +102,24 @@
     @property
     def calls_per_second(self) -> float:
         """Estimated capacity in calls of the current mix per second."""
-        return self.usable_slots / max(self.mean_call_time, MIN_CALL_TIME_S)
+        return self.usable_slots / max(self.call_times.mean, MIN_CALL_TIME_S)
 
     def set_slots(self, slots: int) -> None:
         """Set the number of calls that the target can run concurrently."""
         self.slots = slots
         self.limit = max(1, int(slots * USABLE_SLOT_FRACTION))
 
-    def call_time(self, route: str) -> float:
-        """Return the smoothed call time of a route, in seconds."""
-        return self.call_times.get(route, self.mean_call_time)
+    def call_time_estimates(self, now: float) -> dict[str, float]:
+        """Return the call times by route in seconds, including running calls."""
+        return self.call_times.estimates(
+            RunningCall(call.message.route, now - call.started)
+            for call in self.calls.values()
+            if call.started is not None
+        )
 
     def retry_after(self) -> float:
         """Return the seconds after which a slot should be free."""
-        backlog = self.queue_length * self.mean_call_time / self.limit
+        backlog = self.queue_length * self.call_times.mean / self.limit
         return min(MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S + backlog)
 
     def submit(self, now: float, call: LimiterCall) -> list[LimiterAction]:
@@ -162,7 +163,7 @@
             self.stall_detector.record_activity(now)
         if succeeded:
             self.circuit_breaker.record_success()
-            self._record_call_time(call.message.route, now - call.started)
+            self.call_times.record(call.message.route, now - call.started)
         if connection_failed:
             self.circuit_breaker.record_failure(now, started=call.started)
             if self.circuit_breaker.tripped:
@@ -175,6 +176,7 @@
         if call is None:
             return False, []
         if call.started is not None:
+            self.call_times.record_unfinished(call.message.route, now - call.started)
             return True, self.finish(now, key, succeeded=False, answered=False)
         del self.calls[key]
         call.removed = True
@@ -183,7 +185,7 @@
 
     def tick(self, now: float) -> list[LimiterAction]:
         """Refuse queued calls that will miss their deadline; update the capacity."""
-        queue_delay = self.queue_length * self.mean_call_time / self.limit
+        queue_delay = self.queue_length * self.call_times.mean / self.limit
         self.capacity.update(
             now, running=self.running, limit=self.limit, queue_delay=queue_delay
         )
@@ -191,7 +193,10 @@
         for entry in self.queue:
             call = entry[3]
             time_left = call.deadline - now
-            if not call.removed and time_left < self.call_time(call.message.route) / 2:
+            if (
+                not call.removed
+                and time_left < self.call_times.of(call.message.route) / 2
+            ):
                 actions.append(self._refuse(call, RefusalReason.EXPIRED))
         return [*actions, *self._check_stalled(now), *self._start_queued(now)]
 
@@ -201,7 +206,9 @@
         Running calls keep their deadlines, as the target may be working on them.
         """
         running = [call for call in self.calls.values() if call.started is not None]
-        call_times = [self.call_times.get(call.message.route) for call in running]
+        call_times = [
+            self.call_times.by_route.get(call.message.route) for call in running
+        ]
         known_times = [seconds for seconds in call_times if seconds is not None]
         if not known_times or len(known_times) < len(call_times):
             return []
@@ -266,13 +273,6 @@
         ahead = sum(
             1 for entry in self.queue if entry[0] <= rank and not entry[3].removed
         )
-        queue_delay = (ahead + 1) * self.mean_call_time / self.limit
-        call_time = self.call_time(call.message.route)
+        queue_delay = (ahead + 1) * self.call_times.mean / self.limit
+        call_time = self.call_times.of(call.message.route)
         return now + queue_delay + call_time <= call.deadline
-
-    def _record_call_time(self, route: str, seconds: float) -> None:
-        self.mean_call_time += MEAN_CALL_TIME_SMOOTHING * (
-            seconds - self.mean_call_time
-        )
-        previous = self.call_times.get(route, seconds)
-        self.call_times[route] = previous + CALL_TIME_SMOOTHING * (seconds - previous)
--- a/buckthornshed/coordination/relay/load_balancer.py
+++ b/buckthornshed/coordination/relay/load_balancer.py
@@ -18,7 +18,7 @@
 __all__ = ["Availability", "LoadBalancer", "TargetRecord"]
 
 DEFAULT_CALL_TIME_S = 0.05
-"""Call time that is assumed before the first report."""
+"""Call time that is assumed while no target has reported one."""
 CROSS_DOMAIN_FACTOR = 1.3
 """Factor on the expected time of a call to another failure domain."""
 FAILURE_RATE_FACTOR = 6.0
@@ -74,9 +74,14 @@
         half_lives = (now - self.outcome_at) / FAILURE_RATE_HALF_LIFE_S
         return self.failure_rate * math.pow(0.5, half_lives)
 
-    def expected_time(self, now: float, route: str, own_domain: str) -> float:
-        """Return the expected time of a call in seconds, with penalties."""
-        call_time = self.call_times.get(route, DEFAULT_CALL_TIME_S)
+    def expected_time(
+        self, now: float, route: str, own_domain: str, default_call_time: float
+    ) -> float:
+        """Return the expected time of a call in seconds, with penalties.
+
+        `default_call_time` is the call time of a target that has not reported one.
+        """
+        call_time = self.call_times.get(route, default_call_time)
         load = self.load_at(now)
         queue_delay = max(0.0, load - 1.0) * call_time
         seconds = call_time * (1.0 + load * load) + queue_delay
@@ -134,9 +139,12 @@
         sampled = self._sample(local, 1 if remote else 2) + self._sample(
             remote, 1 if local else 2
         )
+        default = _mean_call_time(records, route.name)
         return min(
             sampled,
-            key=lambda each: each.expected_time(now, route.name, self.failure_domain),
+            key=lambda each: each.expected_time(
+                now, route.name, self.failure_domain, default
+            ),
         )
 
     def _sample(self, records: list[TargetRecord], count: int) -> list[TargetRecord]:
@@ -170,3 +178,9 @@
     def eject(self, now: float, record: TargetRecord) -> None:
         """Eject a target from load balancing for `EJECTION_S`."""
         record.ejected_until = now + EJECTION_S
+
+
+def _mean_call_time(records: list[TargetRecord], route: str) -> float:
+    """Return the mean of the reported call times of a route, in seconds."""
+    reported = [r.call_times[route] for r in records if route in r.call_times]
+    return sum(reported) / len(reported) if reported else DEFAULT_CALL_TIME_S
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -414,4 +414,4 @@
         limiter.finish(now + (0.8 if long else 0.05), number, succeeded=True)
         reported.append(limiter.usable_slots)
     assert max(reported) == min(reported)
-    assert limiter.call_times == pytest.approx({"slots": 0.8, "roster": 0.05})
+    assert limiter.call_times.by_route == pytest.approx({"slots": 0.8, "roster": 0.05})
--- a/buckthornshed/tests/relay/test_concurrency_limiter.py
+++ b/buckthornshed/tests/relay/test_concurrency_limiter.py
@@ -98,7 +98,7 @@
 def stalled_limiter(*, call_time=0.05):
     limiter = limiter_with(10)
     if call_time is not None:
-        limiter.call_times["avail"] = call_time
+        limiter.call_times.by_route["avail"] = call_time
     for key in range(4):
         limiter.submit(0.0, make_call(key, time_left=5.0))
     return limiter
@@ -143,7 +143,7 @@
 
 def test_a_slow_target_is_not_stalled():
     limiter = limiter_with(10)
-    limiter.call_times["avail"] = 0.3
+    limiter.call_times.by_route["avail"] = 0.3
     now = 0.0
     for key in range(20):
         limiter.submit(now, make_call(key, now=now, time_left=5.0))
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -320,13 +320,13 @@
             local_target = relay.local_target
             runs, call_times = (
                 local_target.graph.runs["avail"],
-                dict(local_target.limiter.call_times),
+                dict(local_target.limiter.call_times.by_route),
             )
             target.scripts = ["error"] * 5
             for _ in range(5):
                 assert (await fleet.ask(relay)).status == 500
             assert local_target.graph.runs["avail"] == runs == 5.0
-            assert local_target.limiter.call_times == call_times
+            assert local_target.limiter.call_times.by_route == call_times
 
     run(scenario())
 
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -224,7 +224,7 @@
         )
         if isinstance(outcome, AnswerMessage):
             outcome.load = self.limiter.load
-            outcome.call_time = self.limiter.call_time(call.message.route)
+            outcome.call_time = self.limiter.call_times.of(call.message.route)
         else:
             outcome.load = self.limiter.load
         self._deliver(call, outcome)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -360,6 +360,7 @@
         if target is not None:
             record = self.load_balancer.record(target)
             self.load_balancer.record_load(now, record, status.load)
+            record.call_times |= status.call_times
         self.statuses.receive(now, session.name, status)
 
     def update_settings(self, settings: RelaySettings) -> None:
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -85,7 +85,10 @@
             target=target,
             load=round(limiter.load, 2),
             slots=round(limiter.usable_slots, 1),
-            call_times={r: round(s, 4) for r, s in limiter.call_times.items()},
+            call_times={
+                route: round(seconds, 4)
+                for route, seconds in limiter.call_time_estimates(now).items()
+            },
             offered={r: round(v, 1) for r, v in self.offered.update(now).items()},
             calls=calls,
             rejection_rate=round(limiter.capacity.rejection_rate, 2),
@@ -137,5 +140,5 @@
             rejecting=round(limiter.capacity.rejection_rate, 2),
             running=limiter.running,
             waiting=limiter.queue_length,
-            mean_ms=round(limiter.mean_call_time * 1e3, 1),
+            mean_ms=round(limiter.call_times.mean * 1e3, 1),
         )
