Retry idempotent requests that a target failed

Change: such a request is sent once more, within the route's attempts and the retry limit, with time for another call left, and while nothing is shed.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -106,6 +106,10 @@
         share = self.shares.get(route.name, 1.0)
         return share >= 1.0 or _hash(request_id) < share * HASH_RANGE
 
+    def sheds(self, route: str, service: str) -> bool:
+        """Return whether requests of a route, or others for a service, are shed."""
+        return service in self.saturated or self.shares.get(route, 1.0) < 1.0
+
     def update_shares(self, now: float, usable: Mapping[str, int]) -> None:
         """Compute the admission shares from the recent reports.
 
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -162,6 +162,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
     tried_targets: set[str] = field(default_factory=set)
+    failed_answer: AnswerMessage | None = None
+    """Answer of a target that failed the request, delivered if no retry succeeds."""
 
 
 class Dispatcher:
@@ -248,9 +250,14 @@
             now, record, failed=answer.status >= FAILED_STATUS
         )
         record.call_times[pending.request.route.name] = answer.call_time
+        if answer.status >= FAILED_STATUS and self._retries_answer(
+            now, pending, answer
+        ):
+            pending.may_have_run = True
+            pending.failed_answer = answer
+            return self._send(now, pending)
         del self.pending[pending.token]
-        attempts = tuple(pending.attempts)
-        return [DeliverAnswer(pending.token, pending.request, answer, attempts)]
+        return [self._deliver(pending, answer)]
 
     def handle_refusal(
         self, now: float, refusal: RefusalMessage
@@ -294,7 +301,9 @@
                 self._detach(pending)
                 pending.may_have_run = True
                 actions.append(CancelCall(target, exchange))
-            actions.append(self._fail(pending, RefusalReason.TIMED_OUT))
+            actions.append(
+                self._give_up(pending, RefusalReason.TIMED_OUT, NO_TARGET_RETRY_AFTER_S)
+            )
         return actions
 
     def _retry_or_fail(
@@ -316,7 +325,38 @@
         ):
             return self._send(now, pending)
         del self.pending[pending.token]
-        return [self._fail(pending, reason, retry_after)]
+        return [self._give_up(pending, reason, retry_after)]
+
+    def _retries_answer(
+        self, now: float, pending: PendingRequest, answer: AnswerMessage
+    ) -> bool:
+        """Return whether a request that a target failed is sent to another one.
+
+        It needs the time of another call. While requests are shed, its capacity would
+        be missing for requests that have not run yet.
+        """
+        route = pending.request.route
+        shed = self.admission.sheds(route.name, pending.service)
+        return (
+            route.idempotent
+            and not shed
+            and len(pending.tried_targets) < route.attempts
+            and pending.request.deadline - now > answer.call_time
+            and bool(self._candidates(pending))
+            and self.budget.spend(pending.service)
+        )
+
+    def _deliver(self, pending: PendingRequest, answer: AnswerMessage) -> DeliverAnswer:
+        attempts = tuple(pending.attempts)
+        return DeliverAnswer(pending.token, pending.request, answer, attempts)
+
+    def _give_up(
+        self, pending: PendingRequest, reason: RefusalReason, retry_after: float
+    ) -> DeliverAnswer | FailRequest:
+        """End a request with the answer of a target that failed it, if there is one."""
+        if pending.failed_answer is not None:
+            return self._deliver(pending, pending.failed_answer)
+        return self._fail(pending, reason, retry_after)
 
     def _max_attempts(self, route: Route, reason: RefusalReason) -> int:
         """Return the allowed attempts; one more after a refusal by a relay."""
@@ -342,7 +382,9 @@
         if record is None:
             self.pending.pop(pending.token, None)
             return [
-                self._fail(pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
+                self._give_up(
+                    pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_AFTER_S
+                )
             ]
         exchange = self.next_exchange
         self.next_exchange += 1
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -142,3 +142,65 @@
     ends = dispatcher.handle_connection_loss(0.1, lost)
     assert len(ends) == len(lost)
     assert all(isinstance(end, FailRequest) and end.may_have_run for end in ends)
+
+
+def test_an_idempotent_request_that_a_target_failed_is_sent_to_another():
+    dispatcher = make_dispatcher(TWO)
+    (send,) = dispatcher.submit(0.0, 1, make_request())
+    (retry,) = dispatcher.handle_answer(0.1, answer(send, status=500))
+    assert isinstance(retry, SendCall) and retry.message.is_retry
+    assert retry.target.name != send.target.name
+    (end,) = dispatcher.handle_answer(0.2, answer(retry))
+    assert isinstance(end, DeliverAnswer) and end.answer.status == 200
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [make_request(idempotent=False), make_request(attempts=1), make_request(0.0, 0.12)],
+    ids=["not idempotent", "no attempt left", "too little time left"],
+)
+def test_a_failed_answer_is_delivered_if_a_retry_is_unsafe_or_hopeless(request_):
+    dispatcher = make_dispatcher(TWO)
+    (send,) = dispatcher.submit(0.0, 1, request_)
+    (end,) = dispatcher.handle_answer(0.1, answer(send, status=500))
+    assert isinstance(end, DeliverAnswer) and end.answer.status == 500
+
+
+def test_a_failed_answer_is_not_retried_while_requests_are_shed():
+    dispatcher = make_dispatcher(TWO)
+    dispatcher.admission.saturated = frozenset({"stalls"})
+    (send,) = dispatcher.submit(0.0, 1, make_request())
+    (end,) = dispatcher.handle_answer(0.1, answer(send, status=500))
+    assert isinstance(end, DeliverAnswer) and end.answer.status == 500
+
+
+def test_retries_of_failed_answers_stay_within_the_budget():
+    limits = RetryLimits(ratio=0.2, window=10.0, slack=10.0)
+    dispatcher = make_dispatcher(TWO, limits=limits)
+    retries = 0
+    for token in range(1_000):
+        (send,) = dispatcher.submit(0.0, token, make_request())
+        (action,) = dispatcher.handle_answer(0.1, answer(send, status=500))
+        retries += isinstance(action, SendCall)
+        dispatcher.client_disconnected(0.2, token)
+    assert 100 <= retries <= 0.2 * 1_000 + 10.0
+
+
+@pytest.mark.parametrize(
+    "reason", [RefusalReason.LOST, RefusalReason.TARGET_FULL, RefusalReason.TIMED_OUT]
+)
+def test_the_answer_of_a_failed_run_is_delivered_if_its_retry_gets_none(reason):
+    dispatcher = make_dispatcher(TWO)
+    (send,) = dispatcher.submit(0.0, 1, make_request())
+    (retry,) = dispatcher.handle_answer(0.1, answer(send, status=500))
+    (end,) = dispatcher.handle_refusal(0.2, refusal(retry, reason))
+    assert isinstance(end, DeliverAnswer) and end.answer.status == 500
+
+
+def test_the_answer_of_a_failed_run_is_delivered_when_its_retry_times_out():
+    dispatcher = make_dispatcher(TWO)
+    (send,) = dispatcher.submit(0.0, 1, make_request(time_left=0.5))
+    dispatcher.handle_answer(0.1, answer(send, status=500))
+    cancel, end = dispatcher.tick(0.6)
+    assert isinstance(cancel, CancelCall)
+    assert isinstance(end, DeliverAnswer) and end.answer.status == 500
