Refuse requests that need an unreachable service at the first hop

Cause: a failure domain that is cut off without a target of some service went on admitting requests whose last call found nobody: 500 after their work, which clients may not repeat. Change: targets whose link is down do not count; a route of which every request needs an unreachable service is refused as not run, with a Retry-After of the outage's age.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -20,7 +20,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ...protocol.relay_messages import Status
+from ...protocol.relay_messages import RefusalReason, Status
 from ...state.catalog import Catalog, Route
 from .allocation import Precedence, allocate
 from .call_graph import CallGraph
@@ -32,6 +32,7 @@
     rejection_rates,
     serving_targets,
 )
+from .outages import Outages
 from .success_rates import SuccessRates
 
 __all__ = ["AdmissionController"]
@@ -50,7 +51,11 @@
 """Age from which a report is ignored."""
 DEFAULT_CALL_TIME_S = 0.05
 """Time per call that is assumed of a route until a target reports it."""
+ALWAYS_NEEDED_CALLS = 0.99
+"""Mean calls of a service from which all requests of a route need it."""
 MAX_CALL_DEPTH = 8
+NOT_ADMITTED_RETRY_FRACTION = 0.35
+"""Retry-After of a request that is shed, as a fraction of the objective."""
 HASH_RANGE = 2**32
 HASH_FACTOR = 2_654_435_761
 
@@ -65,6 +70,13 @@
     calls: dict[str, float]
 
 
+class Rejection(NamedTuple):
+    """A client request that is not admitted; `retry_after` is in seconds."""
+
+    reason: RefusalReason
+    retry_after: float
+
+
 class AdmissionController:
     """Decides at the first hop which client requests are admitted.
 
@@ -79,6 +91,10 @@
         Fraction of each route's requests that is admitted; 1 for missing routes.
     saturated : frozenset of str
         Services whose capacity the admitted requests use up.
+    outages : Outages
+        Services that cannot be reached.
+    blocked_routes : dict
+        By route, a service that all its requests need and that cannot be reached.
     """
 
     def __init__(self, *, graph: CallGraph) -> None:
@@ -89,6 +105,8 @@
         self.routes: dict[str, Route] = {}
         self.shares: dict[str, float] = {}
         self.saturated: frozenset[str] = frozenset()
+        self.outages = Outages()
+        self.blocked_routes: dict[str, str] = {}
         self.success_rates = SuccessRates()
 
     def configure(self, catalog: Catalog) -> None:
@@ -101,8 +119,19 @@
         """Store the latest status of the relay on an instance."""
         self.reports[instance] = Report(status, now)
 
+    def reject(self, now: float, route: Route, request_id: bytes) -> Rejection | None:
+        """Return why a new client request is not admitted, or None if it is."""
+        unreachable = self.blocked_routes.get(route.name)
+        if unreachable is not None:
+            retry_after = self.outages.retry_after(now, unreachable, route.objective)
+            return Rejection(RefusalReason.UNREACHABLE, retry_after)
+        if self.admits(route, request_id):
+            return None
+        retry_after = route.objective * NOT_ADMITTED_RETRY_FRACTION
+        return Rejection(RefusalReason.NOT_ADMITTED, retry_after)
+
     def admits(self, route: Route, request_id: bytes) -> bool:
-        """Return whether a new client request of a route is admitted."""
+        """Return whether the admission share of a route admits a request."""
         share = self.shares.get(route.name, 1.0)
         return share >= 1.0 or _hash(request_id) < share * HASH_RANGE
 
@@ -110,18 +139,24 @@
         """Return whether requests of a route, or others for a service, are shed."""
         return service in self.saturated or self.shares.get(route, 1.0) < 1.0
 
-    def update_shares(self, now: float, usable: Mapping[str, int]) -> None:
+    def update_shares(
+        self,
+        now: float,
+        usable: Mapping[str, int],
+        unreachable: frozenset[str] = frozenset(),
+    ) -> None:
         """Compute the admission shares from the recent reports.
 
-        `usable` is the number of targets of each service that accept work. A relay
-        without a recent report is assumed to have the mean request rate and the mean
-        slots of those that report. A service without any report keeps its last known
-        slots and call times.
+        `usable` is the number of targets of each service that accept work and can be
+        reached, `unreachable` the names of those that cannot. A relay without a recent
+        report is assumed to have the mean request rate and the mean slots of those that
+        report. A service without any report keeps its last known slots and call times.
         """
         statuses = [
             r.status
             for r in self.reports.values()
             if now - r.received_at < MAX_REPORT_AGE_S
+            and r.status.target not in unreachable
         ]
         offered = offered_rates(statuses, relays=sum(usable.values()))
         self.mean_slots |= mean_slots(statuses)
@@ -132,12 +167,14 @@
             for service, mean in self.mean_slots.items()
             if service in serving
         }
-        route_demands = {route: self._route_demand(route) for route in offered}
+        self.outages.update(now, (s for s in self.mean_slots if not usable.get(s)))
+        route_demands = {route: self._route_demand(route) for route in self.routes}
+        self.blocked_routes = self._find_blocked_routes(route_demands)
         rejections = rejection_rates(statuses)
         demands = {
             route: demand.slot_seconds
             for route, demand in route_demands.items()
-            if demand.calls
+            if route in offered and route not in self.blocked_routes
         }
         rates = {route: offered[route] for route in demands}
         precedence = {
@@ -159,6 +196,20 @@
         self.shares = allocation.shares
         self.saturated = allocation.saturated
 
+    def _find_blocked_routes(
+        self, route_demands: Mapping[str, RouteDemand]
+    ) -> dict[str, str]:
+        """Return the routes of which every request needs an unreachable service.
+
+        A route that is split over several services is not blocked by one of them.
+        """
+        return {
+            route: service
+            for route, demand in route_demands.items()
+            for service in self.outages.started
+            if demand.calls.get(service, 0.0) >= ALWAYS_NEEDED_CALLS
+        }
+
     def _route_demand(self, route: str) -> RouteDemand:
         """Return the demand of one request of a route, empty for an unknown route."""
         slot_seconds: dict[str, float] = defaultdict(float)
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -42,8 +42,6 @@
 """Time to the deadline below which a request is not retried."""
 RETRY_JITTER = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
-NOT_ADMITTED_RETRY_FRACTION = 0.35
-"""Retry-After of a request that is not admitted, as a fraction of the objective."""
 
 FREE_RETRY_REASONS = frozenset(
     {
@@ -221,11 +219,10 @@
             self.budget.record_request(pending.service)
         if request.deadline <= now:
             return [self._fail(pending, RefusalReason.EXPIRED)]
-        if not request.nested and not self.admission.admits(
-            request.route, request.request_id
-        ):
-            retry_after = request.route.objective * NOT_ADMITTED_RETRY_FRACTION
-            return [self._fail(pending, RefusalReason.NOT_ADMITTED, retry_after)]
+        if not request.nested:
+            rejection = self.admission.reject(now, request.route, request.request_id)
+            if rejection is not None:
+                return [self._fail(pending, rejection.reason, rejection.retry_after)]
         self.pending[token] = pending
         return self._send(now, pending)
 
--- a/buckthornshed/coordination/relay/fleet_load.py
+++ b/buckthornshed/coordination/relay/fleet_load.py
@@ -69,7 +69,7 @@
     """Return the number of targets of each service that are assumed to serve calls.
 
     A target without a report counts. One that reports no usable slots does not, but the
-    number is at least one.
+    number is at least one if any target can be reached.
     """
     reporting: Counter[str] = Counter()
     unavailable: Counter[str] = Counter()
@@ -77,7 +77,9 @@
         (reporting if status.slots > 0.0 else unavailable)[status.service] += 1
     return {
         service: max(
-            reporting[service], usable.get(service, 0) - unavailable[service], 1
+            reporting[service],
+            usable.get(service, 0) - unavailable[service],
+            min(1, usable.get(service, 0)),
         )
         for service in usable.keys() | reporting.keys()
     }
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -347,11 +347,19 @@
 
     def _broadcast_status(self, now: float) -> None:
         target = self.local_target.registration
-        usable_targets = self.fleet_view.usable
+        unreachable = frozenset(
+            each.name
+            for each in self.fleet_view.targets.values()
+            if self._availability(each) is Availability.DOWN
+        )
         self.statuses.report(
             now,
             "" if target is None else target.name,
-            {service: len(usable) for service, usable in usable_targets.items()},
+            {
+                service: sum(each.name not in unreachable for each in usable)
+                for service, usable in self.fleet_view.usable.items()
+            },
+            unreachable,
         )
 
     def _handle_status(self, session: PeerSession, status: Status) -> None:
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -65,7 +65,13 @@
         self.logged_shares: dict[str, float] = {}
         self.report_count = 0
 
-    def report(self, now: float, target: str, usable: Mapping[str, int]) -> None:
+    def report(
+        self,
+        now: float,
+        target: str,
+        usable: Mapping[str, int],
+        unreachable: frozenset[str],
+    ) -> None:
         """Compute the local status, update the admission shares, broadcast if due.
 
         Parameters
@@ -75,7 +81,9 @@
         target : str
             Name of the local target, empty if it is not known.
         usable : mapping
-            Number of targets of each service that accept work.
+            Number of targets of each service that accept work and can be reached.
+        unreachable : frozenset of str
+            Names of the targets that cannot be reached.
         """
         self.report_count += 1
         calls = self._changed_calls()
@@ -94,7 +102,7 @@
             rejection_rate=round(limiter.capacity.rejection_rate, 2),
         )
         self.admission.report(now, self.instance, status)
-        self.admission.update_shares(now, usable)
+        self.admission.update_shares(now, usable, unreachable)
         limiter.capacity.shedding = self.service in self.admission.saturated
         self._log_shares()
         periodic_due = self.report_count % UNLOADED_BROADCAST_INTERVAL == 0
