--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -19,6 +19,15 @@
 )
 from ...state.catalog import Route, Target
 from .admission import AdmissionController
+from .dispatch_messages import (
+    Attempt,
+    CancelCall,
+    DeliverAnswer,
+    DispatchAction,
+    FailRequest,
+    RoutedRequest,
+    SendCall,
+)
 from .fleet_view import FleetView
 from .load_balancer import Availability, LoadBalancer, TargetRecord
 from .retry_budget import RetryBudget
@@ -27,15 +36,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = [
-    "Attempt",
-    "CancelCall",
-    "DeliverAnswer",
-    "Dispatcher",
-    "FailRequest",
-    "RoutedRequest",
-    "SendCall",
-]
+__all__ = ["Dispatcher"]
 
 TIMEOUT_MARGIN_S = 0.02
 """Time after its deadline for which a request still waits for an answer."""
@@ -53,9 +54,6 @@
 )
 """Refusals by relays: no target received the call, so a retry costs no budget."""
 
-FAILED_STATUS = 500
-"""Lowest status of an answer that counts as a failure of the target."""
-
 TARGET_FAILURE_REASONS = frozenset({RefusalReason.TARGET_FULL, RefusalReason.LOST})
 """Refusals that count as failures of the target."""
 
@@ -73,85 +71,6 @@
 """Refusals after which a target is ejected from load balancing for a while."""
 
 
-class RoutedRequest(NamedTuple):
-    """A client's request with the route that it matched.
-
-    `head` is the request's head as sent to the target, without its final empty line;
-    `arrived` and `deadline` are in seconds of the monotonic clock. `rank` is the rank
-    of the client request that started the call chain. `nested` is true if a target made
-    the request while it ran another one, `is_retry` if an upstream run is a retry.
-    `calls_left` is the number of calls to the same route, with this one, that the
-    upstream run still has to make.
-    """
-
-    route: Route
-    request_id: bytes
-    head: bytes
-    body: bytes
-    arrived: float
-    deadline: float
-    rank: int
-    nested: bool = False
-    is_retry: bool = False
-    calls_left: float = 1.0
-
-
-class SendCall(NamedTuple):
-    """Send a call to the relay beside a target."""
-
-    target: Target
-    message: CallMessage
-
-
-class CancelCall(NamedTuple):
-    """Tell the relay beside a target that an answer is no longer needed."""
-
-    target: Target
-    exchange: int
-
-
-class Attempt(NamedTuple):
-    """One attempt of a request and the load that its target was chosen by.
-
-    `sent_at` is the time of the attempt and `load_age` the age of the target's `load`
-    report, in seconds. `reason` is the reason of a refusal; None if an answer came or
-    is awaited.
-    """
-
-    target: Target
-    sent_at: float
-    load: float
-    load_age: float
-    reason: RefusalReason | None = None
-
-
-class DeliverAnswer(NamedTuple):
-    """Deliver a target's answer to the client."""
-
-    token: int
-    request: RoutedRequest
-    answer: AnswerMessage
-    attempts: tuple[Attempt, ...]
-
-
-class FailRequest(NamedTuple):
-    """End a request with an answer of the relay itself.
-
-    `reason` is the reason of the last refusal. `may_have_run` covers all attempts.
-    `retry_after` is in seconds.
-    """
-
-    token: int
-    request: RoutedRequest
-    reason: RefusalReason
-    may_have_run: bool
-    retry_after: float
-    attempts: tuple[Attempt, ...]
-
-
-DispatchAction = SendCall | CancelCall | DeliverAnswer | FailRequest
-
-
 @dataclass(slots=True, kw_only=True)
 class PendingRequest:
     """A request without a final answer."""
@@ -248,13 +167,9 @@
             return []
         record = self._detach(pending)
         self.load_balancer.record_load(now, record, answer.load)
-        self.load_balancer.record_outcome(
-            now, record, failed=answer.status >= FAILED_STATUS
-        )
+        self.load_balancer.record_outcome(now, record, failed=answer.failed)
         record.call_times[pending.request.route.name] = answer.call_time
-        if answer.status >= FAILED_STATUS and self._retries_answer(
-            now, pending, answer
-        ):
+        if answer.failed and self._retries_answer(now, pending, answer):
             pending.may_have_run = True
             pending.failed_answer = answer
             return self._send(now, pending)
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -42,6 +42,8 @@
 The small window suffices, because the heads of calls repeat within a few calls.
 """
 MAX_FRAME_BYTES = 80 * 1024 * 1024
+FAILED_STATUS = 500
+"""Lowest status of an answer that counts as a failure of the target."""
 
 
 class HeaderNames(NamedTuple):
@@ -149,6 +151,11 @@
     load: float
     call_time: float
 
+    @property
+    def failed(self) -> bool:
+        """Whether the target failed to serve the request."""
+        return self.status >= FAILED_STATUS
+
 
 class RefusalMessage(msgspec.Struct, array_like=True, tag=3):
     """The end of a call without an answer of the target.
--- a/buckthornshed/tests/properties/test_relay_machine.py
+++ b/buckthornshed/tests/properties/test_relay_machine.py
@@ -25,7 +25,7 @@
     LimiterCall,
     StartCall,
 )
-from buckthornshed.coordination.relay.dispatcher import (
+from buckthornshed.coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
     FailRequest,
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -5,7 +5,8 @@
 from buckthornshed.coordination.relay.admission import AdmissionController
 from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.concurrency_limiter import LimiterCall
-from buckthornshed.coordination.relay.dispatcher import Dispatcher, RoutedRequest
+from buckthornshed.coordination.relay.dispatch_messages import RoutedRequest
+from buckthornshed.coordination.relay.dispatcher import Dispatcher
 from buckthornshed.coordination.relay.fleet_view import FleetView
 from buckthornshed.coordination.relay.load_balancer import Availability, LoadBalancer
 from buckthornshed.coordination.relay.retry_budget import RetryBudget
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.dispatcher import (
+from buckthornshed.coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
     FailRequest,
--- a/buckthornshed/transport/relay/access_log.py
+++ b/buckthornshed/transport/relay/access_log.py
@@ -9,7 +9,7 @@
 import zlib
 from typing import Any
 
-from ...coordination.relay.dispatcher import (
+from ...coordination.relay.dispatch_messages import (
     Attempt,
     DeliverAnswer,
     FailRequest,
@@ -23,7 +23,6 @@
 
 SUCCESS_SAMPLING_INTERVAL = 32
 """One of this many call chains has its successes logged."""
-FAILED_STATUS = 500
 
 
 class AccessLog:
@@ -42,7 +41,7 @@
         """Log and count a request that got a target's answer."""
         request, status = action.request, action.answer.status
         seconds = now - request.arrived
-        failed = status >= FAILED_STATUS
+        failed = action.answer.failed
         outcome = "target_failed" if failed else "answered"
         num_attempts = len(action.attempts)
         self.counts.record_request(request.route.name, outcome, seconds, num_attempts)
@@ -86,7 +85,7 @@
     ) -> None:
         """Log and count the end of a call for the local target."""
         if isinstance(outcome, AnswerMessage):
-            result, failed = str(outcome.status), outcome.status >= FAILED_STATUS
+            result, failed = str(outcome.status), outcome.failed
         else:
             result, failed = outcome.reason.name.lower(), True
         self.counts.calls[(result,)] += 1
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -34,9 +34,6 @@
 have run the request.
 """
 
-FAILED_STATUS = 500
-"""Lowest status of an answer that counts as a failed run."""
-
 PARENT_SEPARATOR = b"."
 """Separates the identifier of a run from the suffix of its nested requests."""
 
@@ -208,9 +205,7 @@
         del self.run_ids[call.key]
         outcome = self._create_outcome(call, result)
         # A failed run may end early, so its time and calls are not representative.
-        succeeded = (
-            isinstance(outcome, AnswerMessage) and outcome.status < FAILED_STATUS
-        )
+        succeeded = isinstance(outcome, AnswerMessage) and not outcome.failed
         target_full = getattr(outcome, "reason", None) is RefusalReason.TARGET_FULL
         self.limiter.capacity.record_result(rejected=target_full)
         self._end_run(call, succeeded=succeeded)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -7,18 +7,18 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ...coordination.relay.dispatcher import (
-    FAILED_STATUS,
+from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
-    Dispatcher,
+    DispatchAction,
     FailRequest,
     RoutedRequest,
     SendCall,
 )
+from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retry_budget import RetryBudget
-from ...protocol.http import Request, get_header
+from ...protocol.http import Request
 from ...protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -42,7 +42,8 @@
 from .fleet_updater import FleetUpdater
 from .local_target import CallKey, CallOutcome, LocalTarget
 from .peer_links import PeerLinks, PeerSession
-from .responses import local_response, refusal_status, request_head
+from .request_router import RequestRouter, UnroutedRequest
+from .responses import local_response, refusal_status
 from .status_exchange import StatusExchange
 
 if TYPE_CHECKING:
@@ -50,10 +51,6 @@
 
 __all__ = ["Relay"]
 
-NO_CATALOG_RETRY_AFTER_S = 0.5
-DRAINING_RETRY_AFTER_S = 0.2
-CLIENT_TIMEOUT_MARGIN_S = 0.03
-"""Time before the end of a client's own timeout at which it gets its final answer."""
 RESERVED_DESCRIPTORS = 400
 """File descriptors that client connections may not use."""
 TICKS_PER_STATUS = 8
@@ -91,7 +88,6 @@
         self.settings = settings
         self.names = names
         self.clock = clock
-        self.calling_service = settings.target_service.encode()
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.access_log = AccessLog(counts=self.counts)
@@ -121,6 +117,13 @@
             broadcast=lambda status: self.links.broadcast(status),
         )
         self.admission = self.statuses.admission
+        self.router = RequestRouter(
+            names=names,
+            fleet_view=self.fleet_view,
+            local_target=self.local_target,
+            offered=self.statuses.offered,
+            service=settings.target_service,
+        )
         self.dispatcher = Dispatcher(
             fleet_view=self.fleet_view,
             load_balancer=self.load_balancer,
@@ -210,53 +213,13 @@
     def handle_request(self, exchange: Exchange, request: Request) -> None:
         """Match a complete request to a route and dispatch it."""
         now = self.clock()
-        request_id = get_header(request.headers, self.names.request_id) or b""
-        catalog = self.fleet_view.catalog
-        if catalog is None:
-            self._respond_locally(exchange, 503, request_id, NO_CATALOG_RETRY_AFTER_S)
-            return
-        host = (get_header(request.headers, b"host") or b"").decode("latin-1")
-        path = request.path.decode("latin-1")
-        route = catalog.match(host.partition(":")[0].lower(), path)
-        if route is None:
-            log_event(
-                "route_missing",
-                request=request_id.decode("latin-1"),
-                generation=catalog.generation,
+        routed = self.router.route(now, request)
+        if isinstance(routed, UnroutedRequest):
+            request_id = self.router.request_id(request)
+            self._respond_locally(
+                exchange, routed.status, request_id, routed.retry_after
             )
-            self._respond_locally(exchange, 404, request_id, None)
             return
-        client_timeout = _parse_milliseconds(
-            get_header(request.headers, self.names.deadline)
-        )
-        timeout = route.timeout
-        if client_timeout is not None:
-            timeout = min(timeout, client_timeout - CLIENT_TIMEOUT_MARGIN_S)
-        parent = self.local_target.find_parent(request_id)
-        if parent is None and self.local_target.refusing:
-            # The request might not complete before the process ends.
-            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
-            self._respond_locally(exchange, 503, request_id, DRAINING_RETRY_AFTER_S)
-            return
-        calls_left = 1.0
-        if parent is not None:
-            graph = self.local_target.graph
-            graph.record_call(parent.request_id, route.name)
-            calls_left = graph.calls_left(parent.request_id, parent.route, route.name)
-        else:
-            self.statuses.offered.count(route.name)
-        routed = RoutedRequest(
-            route=route,
-            request_id=request_id,
-            head=request_head(request, self.names, self.calling_service),
-            body=request.body,
-            arrived=now,
-            deadline=now + timeout,
-            rank=route.rank if parent is None else parent.rank,
-            nested=parent is not None,
-            is_retry=parent is not None and parent.is_retry,
-            calls_left=calls_left,
-        )
         self.exchanges[exchange.token] = exchange
         self._execute(self.dispatcher.submit(now, exchange.token, routed))
 
@@ -408,9 +371,7 @@
             return Availability.DOWN
         return Availability.DRAINING if self.draining else Availability.UP
 
-    def _execute(
-        self, actions: list[SendCall | CancelCall | DeliverAnswer | FailRequest]
-    ) -> None:
+    def _execute(self, actions: list[DispatchAction]) -> None:
         for action in actions:
             if isinstance(action, SendCall):
                 self._send(action)
@@ -457,7 +418,7 @@
         body = b"" if exchange.head_only else answer.body
         data = b"".join((answer.head, head_end, body))
         exchange.connection.respond(exchange, data, close=close)
-        self._record_attempt(action.request, succeeded=answer.status < FAILED_STATUS)
+        self._record_attempt(action.request, succeeded=not answer.failed)
         self.access_log.log_answer(self.clock(), action)
 
     def _fail(self, action: FailRequest) -> None:
@@ -496,13 +457,3 @@
         first.
         """
         return self.draining and exchange.connection.is_last(exchange)
-
-
-def _parse_milliseconds(value: bytes | None) -> float | None:
-    """Return a header value in milliseconds as seconds; None if it is no number."""
-    if value is None:
-        return None
-    try:
-        return float(value) / 1e3
-    except ValueError:
-        return None
--- /dev/null
+++ b/buckthornshed/transport/relay/request_router.py
@@ -0,0 +1,125 @@
+"""Matching of complete requests to routes, before they are dispatched."""
+
+from typing import NamedTuple
+
+from ...coordination.relay.dispatch_messages import RoutedRequest
+from ...coordination.relay.fleet_view import FleetView
+from ...coordination.relay.offered_rates import OfferedRates
+from ...protocol.http import Request, get_header
+from ...protocol.relay_messages import HeaderNames
+from ...state.catalog import Route
+from ..logs import log_event
+from .local_target import LocalTarget
+from .responses import request_head
+
+__all__ = ["RequestRouter", "UnroutedRequest"]
+
+NO_CATALOG_RETRY_AFTER_S = 0.5
+DRAINING_RETRY_AFTER_S = 0.2
+CLIENT_TIMEOUT_MARGIN_S = 0.03
+"""Time before the end of a client's own timeout at which it gets its final answer."""
+
+
+class UnroutedRequest(NamedTuple):
+    """A request that the relay answers itself; `retry_after` is in seconds."""
+
+    status: int
+    retry_after: float | None
+
+
+class RequestRouter:
+    """Matches requests of clients and nested requests of the target to routes.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Header names of the deployment.
+    fleet_view : FleetView
+        Configuration in force.
+    local_target : LocalTarget
+        Knows the running calls that nested requests belong to.
+    offered : OfferedRates
+        Counts the requests of clients.
+    service : str
+        Service of the local target.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        fleet_view: FleetView,
+        local_target: LocalTarget,
+        offered: OfferedRates,
+        service: str,
+    ) -> None:
+        self.names = names
+        self.fleet_view = fleet_view
+        self.local_target = local_target
+        self.offered = offered
+        self.calling_service = service.encode()
+
+    def request_id(self, request: Request) -> bytes:
+        """Return the identifier of a request, empty if it has none."""
+        return get_header(request.headers, self.names.request_id) or b""
+
+    def route(self, now: float, request: Request) -> RoutedRequest | UnroutedRequest:
+        """Return a request with its route, or the response if it cannot be sent."""
+        catalog = self.fleet_view.catalog
+        if catalog is None:
+            return UnroutedRequest(503, NO_CATALOG_RETRY_AFTER_S)
+        request_id = self.request_id(request)
+        host = (get_header(request.headers, b"host") or b"").decode("latin-1")
+        path = request.path.decode("latin-1")
+        route = catalog.match(host.partition(":")[0].lower(), path)
+        if route is None:
+            log_event(
+                "route_missing",
+                request=request_id.decode("latin-1"),
+                generation=catalog.generation,
+            )
+            return UnroutedRequest(404, None)
+        parent = self.local_target.find_parent(request_id)
+        if parent is None and self.local_target.refusing:
+            # The request might not complete before the process ends.
+            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
+            return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
+        routed = RoutedRequest(
+            route=route,
+            request_id=request_id,
+            head=request_head(request, self.names, self.calling_service),
+            body=request.body,
+            arrived=now,
+            deadline=now + self._timeout(request, route),
+            rank=route.rank,
+        )
+        if parent is None:
+            self.offered.count(route.name)
+            return routed
+        graph = self.local_target.graph
+        graph.record_call(parent.request_id, route.name)
+        return routed._replace(
+            rank=parent.rank,
+            nested=True,
+            is_retry=parent.is_retry,
+            calls_left=graph.calls_left(parent.request_id, parent.route, route.name),
+        )
+
+    def _timeout(self, request: Request, route: Route) -> float:
+        """Return the time that a request has, in seconds."""
+        client_timeout = _parse_milliseconds(
+            get_header(request.headers, self.names.deadline)
+        )
+        if client_timeout is None:
+            return route.timeout
+        return min(route.timeout, client_timeout - CLIENT_TIMEOUT_MARGIN_S)
+
+
+def _parse_milliseconds(value: bytes | None) -> float | None:
+    """Return a header value in milliseconds as seconds; None if it is no number."""
+    if value is None:
+        return None
+    try:
+        return float(value) / 1e3
+    except ValueError:
+        return None
