Refuse calls that a slow target cannot finish in time

Cause: calls went to a target 12 times slower than usual as soon as the queue of the others was long, and all of them ended at their timeout. Change: a call that would outlast its deadline is refused before it is sent, but for two at a time that notice recovery; timeouts count as failures of the target.

--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -29,6 +29,8 @@
 USABLE_SLOT_FRACTION = 0.94
 """Fraction of the target's slots that is used."""
 MIN_CALL_TIME_S = 1e-4
+MAX_PROBES = 2
+"""Concurrent calls of a route that the target seems too slow for."""
 QUEUE_PER_SLOT = 4
 DEFAULT_SLOTS = 8
 """Slots that are assumed until the target's registration is known."""
@@ -130,6 +132,8 @@
             return [RefuseCall(call, RefusalReason.EXPIRED, self.retry_after())]
         if self._blocked(now):
             return [RefuseCall(call, RefusalReason.UNREACHABLE, self.retry_after())]
+        if self._outlasts_deadline(now, call):
+            return [RefuseCall(call, RefusalReason.OVERLOAD, self.retry_after())]
         if self.running < self.limit and not self.queue_length:
             return [self._start(now, call)]
         if not self._can_meet_deadline(now, call):
@@ -266,6 +270,21 @@
         )
         return half_open and self.running > 0
 
+    def _outlasts_deadline(self, now: float, call: LimiterCall) -> bool:
+        """Return whether a call would still run at its deadline, slots being free.
+
+        Few of them are started all the same, to notice when the target is quick again.
+        """
+        route = call.message.route
+        if now + self.call_times.by_route.get(route, 0.0) < call.deadline:
+            return False
+        running = sum(
+            1
+            for each in self.calls.values()
+            if each.started is not None and each.message.route == route
+        )
+        return running >= MAX_PROBES
+
     def _can_meet_deadline(self, now: float, call: LimiterCall) -> bool:
         if self.queue_length >= self.limit * QUEUE_PER_SLOT:
             return False
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -215,11 +215,11 @@
         for pending in overdue:
             del self.pending[pending.token]
             if pending.record is not None:
-                target = pending.record.target
                 exchange = pending.exchange
-                self._detach(pending)
+                record = self._detach(pending)
+                self.load_balancer.record_outcome(now, record, failed=True)
                 pending.may_have_run = True
-                actions.append(CancelCall(target, exchange))
+                actions.append(CancelCall(record.target, exchange))
             actions.append(
                 self._give_up(pending, RefusalReason.TIMED_OUT, NO_TARGET_RETRY_AFTER_S)
             )
--- a/buckthornshed/tests/relay/test_call_times.py
+++ b/buckthornshed/tests/relay/test_call_times.py
@@ -5,10 +5,14 @@
 import pytest
 
 from buckthornshed.coordination.relay.call_times import CallTimes, RunningCall
-from buckthornshed.coordination.relay.concurrency_limiter import ConcurrencyLimiter
+from buckthornshed.coordination.relay.concurrency_limiter import (
+    MAX_PROBES,
+    ConcurrencyLimiter,
+    RefuseCall,
+)
 from buckthornshed.coordination.relay.load_balancer import LoadBalancer
 
-from .makers import make_call, make_route, make_target
+from .makers import make_call, make_dispatcher, make_request, make_route, make_target
 
 
 def slow_target(*, usual, slowed, timeout, calls_per_second=20):
@@ -71,3 +75,47 @@
         chosen = load_balancer.choose(0.0, make_route(), [quick, slow])
         assert chosen is not None
         assert chosen.target.name == "t-1"
+
+
+def test_calls_that_a_slow_target_cannot_finish_in_time_are_refused_at_once():
+    """Each call of a target that is too slow would hold a slot and then fail."""
+    limiter, now = slow_target(usual=0.05, slowed=2.0, timeout=0.5)
+    limiter.call_times.by_route["avail"] = 0.5
+    for key in list(limiter.calls):
+        limiter.cancel(now, key)
+    actions = [
+        action
+        for key in range(20)
+        for action in limiter.submit(
+            now, make_call(1_000 + key, now=now, time_left=0.5)
+        )
+    ]
+    refused = [each for each in actions if isinstance(each, RefuseCall)]
+    assert len(refused) == 20 - MAX_PROBES
+    assert not any(each.reason.may_have_run for each in refused)
+
+
+def test_a_target_that_is_quick_again_gets_calls_within_two_seconds():
+    limiter, now = slow_target(usual=0.05, slowed=2.0, timeout=0.5)
+    for key in list(limiter.calls):
+        limiter.cancel(now, key)
+    running: list[tuple[int, float]] = []
+    begin, key, refused_at = now, 1_000, now
+    while now < begin + 4.0:
+        while running and now - running[0][1] >= 0.05:
+            limiter.finish(now, running.pop(0)[0], succeeded=True)
+        (action,) = limiter.submit(now, make_call(key, now=now, time_left=0.5))
+        if isinstance(action, RefuseCall):
+            refused_at = now
+        else:
+            running.append((key, now))
+        key, now = key + 1, now + 0.02
+    assert refused_at <= begin + 2.0
+
+
+def test_a_call_that_timed_out_counts_as_a_failure_of_its_target():
+    dispatcher = make_dispatcher([make_target("t-1")])
+    dispatcher.submit(0.0, 1, make_request(time_left=0.5))
+    dispatcher.tick(1.0)
+    record = dispatcher.load_balancer.records["t-1"]
+    assert record.failure_rate_at(1.0) > 0.0
