Use no target whose registration is outdated

Cause: after a loss of power the registrations of the ended targets stay listed for two seconds beside the new ones; calls went to them and came back as meant for another. Change: of registrations with one address only the latest is used, and a target at whose address another answered is not used until it registers again.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -189,6 +189,8 @@
         self.load_balancer.record_load(now, record, refusal.load)
         if reason is RefusalReason.TARGET_FULL:
             pending.rejected_by.add(record.target.name)
+        if reason is RefusalReason.WRONG_TARGET:
+            self.fleet_view.mark_outdated(record.target)
         if reason in TARGET_FAILURE_REASONS:
             self.load_balancer.record_outcome(now, record, failed=True)
         if reason in EJECTION_REASONS:
--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet_view.py
@@ -32,6 +32,10 @@
         The configuration in force.
     targets : dict
         Registered targets by name.
+    usable : dict
+        Targets that accept work, by service.
+    outdated : set of str
+        Targets at whose address another one has answered since they registered.
     """
 
     def __init__(self) -> None:
@@ -42,6 +46,7 @@
         self.store_unavailable = False
         self.grace_until = 0.0
         self.pending_removal: set[str] = set()
+        self.outdated: set[str] = set()
 
     def accept_catalog(self, catalog: Catalog) -> bool:
         """Adopt a configuration if it is newer; return whether it was adopted."""
@@ -66,6 +71,9 @@
             return False
         self.tombstones.pop(target.name, None)
         self.targets[target.name] = target
+        if target.name in self.outdated:
+            self.outdated.discard(target.name)
+            self._rebuild_index()
         if current is None or current._replace(sequence=0) != target._replace(
             sequence=0
         ):
@@ -73,6 +81,16 @@
             return True
         return False
 
+    def mark_outdated(self, target: Target) -> None:
+        """Record that another target answered at a target's address.
+
+        The target is not usable until it registers again.
+        """
+        current = self.targets.get(target.name)
+        if current is not None and current.started == target.started:
+            self.outdated.add(target.name)
+            self._rebuild_index()
+
     def remove_target(self, now: float, name: str) -> bool:
         """Handle the end of a registration; return whether the target was removed.
 
@@ -127,15 +145,25 @@
     def _remove(self, target: Target) -> None:
         del self.targets[target.name]
         self.pending_removal.discard(target.name)
+        self.outdated.discard(target.name)
         if len(self.tombstones) >= MAX_TOMBSTONES:
             self.tombstones.pop(next(iter(self.tombstones)))
         self.tombstones[target.name] = registration_version(target)
         self._rebuild_index()
 
     def _rebuild_index(self) -> None:
+        started: dict[str, int] = {}
+        for target in self.targets.values():
+            started[target.address] = max(
+                target.started, started.get(target.address, target.started)
+            )
         usable: dict[str, list[Target]] = {}
         for target in self.targets.values():
-            if not target.draining:
+            # A registration outlives its target for a while. Of several with the same
+            # address only the latest one can be that of a running target.
+            superseded = target.started < started[target.address]
+            outdated = superseded or target.name in self.outdated
+            if not target.draining and not outdated:
                 usable.setdefault(target.service, []).append(target)
         self.usable = {service: tuple(targets) for service, targets in usable.items()}
 
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -262,3 +262,29 @@
     seconds = chains * 0.05
     assert dispatcher.budget.spent <= 0.2 * chains + limits.slack * seconds / 10.0
     assert dispatcher.budget.spent >= 0.1 * chains
+
+
+def test_a_target_at_whose_address_another_answered_gets_no_further_requests():
+    """Replays the seconds after a loss of power, when registrations are outdated."""
+    dispatcher = make_dispatcher(TWO)
+    sent_to_old = 0
+    for token in range(50):
+        (send,) = dispatcher.submit(0.1 * token, token, make_request(0.1 * token))
+        while isinstance(send, SendCall) and send.target.name == "t-1":
+            sent_to_old += 1
+            (send,) = dispatcher.handle_refusal(
+                0.1 * token, refusal(send, RefusalReason.WRONG_TARGET)
+            )
+        assert isinstance(send, SendCall) and send.target.name == "t-2"
+    assert sent_to_old <= 1
+
+
+def test_a_target_is_used_again_after_a_later_registration():
+    dispatcher = make_dispatcher(TWO[:1])
+    (send,) = dispatcher.submit(0.0, 1, make_request())
+    dispatcher.handle_refusal(0.0, refusal(send, RefusalReason.WRONG_TARGET))
+    (end,) = dispatcher.submit(0.1, 2, make_request())
+    assert isinstance(end, FailRequest) and not end.may_have_run
+    dispatcher.fleet_view.accept_target(TWO[0]._replace(sequence=2))
+    (send,) = dispatcher.submit(0.2, 3, make_request())
+    assert isinstance(send, SendCall)
--- a/buckthornshed/tests/relay/test_fleet_view.py
+++ b/buckthornshed/tests/relay/test_fleet_view.py
@@ -75,3 +75,23 @@
     fleet_view.accept_target(make_target(started=2_000, sequence=3))
     assert not fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 99))
     assert fleet_view.accept_tombstone("t-1", RegistrationVersion(2_000, 3))
+
+
+def test_of_two_registrations_with_one_address_only_the_latest_is_usable():
+    """After a loss of power the old registrations stay listed for seconds."""
+    view = FleetView()
+    old = make_target("t-1", address="10.0.0.1:9000", started=1_000)
+    new = make_target("t-2", address="10.0.0.1:9000", started=2_000)
+    other = make_target("t-3", address="10.0.0.3:9000", started=1_000)
+    for target in (new, old, other):
+        view.accept_target(target)
+    assert {each.name for each in view.usable["stalls"]} == {"t-2", "t-3"}
+
+
+def test_an_address_that_another_service_uses_now_is_not_used_for_the_old_one():
+    view = FleetView()
+    view.accept_target(make_target("t-1", address="10.0.0.1:9000", started=1_000))
+    view.accept_target(
+        make_target("t-2", address="10.0.0.1:9000", started=2_000, service="other")
+    )
+    assert "stalls" not in view.usable
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -318,6 +318,7 @@
             each.name
             for each in self.fleet_view.targets.values()
             if self._availability(each) is Availability.DOWN
+            or each.name in self.fleet_view.outdated
         )
         self.statuses.report(
             now,
