Keep the target of a draining relay in service until its clients have left

Cause: a planned stop took the target out of service for the whole drain, 4 to 5 s, of which 2.6 s only wait for clients to leave. Change: other relays are told to leave 0.3 s before the end; until then the target takes calls that are due before the relay ends.

--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -74,11 +74,14 @@
     ----------
     draining : bool
         Whether the target or its relay accepts no new calls.
+    ends_at : float or None
+        Time at which the relay will end; calls that may last longer are refused.
     """
 
     def __init__(self) -> None:
         self.set_slots(DEFAULT_SLOTS)
         self.draining = False
+        self.ends_at: float | None = None
         self.calls: dict[Hashable, LimiterCall] = {}
         self.running = 0
         self.queue: list[tuple[int, float, int, LimiterCall]] = []
@@ -132,6 +135,8 @@
             return [RefuseCall(call, RefusalReason.EXPIRED, self.retry_after())]
         if self._blocked(now):
             return [RefuseCall(call, RefusalReason.UNREACHABLE, self.retry_after())]
+        if self.ends_at is not None and call.deadline > self.ends_at:
+            return [RefuseCall(call, RefusalReason.OVERLOAD, MIN_RETRY_AFTER_S)]
         if self._outlasts_deadline(now, call):
             return [RefuseCall(call, RefusalReason.OVERLOAD, self.retry_after())]
         if self.running < self.limit and not self.queue_length:
--- a/buckthornshed/tests/relay/test_concurrency_limiter.py
+++ b/buckthornshed/tests/relay/test_concurrency_limiter.py
@@ -261,3 +261,12 @@
             answered=not fails,
             connection_failed=fails,
         )
+
+
+def test_a_relay_that_will_end_accepts_only_calls_that_are_due_before():
+    limiter = limiter_with(10)
+    limiter.ends_at = 2.0
+    assert started(limiter.submit(0.0, make_call(1, time_left=1.9))) == [1]
+    assert refused(limiter.submit(0.0, make_call(2, time_left=2.1))) == {
+        2: RefusalReason.OVERLOAD
+    }
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -254,7 +254,8 @@
             ]
             await until(lambda: sum(len(t.ran) for t in fleet.targets) == 2)
             before = len(target.ran)
-            relay.start_draining()
+            relay.start_draining(relay.clock() + 6.0)
+            relay.announce_leaving()
             link = fleet.relays[0].links.links[relay.instance]
             await until(lambda: link.draining)
             for each in fleet.targets:
@@ -300,7 +301,7 @@
             writer.write(b"".join(fleet.request("/avail/1") for _ in range(3)))
             await until(lambda: len(target.ran) == 3)
             assert (await read_response(reader)).status == 200
-            relay.start_draining()
+            relay.start_draining(relay.clock() + 6.0)
             target.release.set()
             answers = [await read_response(reader) for _ in range(2)]
             assert [a.status for a in answers] == [200, 200]
@@ -344,8 +345,10 @@
                 for each in fleet.relays
                 if each.local_target.find_parent(b"run-1.a") is not None
             ]
-            runner.start_draining()
+            runner.start_draining(runner.clock() + 6.0)
             runner.refuse_new_requests()
+            runner.announce_leaving()
+            runner.refuse_new_calls()
             refused = await fleet.ask(runner, request_id="late")
             assert refused.status == 503
             assert refused.headers["connection"] == "close"
@@ -360,3 +363,20 @@
             assert all("late" not in each.ran for each in fleet.targets)
 
     run(scenario())
+
+
+def test_a_draining_relay_serves_other_relays_until_it_announces_its_end():
+    """Replays a rolling restart: the target's capacity is missing only at the end."""
+
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            relay, draining = fleet.relays
+            target = fleet.targets[1]
+            draining.start_draining(draining.clock() + 6.0)
+            draining.refuse_new_requests()
+            answers = await asyncio.gather(*(fleet.ask(relay) for _ in range(16)))
+            assert [each.status for each in answers] == [200] * 16
+            assert target.ran
+            assert (await fleet.ask(draining)).status == 503
+
+    run(scenario())
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -32,6 +32,8 @@
 
 During this time clients notice that the readiness probe fails and use other relays.
 """
+RELAY_NOTICE_S = 0.3
+"""Time for which a draining relay still accepts calls of other relays it has told."""
 MAX_DRAIN_NOTICE_FRACTION = 0.45
 """Maximum fraction of the grace period in which requests are still accepted."""
 SHUTDOWN_MARGIN_S = 0.6
@@ -224,23 +226,33 @@
         await stop_requested.wait()
 
     async def _drain(self) -> None:
+        """Let clients leave first, then other relays, then end.
+
+        The target serves other relays while clients leave, as the capacity of a service
+        would else be missing for the whole drain of each of its relays in turn.
+        """
         relay = self.relay
-        started_at = relay.clock()
+        now = relay.clock()
         log_event("stopping", requests=len(relay.exchanges))
-        relay.start_draining()
         grace = relay.settings.grace
-        deadline = started_at + grace - SHUTDOWN_MARGIN_S
+        deadline = now + grace - SHUTDOWN_MARGIN_S
         notice = min(DRAIN_NOTICE_S, grace * MAX_DRAIN_NOTICE_FRACTION)
-        while relay.clock() < deadline:
-            if relay.clock() - started_at >= notice:
-                relay.refuse_new_requests()
-                if not relay.busy:
-                    break
-            await asyncio.sleep(TICK_INTERVAL_S)
+        relay.start_draining(deadline)
+        await asyncio.sleep(notice)
+        relay.refuse_new_requests()
+        await self._wait_while(lambda: relay.serves_clients, deadline - RELAY_NOTICE_S)
+        relay.announce_leaving()
+        await asyncio.sleep(RELAY_NOTICE_S)
+        relay.refuse_new_calls()
+        await self._wait_while(lambda: relay.busy, deadline)
         relay.listener.stop_accepting()
         relay.listener.close_idle()
         await asyncio.sleep(FINAL_FLUSH_S)
 
+    async def _wait_while(self, condition: Callable[[], bool], deadline: float) -> None:
+        while condition() and self.relay.clock() < deadline:
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     async def _follow_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -146,6 +146,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.sessions: dict[int, PeerSession] = {}
         self.draining = False
+        self.leaving = False
         self.tick_count = 0
 
     @property
@@ -158,6 +159,11 @@
         """Whether a request or a call is in progress."""
         return bool(self.exchanges) or self.local_target.busy
 
+    @property
+    def serves_clients(self) -> bool:
+        """Whether a request of a client is in progress."""
+        return any(not p.request.nested for p in self.dispatcher.pending.values())
+
     def gauges(self) -> RelayGauges:
         """Return the current values of the gauges."""
         limiter = self.local_target.limiter
@@ -178,19 +184,28 @@
         await self.listener.open(self.settings.client_address)
         await self.links.open(self.settings.peer_address.rpartition(":")[0])
 
-    def start_draining(self) -> None:
-        """Ask clients and other relays to use other relays.
+    def start_draining(self, ends_at: float) -> None:
+        """Ask clients to use other relays.
 
-        Requests and calls that still arrive are served.
+        Requests still arrive and are served. The target goes on taking calls that are
+        due before `ends_at`, as it would be missed by the others.
         """
         self.draining = True
-        self.links.broadcast_to_sessions(DrainNotice())
+        self.local_target.limiter.ends_at = ends_at
 
     def refuse_new_requests(self) -> None:
-        """Refuse new calls for the target and new requests of clients.
+        """Refuse new requests of clients; those in progress are completed."""
+        self.router.refusing = True
+
+    def announce_leaving(self) -> None:
+        """Ask other relays to use other targets."""
+        self.leaving = True
+        self.links.broadcast_to_sessions(DrainNotice())
+
+    def refuse_new_calls(self) -> None:
+        """Refuse new calls for the target.
 
-        Requests and calls in progress are completed, and running calls of the target
-        may still make nested requests.
+        Calls in progress are completed, and may still make nested requests.
         """
         self.local_target.refuse_new_calls()
 
@@ -370,7 +385,7 @@
             return self.links.availability(target.instance)
         if self.local_target.limiter.draining:
             return Availability.DOWN
-        return Availability.DRAINING if self.draining else Availability.UP
+        return Availability.DRAINING if self.leaving else Availability.UP
 
     def _execute(self, actions: list[DispatchAction]) -> None:
         for action in actions:
--- a/buckthornshed/transport/relay/request_router.py
+++ b/buckthornshed/transport/relay/request_router.py
@@ -42,6 +42,11 @@
         Counts the requests of clients.
     service : str
         Service of the local target.
+
+    Attributes
+    ----------
+    refusing : bool
+        Whether new requests of clients are refused, as the process is about to end.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         self.local_target = local_target
         self.offered = offered
         self.calling_service = service.encode()
+        self.refusing = False
 
     def request_id(self, request: Request) -> bytes:
         """Return the identifier of a request, empty if it has none."""
@@ -80,7 +86,7 @@
             )
             return UnroutedRequest(404, None)
         parent = self.local_target.find_parent(request_id)
-        if parent is None and self.local_target.refusing:
+        if parent is None and self.refusing:
             # The request might not complete before the process ends.
             log_event("request_refused_stopping", request=request_id.decode("latin-1"))
             return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
