--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -6,9 +6,10 @@
 complete answer or with a refusal that states correctly whether it may have run.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -18,6 +19,15 @@
 )
 from ...state.catalog import Route, Target
 from .admission import AdmissionController
+from .dispatch_messages import (
+    Attempt,
+    CancelCall,
+    DeliverAnswer,
+    DispatchAction,
+    FailRequest,
+    RoutedRequest,
+    SendCall,
+)
 from .fleet_view import FleetView
 from .load_balancer import Availability, LoadBalancer, TargetRecord
 from .retry_budget import RetryBudget
@@ -26,15 +36,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = [
-    "Attempt",
-    "CancelCall",
-    "DeliverAnswer",
-    "Dispatcher",
-    "FailRequest",
-    "RoutedRequest",
-    "SendCall",
-]
+__all__ = ["Dispatcher"]
 
 TIMEOUT_MARGIN_S = 0.02
 """Time after its deadline for which a request still waits for an answer."""
@@ -42,8 +44,6 @@
 """Time to the deadline below which a request is not retried."""
 RETRY_JITTER = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
-NOT_ADMITTED_RETRY_FRACTION = 0.35
-"""Retry-After of a request that is not admitted, as a fraction of the objective."""
 
 FREE_RETRY_REASONS = frozenset(
     {
@@ -54,9 +54,6 @@
 )
 """Refusals by relays: no target received the call, so a retry costs no budget."""
 
-FAILED_STATUS = 500
-"""Lowest status of an answer that counts as a failure of the target."""
-
 TARGET_FAILURE_REASONS = frozenset({RefusalReason.TARGET_FULL, RefusalReason.LOST})
 """Refusals that count as failures of the target."""
 
@@ -74,82 +71,6 @@
 """Refusals after which a target is ejected from load balancing for a while."""
 
 
-class RoutedRequest(NamedTuple):
-    """A client's request with the route that it matched.
-
-    `head` is the request's head as sent to the target, without its final empty line;
-    `arrived` and `deadline` are in seconds of the monotonic clock. `rank` is the rank
-    of the client request that started the call chain. `nested` is true if a target made
-    the request while it ran another one, `is_retry` if an upstream run is a retry.
-    """
-
-    route: Route
-    request_id: bytes
-    head: bytes
-    body: bytes
-    arrived: float
-    deadline: float
-    rank: int
-    nested: bool = False
-    is_retry: bool = False
-
-
-class SendCall(NamedTuple):
-    """Send a call to the relay beside a target."""
-
-    target: Target
-    message: CallMessage
-
-
-class CancelCall(NamedTuple):
-    """Tell the relay beside a target that an answer is no longer needed."""
-
-    target: Target
-    exchange: int
-
-
-class Attempt(NamedTuple):
-    """One attempt of a request and the load that its target was chosen by.
-
-    `sent_at` is the time of the attempt and `load_age` the age of the target's `load`
-    report, in seconds. `reason` is the reason of a refusal; None if an answer came or
-    is awaited.
-    """
-
-    target: Target
-    sent_at: float
-    load: float
-    load_age: float
-    reason: RefusalReason | None = None
-
-
-class DeliverAnswer(NamedTuple):
-    """Deliver a target's answer to the client."""
-
-    token: int
-    request: RoutedRequest
-    answer: AnswerMessage
-    attempts: tuple[Attempt, ...]
-
-
-class FailRequest(NamedTuple):
-    """End a request with an answer of the relay itself.
-
-    `reason` is the reason of the last refusal. `may_have_run` covers all attempts.
-    `retry_after` is in seconds.
-    """
-
-    token: int
-    request: RoutedRequest
-    reason: RefusalReason
-    may_have_run: bool
-    retry_after: float
-    attempts: tuple[Attempt, ...]
-
-
-DispatchAction = SendCall | CancelCall | DeliverAnswer | FailRequest
-
-
 @dataclass(slots=True, kw_only=True)
 class PendingRequest:
     """A request without a final answer."""
@@ -162,6 +83,9 @@
     attempts: list[Attempt] = field(default_factory=list)
     may_have_run: bool = False
     tried_targets: set[str] = field(default_factory=set)
+    rejected_by: set[str] = field(default_factory=set)
+    failed_answer: AnswerMessage | None = None
+    """Answer of a target that failed the request, delivered if no retry succeeds."""
 
 
 class Dispatcher:
@@ -214,16 +138,15 @@
             service=self.weighted_split.choose(request.route),
         )
         if request.is_retry:
-            self.budget.record_nested_retry(pending.service)
+            self.budget.record_nested_retry(now, pending.service)
         else:
-            self.budget.record_request(pending.service)
+            self.budget.record_request(now, pending.service)
         if request.deadline <= now:
             return [self._fail(pending, RefusalReason.EXPIRED)]
-        if not request.nested and not self.admission.admits(
-            request.route, request.request_id
-        ):
-            retry_after = request.route.objective * NOT_ADMITTED_RETRY_FRACTION
-            return [self._fail(pending, RefusalReason.NOT_ADMITTED, retry_after)]
+        if not request.nested:
+            rejection = self.admission.reject(now, request.route, request.request_id)
+            if rejection is not None:
+                return [self._fail(pending, rejection.reason, rejection.retry_after)]
         self.pending[token] = pending
         return self._send(now, pending)
 
@@ -244,13 +167,14 @@
             return []
         record = self._detach(pending)
         self.load_balancer.record_load(now, record, answer.load)
-        self.load_balancer.record_outcome(
-            now, record, failed=answer.status >= FAILED_STATUS
-        )
+        self.load_balancer.record_outcome(now, record, failed=answer.failed)
         record.call_times[pending.request.route.name] = answer.call_time
+        if answer.failed and self._retries_answer(now, pending, answer):
+            pending.may_have_run = True
+            pending.failed_answer = answer
+            return self._send(now, pending)
         del self.pending[pending.token]
-        attempts = tuple(pending.attempts)
-        return [DeliverAnswer(pending.token, pending.request, answer, attempts)]
+        return [self._deliver(pending, answer)]
 
     def handle_refusal(
         self, now: float, refusal: RefusalMessage
@@ -263,6 +187,10 @@
         reason = refusal.reason
         pending.attempts[-1] = pending.attempts[-1]._replace(reason=reason)
         self.load_balancer.record_load(now, record, refusal.load)
+        if reason is RefusalReason.TARGET_FULL:
+            pending.rejected_by.add(record.target.name)
+        if reason is RefusalReason.WRONG_TARGET:
+            self.fleet_view.mark_outdated(record.target)
         if reason in TARGET_FAILURE_REASONS:
             self.load_balancer.record_outcome(now, record, failed=True)
         if reason in EJECTION_REASONS:
@@ -289,12 +217,14 @@
         for pending in overdue:
             del self.pending[pending.token]
             if pending.record is not None:
-                target = pending.record.target
                 exchange = pending.exchange
-                self._detach(pending)
+                record = self._detach(pending)
+                self.load_balancer.record_outcome(now, record, failed=True)
                 pending.may_have_run = True
-                actions.append(CancelCall(target, exchange))
-            actions.append(self._fail(pending, RefusalReason.TIMED_OUT))
+                actions.append(CancelCall(record.target, exchange))
+            actions.append(
+                self._give_up(pending, RefusalReason.TIMED_OUT, NO_TARGET_RETRY_AFTER_S)
+            )
         return actions
 
     def _retry_or_fail(
@@ -309,27 +239,84 @@
         if (
             reason not in FINAL_REASONS
             and retry_safe
-            and len(pending.tried_targets) < self._max_attempts(route, reason)
+            and len(pending.attempts) < self._max_attempts(route, reason)
             and pending.request.deadline - now > MIN_RETRY_TIME_S
             and self._candidates(pending)
-            and (reason in FREE_RETRY_REASONS or self.budget.spend(pending.service))
+            and (
+                reason in FREE_RETRY_REASONS or self._spend_token(now, pending, reason)
+            )
         ):
             return self._send(now, pending)
         del self.pending[pending.token]
-        return [self._fail(pending, reason, retry_after)]
+        return [self._give_up(pending, reason, retry_after)]
+
+    def _retries_answer(
+        self, now: float, pending: PendingRequest, answer: AnswerMessage
+    ) -> bool:
+        """Return whether a request that a target failed is sent to another one.
 
-    def _max_attempts(self, route: Route, reason: RefusalReason) -> int:
-        """Return the allowed attempts; one more after a refusal by a relay."""
+        It needs the time of another call. While requests are shed, its capacity would
+        be missing for requests that have not run yet.
+        """
+        route = pending.request.route
+        shed = self.admission.sheds(route.name, pending.service)
+        return (
+            route.idempotent
+            and not shed
+            and len(pending.tried_targets) < route.attempts
+            and pending.request.deadline - now > answer.call_time
+            and bool(self._candidates(pending))
+            and self.budget.spend(now, pending.service)
+        )
+
+    def _deliver(self, pending: PendingRequest, answer: AnswerMessage) -> DeliverAnswer:
+        attempts = tuple(pending.attempts)
+        return DeliverAnswer(pending.token, pending.request, answer, attempts)
+
+    def _give_up(
+        self, pending: PendingRequest, reason: RefusalReason, retry_after: float
+    ) -> DeliverAnswer | FailRequest:
+        """End a request with the answer of a target that failed it, if there is one."""
+        if pending.failed_answer is not None:
+            return self._deliver(pending, pending.failed_answer)
+        return self._fail(pending, reason, retry_after)
+
+    def _spend_token(
+        self, now: float, pending: PendingRequest, reason: RefusalReason
+    ) -> bool:
+        """Take a token for a retry.
+
+        A target that rejects a part of all calls uses up the tokens. Requests that are
+        nearly complete and of high priority then get the last ones.
+        """
+        request, reserve = pending.request, 0.0
+        if reason is RefusalReason.TARGET_FULL:
+            reserve = 1.0 - 1.0 / (request.calls_left + request.rank)
+        return self.budget.spend(now, pending.service, reserve=reserve)
+
+    def _max_attempts(self, route: Route, reason: RefusalReason) -> float:
+        """Return the allowed attempts.
+
+        A refusal by a relay allows one more. A call that a target has rejected may be
+        sent as often as the budget allows, as rejections are random and cost no work.
+        """
+        if reason is RefusalReason.TARGET_FULL:
+            return math.inf
         return route.attempts + (1 if reason in FREE_RETRY_REASONS else 0)
 
     def _candidates(self, pending: PendingRequest) -> list[Target]:
-        """Return the untried targets; draining ones only if no other is up."""
+        """Return the untried targets; draining ones only if no other is up.
+
+        Targets that only rejected the call are returned if no other is left.
+        """
+        usable = self.fleet_view.usable.get(pending.service, ())
+        untried = [t for t in usable if t.name not in pending.tried_targets]
+        rejected = [t for t in usable if t.name in pending.rejected_by]
         by_availability: dict[Availability, list[Target]] = {
             each: [] for each in Availability
         }
-        for target in self.fleet_view.usable.get(pending.service, ()):
-            if target.name not in pending.tried_targets:
-                by_availability[self.availability(target)].append(target)
+        for target in untried or rejected:
+            by_availability[self.availability(target)].append(target)
         return (
             by_availability[Availability.UP] or by_availability[Availability.DRAINING]
         )
@@ -342,7 +329,9 @@
         if record is None:
             self.pending.pop(pending.token, None)
             return [
-                self._fail(pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
+                self._give_up(
+                    pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_AFTER_S
+                )
             ]
         exchange = self.next_exchange
         self.next_exchange += 1
--- a/buckthornshed/tests/relay/test_concurrency_limiter.py
+++ b/buckthornshed/tests/relay/test_concurrency_limiter.py
@@ -98,7 +98,7 @@
 def stalled_limiter(*, call_time=0.05):
     limiter = limiter_with(10)
     if call_time is not None:
-        limiter.call_times["avail"] = call_time
+        limiter.call_times.by_route["avail"] = call_time
     for key in range(4):
         limiter.submit(0.0, make_call(key, time_left=5.0))
     return limiter
@@ -143,7 +143,7 @@
 
 def test_a_slow_target_is_not_stalled():
     limiter = limiter_with(10)
-    limiter.call_times["avail"] = 0.3
+    limiter.call_times.by_route["avail"] = 0.3
     now = 0.0
     for key in range(20):
         limiter.submit(now, make_call(key, now=now, time_left=5.0))
@@ -261,3 +261,12 @@
             answered=not fails,
             connection_failed=fails,
         )
+
+
+def test_a_relay_that_will_end_accepts_only_calls_that_are_due_before():
+    limiter = limiter_with(10)
+    limiter.ends_at = 2.0
+    assert started(limiter.submit(0.0, make_call(1, time_left=1.9))) == [1]
+    assert refused(limiter.submit(0.0, make_call(2, time_left=2.1))) == {
+        2: RefusalReason.OVERLOAD
+    }
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -7,18 +7,18 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ...coordination.relay.dispatcher import (
-    FAILED_STATUS,
+from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
-    Dispatcher,
+    DispatchAction,
     FailRequest,
     RoutedRequest,
     SendCall,
 )
+from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retry_budget import RetryBudget
-from ...protocol.http import Request, get_header
+from ...protocol.http import Request
 from ...protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -42,7 +42,8 @@
 from .fleet_updater import FleetUpdater
 from .local_target import CallKey, CallOutcome, LocalTarget
 from .peer_links import PeerLinks, PeerSession
-from .responses import local_response, refusal_status, request_head
+from .request_router import RequestRouter, UnroutedRequest
+from .responses import local_response, refusal_status
 from .status_exchange import StatusExchange
 
 if TYPE_CHECKING:
@@ -50,10 +51,6 @@
 
 __all__ = ["Relay"]
 
-NO_CATALOG_RETRY_AFTER_S = 0.5
-DRAINING_RETRY_AFTER_S = 0.2
-CLIENT_TIMEOUT_MARGIN_S = 0.03
-"""Time before the end of a client's own timeout at which it gets its final answer."""
 RESERVED_DESCRIPTORS = 400
 """File descriptors that client connections may not use."""
 TICKS_PER_STATUS = 8
@@ -91,7 +88,6 @@
         self.settings = settings
         self.names = names
         self.clock = clock
-        self.calling_service = settings.target_service.encode()
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.access_log = AccessLog(counts=self.counts)
@@ -121,6 +117,13 @@
             broadcast=lambda status: self.links.broadcast(status),
         )
         self.admission = self.statuses.admission
+        self.router = RequestRouter(
+            names=names,
+            fleet_view=self.fleet_view,
+            local_target=self.local_target,
+            offered=self.statuses.offered,
+            service=settings.target_service,
+        )
         self.dispatcher = Dispatcher(
             fleet_view=self.fleet_view,
             load_balancer=self.load_balancer,
@@ -143,6 +146,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.sessions: dict[int, PeerSession] = {}
         self.draining = False
+        self.leaving = False
         self.tick_count = 0
 
     @property
@@ -155,6 +159,11 @@
         """Whether a request or a call is in progress."""
         return bool(self.exchanges) or self.local_target.busy
 
+    @property
+    def serves_clients(self) -> bool:
+        """Whether a request of a client is in progress."""
+        return any(not p.request.nested for p in self.dispatcher.pending.values())
+
     def gauges(self) -> RelayGauges:
         """Return the current values of the gauges."""
         limiter = self.local_target.limiter
@@ -175,19 +184,28 @@
         await self.listener.open(self.settings.client_address)
         await self.links.open(self.settings.peer_address.rpartition(":")[0])
 
-    def start_draining(self) -> None:
-        """Ask clients and other relays to use other relays.
+    def start_draining(self, ends_at: float) -> None:
+        """Ask clients to use other relays.
 
-        Requests and calls that still arrive are served.
+        Requests still arrive and are served. The target goes on taking calls that are
+        due before `ends_at`, as it would be missed by the others.
         """
         self.draining = True
-        self.links.broadcast_to_sessions(DrainNotice())
+        self.local_target.limiter.ends_at = ends_at
 
     def refuse_new_requests(self) -> None:
-        """Refuse new calls for the target and new requests of clients.
+        """Refuse new requests of clients; those in progress are completed."""
+        self.router.refusing = True
+
+    def announce_leaving(self) -> None:
+        """Ask other relays to use other targets."""
+        self.leaving = True
+        self.links.broadcast_to_sessions(DrainNotice())
+
+    def refuse_new_calls(self) -> None:
+        """Refuse new calls for the target.
 
-        Requests and calls in progress are completed, and running calls of the target
-        may still make nested requests.
+        Calls in progress are completed, and may still make nested requests.
         """
         self.local_target.refuse_new_calls()
 
@@ -210,49 +228,13 @@
     def handle_request(self, exchange: Exchange, request: Request) -> None:
         """Match a complete request to a route and dispatch it."""
         now = self.clock()
-        request_id = get_header(request.headers, self.names.request_id) or b""
-        catalog = self.fleet_view.catalog
-        if catalog is None:
-            self._respond_locally(exchange, 503, request_id, NO_CATALOG_RETRY_AFTER_S)
-            return
-        host = (get_header(request.headers, b"host") or b"").decode("latin-1")
-        path = request.path.decode("latin-1")
-        route = catalog.match(host.partition(":")[0].lower(), path)
-        if route is None:
-            log_event(
-                "route_missing",
-                request=request_id.decode("latin-1"),
-                generation=catalog.generation,
+        routed = self.router.route(now, request)
+        if isinstance(routed, UnroutedRequest):
+            request_id = self.router.request_id(request)
+            self._respond_locally(
+                exchange, routed.status, request_id, routed.retry_after
             )
-            self._respond_locally(exchange, 404, request_id, None)
             return
-        client_timeout = _parse_milliseconds(
-            get_header(request.headers, self.names.deadline)
-        )
-        timeout = route.timeout
-        if client_timeout is not None:
-            timeout = min(timeout, client_timeout - CLIENT_TIMEOUT_MARGIN_S)
-        parent = self.local_target.find_parent(request_id)
-        if parent is None and self.local_target.refusing:
-            # The request might not complete before the process ends.
-            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
-            self._respond_locally(exchange, 503, request_id, DRAINING_RETRY_AFTER_S)
-            return
-        if parent is not None:
-            self.local_target.graph.record_call(parent.request_id, route.name)
-        else:
-            self.statuses.offered.count(route.name)
-        routed = RoutedRequest(
-            route=route,
-            request_id=request_id,
-            head=request_head(request, self.names, self.calling_service),
-            body=request.body,
-            arrived=now,
-            deadline=now + timeout,
-            rank=route.rank if parent is None else parent.rank,
-            nested=parent is not None,
-            is_retry=parent is not None and parent.is_retry,
-        )
         self.exchanges[exchange.token] = exchange
         self._execute(self.dispatcher.submit(now, exchange.token, routed))
 
@@ -347,11 +329,20 @@
 
     def _broadcast_status(self, now: float) -> None:
         target = self.local_target.registration
-        usable_targets = self.fleet_view.usable
+        unreachable = frozenset(
+            each.name
+            for each in self.fleet_view.targets.values()
+            if self._availability(each) is Availability.DOWN
+            or each.name in self.fleet_view.outdated
+        )
         self.statuses.report(
             now,
             "" if target is None else target.name,
-            {service: len(usable) for service, usable in usable_targets.items()},
+            {
+                service: sum(each.name not in unreachable for each in usable)
+                for service, usable in self.fleet_view.usable.items()
+            },
+            unreachable,
         )
 
     def _handle_status(self, session: PeerSession, status: Status) -> None:
@@ -360,6 +351,7 @@
         if target is not None:
             record = self.load_balancer.record(target)
             self.load_balancer.record_load(now, record, status.load)
+            record.call_times |= status.call_times
         self.statuses.receive(now, session.name, status)
 
     def update_settings(self, settings: RelaySettings) -> None:
@@ -393,11 +385,9 @@
             return self.links.availability(target.instance)
         if self.local_target.limiter.draining:
             return Availability.DOWN
-        return Availability.DRAINING if self.draining else Availability.UP
+        return Availability.DRAINING if self.leaving else Availability.UP
 
-    def _execute(
-        self, actions: list[SendCall | CancelCall | DeliverAnswer | FailRequest]
-    ) -> None:
+    def _execute(self, actions: list[DispatchAction]) -> None:
         for action in actions:
             if isinstance(action, SendCall):
                 self._send(action)
@@ -444,7 +434,7 @@
         body = b"" if exchange.head_only else answer.body
         data = b"".join((answer.head, head_end, body))
         exchange.connection.respond(exchange, data, close=close)
-        self._record_attempt(action.request, succeeded=answer.status < FAILED_STATUS)
+        self._record_attempt(action.request, succeeded=not answer.failed)
         self.access_log.log_answer(self.clock(), action)
 
     def _fail(self, action: FailRequest) -> None:
@@ -483,13 +473,3 @@
         first.
         """
         return self.draining and exchange.connection.is_last(exchange)
-
-
-def _parse_milliseconds(value: bytes | None) -> float | None:
-    """Return a header value in milliseconds as seconds; None if it is no number."""
-    if value is None:
-        return None
-    try:
-        return float(value) / 1e3
-    except ValueError:
-        return None
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Mapping
 
-from ...coordination.relay.admission import AdmissionController, OfferedRates
+from ...coordination.relay.admission import AdmissionController
 from ...coordination.relay.call_graph import CallGraph
 from ...coordination.relay.concurrency_limiter import ConcurrencyLimiter
+from ...coordination.relay.offered_rates import OfferedRates
 from ...protocol.relay_messages import Status
 from ..logs import log_event
 
@@ -64,7 +65,13 @@
         self.logged_shares: dict[str, float] = {}
         self.report_count = 0
 
-    def report(self, now: float, target: str, usable: Mapping[str, int]) -> None:
+    def report(
+        self,
+        now: float,
+        target: str,
+        usable: Mapping[str, int],
+        unreachable: frozenset[str],
+    ) -> None:
         """Compute the local status, update the admission shares, broadcast if due.
 
         Parameters
@@ -74,7 +81,9 @@
         target : str
             Name of the local target, empty if it is not known.
         usable : mapping
-            Number of targets of each service that accept work.
+            Number of targets of each service that accept work and can be reached.
+        unreachable : frozenset of str
+            Names of the targets that cannot be reached.
         """
         self.report_count += 1
         calls = self._changed_calls()
@@ -83,14 +92,17 @@
             service=self.service,
             target=target,
             load=round(limiter.load, 2),
-            capacity=round(limiter.calls_per_second, 1),
-            relative_costs=limiter.relative_costs,
+            slots=round(limiter.usable_slots, 1),
+            call_times={
+                route: round(seconds, 4)
+                for route, seconds in limiter.call_time_estimates(now).items()
+            },
             offered={r: round(v, 1) for r, v in self.offered.update(now).items()},
             calls=calls,
             rejection_rate=round(limiter.capacity.rejection_rate, 2),
         )
         self.admission.report(now, self.instance, status)
-        self.admission.update_shares(now, usable)
+        self.admission.update_shares(now, usable, unreachable)
         limiter.capacity.shedding = self.service in self.admission.saturated
         self._log_shares()
         periodic_due = self.report_count % UNLOADED_BROADCAST_INTERVAL == 0
@@ -136,5 +148,5 @@
             rejecting=round(limiter.capacity.rejection_rate, 2),
             running=limiter.running,
             waiting=limiter.queue_length,
-            mean_ms=round(limiter.mean_call_time * 1e3, 1),
+            mean_ms=round(limiter.call_times.mean * 1e3, 1),
         )
