Name the saturated services and use the terms of the code in the log of shares

Cause: the log called capacity room and its correction trim, and did not say which service limits the shares, so that an operator had to compare all relays. No decision changes; no figure was measured for it.

--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -143,8 +143,10 @@
         log_event(
             "shares_moved",
             shares=" ".join(f"{n}:{s:.2f}" for n, s in sorted(shares.items())),
-            room=round(limiter.calls_per_second, 1),
-            trim=round(limiter.capacity.correction, 2),
+            saturated=" ".join(sorted(self.admission.saturated)),
+            slots=round(limiter.usable_slots, 1),
+            calls_per_second=round(limiter.calls_per_second, 1),
+            correction=round(limiter.capacity.correction, 2),
             rejecting=round(limiter.capacity.rejection_rate, 2),
             running=limiter.running,
             waiting=limiter.queue_length,
