--- a/buckthornshed/coordination/relay/allocation.py
+++ b/buckthornshed/coordination/relay/allocation.py
@@ -92,20 +92,14 @@
     demands: Mapping[str, Mapping[str, float]],
     remaining: dict[str, float],
 ) -> None:
-    """Raise the shares of a group together, each until it needs a saturated service.
-
-    A share rises the faster, the less capacity one request takes, so that the capacity
-    completes more requests.
-    """
-    speeds = _rising_speeds(group, demands, remaining)
-    speed_rates = {route: rates[route] * speeds[route] for route in group}
+    """Raise the shares of a group together, each until it needs a saturated service."""
     rising = [route for route in group if shares[route] < 1.0 - NEGLIGIBLE]
     while rising:
-        headroom = min((1.0 - shares[route]) / speeds[route] for route in rising)
-        step = _max_step(rising, speed_rates, demands, remaining, headroom)
+        headroom = min(1.0 - shares[route] for route in rising)
+        increase = _max_uniform_increase(rising, rates, demands, remaining, headroom)
         for route in rising:
-            shares[route] += step * speeds[route]
-            _reserve(remaining, demands[route], speed_rates[route] * step)
+            shares[route] += increase
+            _reserve(remaining, demands[route], rates[route] * increase)
         rising = [
             route
             for route in rising
@@ -114,40 +108,15 @@
         ]
 
 
-def _rising_speeds(
+def _max_uniform_increase(
     group: list[str],
-    demands: Mapping[str, Mapping[str, float]],
-    remaining: Mapping[str, float],
-) -> dict[str, float]:
-    """Return the speed at which each share rises, 1 for the cheapest route.
-
-    The cost of a route is the largest fraction of any service's remaining capacity that
-    one request takes.
-    """
-    costs = {
-        route: max(
-            (
-                demand / remaining[service]
-                for service, demand in demands[route].items()
-                if remaining.get(service, 0.0) > NEGLIGIBLE
-            ),
-            default=0.0,
-        )
-        for route in group
-    }
-    least = min((cost for cost in costs.values() if cost > 0.0), default=0.0)
-    return {r: least / cost if cost > 0.0 else 1.0 for r, cost in costs.items()}
-
-
-def _max_step(
-    group: list[str],
-    speed_rates: Mapping[str, float],
+    rates: Mapping[str, float],
     demands: Mapping[str, Mapping[str, float]],
     remaining: Mapping[str, float],
     limit: float,
 ) -> float:
-    """Return the largest step, up to `limit`, that fits for the whole group."""
-    for service, demand in _total_demand(group, speed_rates, demands).items():
+    """Return the largest increase, up to `limit`, that fits for the whole group."""
+    for service, demand in _total_demand(group, rates, demands).items():
         if service in remaining and demand > 0.0:
             limit = min(limit, max(0.0, remaining[service]) / demand)
     return limit
