Look for missing services only in routes that are in use

Cause: the demand of every route was computed with each status, five times a second, also with a configuration of thousands of routes. Now it is computed for the routes that clients use, and for others when their first request comes in an outage.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -93,8 +93,9 @@
         Services whose capacity the admitted requests use up.
     outages : Outages
         Services that cannot be reached.
-    blocked_routes : dict
-        By route, a service that all its requests need and that cannot be reached.
+    missing_services : dict
+        By route, a service that all its requests need and that cannot be reached, or
+        None. Filled when a route is first used after an update of the shares.
     """
 
     def __init__(self, *, graph: CallGraph) -> None:
@@ -106,7 +107,7 @@
         self.shares: dict[str, float] = {}
         self.saturated: frozenset[str] = frozenset()
         self.outages = Outages()
-        self.blocked_routes: dict[str, str] = {}
+        self.missing_services: dict[str, str | None] = {}
         self.success_rates = SuccessRates()
 
     def configure(self, catalog: Catalog) -> None:
@@ -121,9 +122,9 @@
 
     def reject(self, now: float, route: Route, request_id: bytes) -> Rejection | None:
         """Return why a new client request is not admitted, or None if it is."""
-        unreachable = self.blocked_routes.get(route.name)
-        if unreachable is not None:
-            retry_after = self.outages.retry_after(now, unreachable, route.objective)
+        missing = self._missing_service(route.name)
+        if missing is not None:
+            retry_after = self.outages.retry_after(now, missing, route.objective)
             return Rejection(RefusalReason.UNREACHABLE, retry_after)
         if self.admits(route, request_id):
             return None
@@ -168,13 +169,15 @@
             if service in serving
         }
         self.outages.update(now, (s for s in self.mean_slots if not usable.get(s)))
-        route_demands = {route: self._route_demand(route) for route in self.routes}
-        self.blocked_routes = self._find_blocked_routes(route_demands)
+        self.missing_services.clear()
+        route_demands = {
+            route: self._route_demand(route)
+            for route in offered
+            if route in self.routes and self._missing_service(route) is None
+        }
         rejections = rejection_rates(statuses)
         demands = {
-            route: demand.slot_seconds
-            for route, demand in route_demands.items()
-            if route in offered and route not in self.blocked_routes
+            route: demand.slot_seconds for route, demand in route_demands.items()
         }
         rates = {route: offered[route] for route in demands}
         precedence = {
@@ -196,19 +199,24 @@
         self.shares = allocation.shares
         self.saturated = allocation.saturated
 
-    def _find_blocked_routes(
-        self, route_demands: Mapping[str, RouteDemand]
-    ) -> dict[str, str]:
-        """Return the routes of which every request needs an unreachable service.
+    def _missing_service(self, route: str) -> str | None:
+        """Return a service that all requests of a route need and that is unreachable.
 
-        A route that is split over several services is not blocked by one of them.
+        A route that is split over several services can do without one of them.
         """
-        return {
-            route: service
-            for route, demand in route_demands.items()
-            for service in self.outages.started
-            if demand.calls.get(service, 0.0) >= ALWAYS_NEEDED_CALLS
-        }
+        if not self.outages.started:
+            return None
+        if route not in self.missing_services:
+            calls = self._route_demand(route).calls
+            self.missing_services[route] = next(
+                (
+                    service
+                    for service in self.outages.started
+                    if calls.get(service, 0.0) >= ALWAYS_NEEDED_CALLS
+                ),
+                None,
+            )
+        return self.missing_services[route]
 
     def _route_demand(self, route: str) -> RouteDemand:
         """Return the demand of one request of a route, empty for an unknown route."""
