Check the fleet's retry limit under heavy load after calm

Cause: the drawn loads were too small for a bucket that is too large to break the limit: the check passed with buckets of a whole window.

--- a/buckthornshed/tests/relay/test_fleet_retry_bound.py
+++ b/buckthornshed/tests/relay/test_fleet_retry_bound.py
@@ -84,6 +84,8 @@
     calm=st.integers(0, 40),
 )
 @example(size=1, loads=[1], uneven=1, calm=0)
+@example(size=40, loads=[12], uneven=1, calm=40)
+@example(size=13, loads=[12, 0, 0], uneven=2, calm=40)
 def test_repeats_of_all_relays_keep_the_bound_in_every_window(
     size, loads, uneven, calm
 ):
