End a conflict of generations in the state machine with an unused generation

Cause: the teardown of the machine published its last set under a generation that two sets had used before, as it looked only at what nodes had in force. By design (configuration_twice_differently) the set in force then stays and the conflict is reported, so nodes could not converge on the third set: the machine was at fault, not the product. The teardown now takes a generation above all that were published; the red test passes unchanged in its steps, and a new one checks that a third set is never in force and is reported by every node.

--- a/buckthornshed/tests/properties/test_generation_machine.py
+++ b/buckthornshed/tests/properties/test_generation_machine.py
@@ -44,6 +44,7 @@
         self.disputed = False
         self.disturbed_at = 0.0
         self.count = 0
+        self.highest_published = self.exchange.platform.latest.generation
 
     def check_active(self, node, version):
         """Check that no node goes back, and that no refused set is in force."""
@@ -74,6 +75,7 @@
         objects = objects_of(self.peers, a=b"%d" % self.count, **more)
         version = self.exchange.platform.publish(objects, generation)
         self.saved = dict(self.exchange.platform.values)
+        self.highest_published = max(self.highest_published, version.generation)
         if broken:
             self.refused.add(version)
 
@@ -171,7 +173,9 @@
             node.frozen = False
         highest = max(v.generation for v in self.exchange.versions())
         if self.disputed or self.refused:
-            highest = max(highest, self.exchange.platform.latest.generation)
+            # Of two sets with one generation the one in force stays, so a conflict
+            # ends only with a generation that was never used.
+            highest = self.highest_published
             self.publish(generation=highest + 1)
         self.run(SETTLE_S)
         versions = self.exchange.versions()
@@ -223,14 +227,31 @@
         run_state_machine_as_test(machine, settings=search)
 
 
-def test_nodes_converge_after_a_generation_was_published_three_times():
-    """Nodes keep the second set of a generation; the platform holds a third one.
-
-    The search above finds this only from other seeds.
-    """
+def publish_generation_three_twice():
+    """Return a fleet after a race at generation 3 and a reuse of generation 2."""
     fleet = GenerationMachine()
     fleet.links(loss=0.0, jitter=0.0)
     fleet.operator_reuses_a_generation()
     fleet.two_operators_race()
     fleet.operator_reuses_a_generation()
+    return fleet
+
+
+def test_nodes_converge_after_a_generation_was_published_three_times():
+    publish_generation_three_twice().teardown()
+
+
+def test_a_third_set_of_a_generation_is_reported_and_never_in_force():
+    """Of two sets with one generation the one in force stays until a new generation."""
+    fleet = publish_generation_three_twice()
+    before = fleet.exchange.platform.latest
+    fleet.publish(generation=3)
+    third = fleet.exchange.platform.latest
+    assert third.generation == 3 and before.generation == 2
+    fleet.run(SETTLE_S)
+    (in_force,) = fleet.exchange.versions()
+    assert in_force.generation == 3 and in_force != third
+    nodes = fleet.exchange.nodes.values()
+    assert all(node.reports["conflict"] for node in nodes)
+    assert all(third not in node.history for node in nodes)
     fleet.teardown()
