--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -24,6 +24,7 @@
 from ...state.catalog import Catalog, Route
 from .allocation import Precedence, allocate
 from .call_graph import CallGraph
+from .call_times import DEFAULT_CALL_TIME_S
 from .fleet_load import (
     Report,
     call_times,
@@ -49,8 +50,6 @@
 """Probability of success below which a route's requests come after all others."""
 MAX_REPORT_AGE_S = 2.0
 """Age from which a report is ignored."""
-DEFAULT_CALL_TIME_S = 0.05
-"""Time per call that is assumed of a route until a target reports it."""
 ALWAYS_NEEDED_CALLS = 0.99
 """Mean calls of a service from which all requests of a route need it."""
 MAX_CALL_DEPTH = 8
--- a/buckthornshed/coordination/relay/call_times.py
+++ b/buckthornshed/coordination/relay/call_times.py
@@ -10,9 +10,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["CallTimes", "RunningCall"]
+__all__ = ["DEFAULT_CALL_TIME_S", "MIN_CALL_TIME_S", "CallTimes", "RunningCall"]
 
 DEFAULT_CALL_TIME_S = 0.05
+"""Call time that is assumed while no target has reported one."""
+MIN_CALL_TIME_S = 1e-4
+"""Least call time by which a capacity is divided."""
 SMOOTHING = 0.1
 MEAN_SMOOTHING = 0.03
 MIN_RUNNING_CALLS = 4
--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import CallMessage, RefusalReason
-from .call_times import CallTimes, RunningCall
+from .call_times import MIN_CALL_TIME_S, CallTimes, RunningCall
 from .capacity import CapacityEstimate
 from .circuit_breaker import CircuitBreaker
 from .stall_detector import StallDetector
@@ -28,7 +28,6 @@
 
 USABLE_SLOT_FRACTION = 0.94
 """Fraction of the target's slots that is used."""
-MIN_CALL_TIME_S = 1e-4
 MAX_PROBES = 2
 """Concurrent calls of a route that the target seems too slow for."""
 QUEUE_PER_SLOT = 4
--- a/buckthornshed/coordination/relay/fleet_load.py
+++ b/buckthornshed/coordination/relay/fleet_load.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ...protocol.relay_messages import Status
+from .call_times import MIN_CALL_TIME_S
 
 __all__ = [
     "Report",
@@ -16,9 +17,6 @@
 ]
 
 
-MIN_CALL_TIME_S = 1e-4
-
-
 class Report(NamedTuple):
     """A relay's status and the time at which it was received, in seconds."""
 
--- a/buckthornshed/coordination/relay/load_balancer.py
+++ b/buckthornshed/coordination/relay/load_balancer.py
@@ -12,14 +12,13 @@
 from typing import TYPE_CHECKING
 
 from ...state.catalog import Route, Target
+from .call_times import DEFAULT_CALL_TIME_S
 
 if TYPE_CHECKING:
     from random import Random
 
 __all__ = ["Availability", "LoadBalancer", "TargetRecord"]
 
-DEFAULT_CALL_TIME_S = 0.05
-"""Call time that is assumed while no target has reported one."""
 CROSS_DOMAIN_FACTOR = 1.6
 """Factor on the expected time of a call to another failure domain."""
 MAX_CANDIDATES = 2
