--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -152,51 +152,60 @@
         report is assumed to have the mean request rate and the mean slots of those that
         report. A service without any report keeps its last known slots and call times.
         """
-        statuses = [
-            r.status
-            for r in self.reports.values()
-            if now - r.received_at < MAX_REPORT_AGE_S
-            and r.status.target not in unreachable
-        ]
+        statuses = self._recent_statuses(now, unreachable)
         offered = offered_rates(statuses, relays=sum(usable.values()))
         self.mean_slots |= mean_slots(statuses)
         self.call_times |= call_times(statuses)
-        serving = serving_targets(statuses, usable)
-        capacities = {
-            service: mean * serving[service]
-            for service, mean in self.mean_slots.items()
-            if service in serving
-        }
         self.outages.update(now, (s for s in self.mean_slots if not usable.get(s)))
         self.missing_services.clear()
-        route_demands = {
+        demands = {
             route: self._route_demand(route)
             for route in offered
             if route in self.routes and self._missing_service(route) is None
         }
-        rejections = rejection_rates(statuses)
-        demands = {
-            route: demand.slot_seconds for route, demand in route_demands.items()
+        self.success_rates.decay(now)
+        allocation = allocate(
+            {route: offered[route] for route in demands},
+            self._precedence(demands, rejection_rates(statuses)),
+            {route: demand.slot_seconds for route, demand in demands.items()},
+            self._capacities(serving_targets(statuses, usable)),
+            {
+                route: _min_fair_share_fraction(self.success_rates.relative_rate(route))
+                for route in demands
+            },
+        )
+        self.shares = allocation.shares
+        self.saturated = allocation.saturated
+
+    def _recent_statuses(self, now: float, unreachable: frozenset[str]) -> list[Status]:
+        """Return the recent statuses of relays whose targets can be reached."""
+        return [
+            report.status
+            for report in self.reports.values()
+            if now - report.received_at < MAX_REPORT_AGE_S
+            and report.status.target not in unreachable
+        ]
+
+    def _capacities(self, serving: Mapping[str, int]) -> dict[str, float]:
+        """Return the slots of each service that has reported any."""
+        return {
+            service: mean * serving[service]
+            for service, mean in self.mean_slots.items()
+            if service in serving
         }
-        rates = {route: offered[route] for route in demands}
-        precedence = {
+
+    def _precedence(
+        self, demands: Mapping[str, RouteDemand], rejections: Mapping[str, float]
+    ) -> dict[str, Precedence]:
+        """Return the order in which routes receive capacity."""
+        return {
             route: Precedence(
-                unlikely_to_succeed=_success_probability(
-                    route_demands[route].calls, rejections
-                )
+                unlikely_to_succeed=_success_probability(demand.calls, rejections)
                 < MIN_SUCCESS_PROBABILITY,
                 rank=self.routes[route].rank,
             )
-            for route in demands
-        }
-        self.success_rates.decay(now)
-        min_fractions = {
-            route: _min_fair_share_fraction(self.success_rates.relative_rate(route))
-            for route in demands
+            for route, demand in demands.items()
         }
-        allocation = allocate(rates, precedence, demands, capacities, min_fractions)
-        self.shares = allocation.shares
-        self.saturated = allocation.saturated
 
     def _missing_service(self, route: str) -> str | None:
         """Return a service that all requests of a route need and that is unreachable.
