--- a/buckthornshed/coordination/relay/load_balancer.py
+++ b/buckthornshed/coordination/relay/load_balancer.py
@@ -139,7 +139,9 @@
         local = [r for r in records if r.target.failure_domain == self.failure_domain]
         remote = [r for r in records if r.target.failure_domain != self.failure_domain]
         sampled = self._sample(local) + self._sample(remote)
-        default = _mean_call_time(records, route.name)
+        default = DEFAULT_CALL_TIME_S
+        if any(route.name not in record.call_times for record in sampled):
+            default = _mean_call_time(records, route.name)
         return min(
             sampled,
             key=lambda each: each.expected_time(
