Log and measure the limits that targets state

The relay beside a target now reads the statements in its answers and logs each change (target_statement, with the number of requests sent so far); two gauges show the stated limit and the requests sent. Decisions are unchanged.

Ruled out: reading the limit only in answers with status 200; a target also states it when it rejects a call. A limit that is no number changes nothing.

--- a/buckthornshed/platform/wire.py
+++ b/buckthornshed/platform/wire.py
@@ -21,6 +21,8 @@
     not_run=b"not-executed",
     signature=b"response-seal",
     target_name=b"instance-id",
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 READY_PATH = b"/ready"
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -65,6 +65,10 @@
         The target's signature of its answer.
     target_name : bytes
         Name of the target that answered.
+    rate_limit : bytes
+        Requests per second that the target takes from all relays together.
+    leaving : bytes
+        Present with the value 1 if the target is about to stop.
     """
 
     request_id: bytes
@@ -74,6 +78,8 @@
     not_run: bytes
     signature: bytes
     target_name: bytes
+    rate_limit: bytes
+    leaving: bytes
 
 
 class RefusalReason(IntEnum):
--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -21,6 +21,8 @@
         Request line, headers and body of all requests, in order.
     disconnected : list
         Identifiers of the requests whose caller disconnected during ``hang``.
+    extra_headers : str
+        Lines that are added to the head of each answer.
     """
 
     def __init__(self, name):
@@ -33,6 +35,7 @@
         self.max_running = 0
         self.disconnected = []
         self.delay = 0.0
+        self.extra_headers = ""
         self.release = asyncio.Event()
         self.server: asyncio.Server | None = None
 
@@ -65,7 +68,7 @@
         if script in ("full", "wrong") or headers["expect-instance"] != self.name:
             status = 503 if script == "full" else 421
             writer.write(
-                f"HTTP/1.1 {status} X\r\nnot-executed: 1\r\n"
+                f"HTTP/1.1 {status} X\r\nnot-executed: 1\r\n{self.extra_headers}"
                 f"content-length: 0\r\n\r\n".encode()
             )
             return True
@@ -95,7 +98,7 @@
         body = f"answer to {request_id} by {self.name}".encode()
         head = (
             f"HTTP/1.1 {status} X\r\nrequest-id: {request_id}\r\n"
-            f"response-seal: {self.name}.{request_id}\r\n{extra}"
+            f"response-seal: {self.name}.{request_id}\r\n{extra}{self.extra_headers}"
             f"content-length: {len(body)}\r\n\r\n"
         )
         return head.encode() + body
--- /dev/null
+++ b/buckthornshed/tests/relay/test_target_statement.py
@@ -0,0 +1,58 @@
+"""Tests of reading what a target states about itself."""
+
+import asyncio
+
+import pytest
+
+from buckthornshed.platform.wire import HEADERS
+from buckthornshed.transport.relay.target_statement import (
+    TargetStatement,
+    read_statement,
+)
+
+from .fleet import fleet_of
+
+
+@pytest.mark.parametrize(
+    ("headers", "statement"),
+    [
+        ((), TargetStatement()),
+        (((b"server-limit", b"2.75"),), TargetStatement(2.75)),
+        (((b"server-limit", b"0"),), TargetStatement(0.0)),
+        (((b"server-leaving", b"1"),), TargetStatement(None, True)),
+        (((b"server-leaving", b"0"),), TargetStatement()),
+        (
+            ((b"server-limit", b"7"), (b"server-leaving", b"1")),
+            TargetStatement(7.0, True),
+        ),
+    ],
+)
+def test_a_statement_is_read_from_the_headers(headers, statement):
+    assert read_statement(headers, HEADERS) == statement
+
+
+@pytest.mark.parametrize("value", [b"", b"many", b"nan", b"inf", b"-3", b"\xff"])
+def test_an_unreadable_limit_states_nothing(value):
+    assert read_statement(((b"server-limit", value),), HEADERS) is None
+
+
+def test_a_changed_statement_is_logged_and_shown_by_the_metrics(caplog):
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            (relay,), (target,) = fleet.relays, fleet.targets
+            target.extra_headers = "server-limit: 2.5\r\n"
+            await fleet.ask(relay)
+            assert relay.gauges().stated_limit == 2.5
+            target.extra_headers = ""
+            await fleet.ask(relay)
+            assert relay.gauges().stated_limit == -1.0
+            assert relay.gauges().target_requests == 2
+
+    with caplog.at_level("INFO"):
+        asyncio.run(scenario())
+    limits = [
+        record.msg["limit"]
+        for record in caplog.records
+        if record.msg["event"] == "target_statement"
+    ]
+    assert limits == [2.5, None]
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -33,6 +33,11 @@
         Estimated capacity of the local target, in calls per second.
     least_share : float
         Smallest admission share of any route, 0 to 1.
+    stated_limit : float
+        Calls per second that the local target states as its limit; -1 if it states
+        none.
+    target_requests : int
+        Requests sent to the local target since the start of the relay.
     """
 
     generation: int
@@ -43,6 +48,8 @@
     waiting: int
     room: float
     least_share: float
+    stated_limit: float
+    target_requests: int
 
 
 class LatencyHistogram:
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -24,6 +24,7 @@
 from .access_log import AccessLog
 from .responses import response_head
 from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
+from .target_statement import TargetStatement, read_statement
 
 __all__ = ["CallKey", "LocalTarget"]
 
@@ -34,6 +35,9 @@
 have run the request.
 """
 
+WRONG_TARGET_STATUS = 421
+"""Status by which a target rejects a request that is meant for another one."""
+
 PARENT_SEPARATOR = b"."
 """Separates the identifier of a run from the suffix of its nested requests."""
 
@@ -92,6 +96,7 @@
         self.run_ids: dict[Hashable, int] = {}
         self.next_run_id = 1
         self.refusing = False
+        self.statement = TargetStatement()
         self.graph = CallGraph()
         self.calls_by_request_id: dict[bytes, LimiterCall] = {}
 
@@ -203,6 +208,8 @@
         if call is None:
             return
         del self.run_ids[call.key]
+        if isinstance(result, TargetAnswer):
+            self._record_statement(call, result)
         outcome = self._create_outcome(call, result)
         # A failed run may end early, so its time and calls are not representative.
         succeeded = isinstance(outcome, AnswerMessage) and not outcome.failed
@@ -225,6 +232,21 @@
         self._deliver(call, outcome)
         self._execute(actions)
 
+    def _record_statement(self, call: LimiterCall, answer: TargetAnswer) -> None:
+        """Record what the target states about itself, and log changes."""
+        statement = read_statement(answer.headers, self.names)
+        if statement is None or answer.status == WRONG_TARGET_STATUS:
+            return
+        if statement != self.statement:
+            log_event(
+                "target_statement",
+                target=call.message.target,
+                limit=statement.rate_limit,
+                leaving=statement.leaving,
+                sent=self.pool.requests_sent,
+            )
+        self.statement = statement
+
     def _end_run(self, call: LimiterCall, *, succeeded: bool) -> None:
         message = call.message
         self.calls_by_request_id.pop(message.request_id, None)
@@ -283,7 +305,7 @@
 
 def refusal_reason(answer: TargetAnswer, names: HeaderNames) -> RefusalReason | None:
     """Return why a target's answer cannot be passed on; None if it can."""
-    if answer.status == 421:
+    if answer.status == WRONG_TARGET_STATUS:
         return RefusalReason.WRONG_TARGET
     if get_header(answer.headers, names.not_run) is not None:
         return RefusalReason.TARGET_FULL
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -55,6 +55,8 @@
 """File descriptors that client connections may not use."""
 TICKS_PER_STATUS = 8
 """Ticks between two status reports on the local target."""
+NO_LIMIT = -1.0
+"""Value of the gauge of the stated limit if the target states none."""
 TICKS_PER_SWEEP = 20
 """Ticks between two checks for expired connections and registrations."""
 
@@ -168,6 +170,7 @@
         """Return the current values of the gauges."""
         limiter = self.local_target.limiter
         catalog = self.fleet_view.catalog
+        rate_limit = self.local_target.statement.rate_limit
         return RelayGauges(
             generation=0 if catalog is None else catalog.generation,
             targets=sum(map(len, self.fleet_view.usable.values())),
@@ -177,6 +180,8 @@
             waiting=limiter.queue_length,
             room=limiter.calls_per_second,
             least_share=min(self.admission.shares.values(), default=1.0),
+            stated_limit=NO_LIMIT if rate_limit is None else rate_limit,
+            target_requests=self.local_target.pool.requests_sent,
         )
 
     async def open(self) -> None:
--- a/buckthornshed/transport/relay/target_pool.py
+++ b/buckthornshed/transport/relay/target_pool.py
@@ -120,6 +120,7 @@
         self.delimited_by_close = False
         self.reusable = False
         self.collector.reset()
+        self.pool.requests_sent += 1
         assert self.transport is not None
         self.transport.write(data)
 
@@ -227,6 +228,7 @@
         self.active: dict[int, TargetConnection] = {}
         self.connecting: dict[int, asyncio.Task[None]] = {}
         self.connections_opened = 0
+        self.requests_sent = 0
 
     def send(
         self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
--- /dev/null
+++ b/buckthornshed/transport/relay/target_statement.py
@@ -0,0 +1,53 @@
+"""What a target states about itself in the headers of an answer."""
+
+import math
+from typing import NamedTuple
+
+from ...protocol.http import get_header
+from ...protocol.messages import Headers
+from ...protocol.relay_messages import HeaderNames
+from ..logs import log_event
+
+__all__ = ["TargetStatement", "read_statement"]
+
+LEAVING_VALUE = b"1"
+
+
+class TargetStatement(NamedTuple):
+    """Statements of one answer.
+
+    Parameters
+    ----------
+    rate_limit : float or None
+        Requests per second that the target takes from all relays together; None if it
+        states no limit.
+    leaving : bool
+        Whether the target is about to stop.
+    """
+
+    rate_limit: float | None = None
+    leaving: bool = False
+
+
+def read_statement(headers: Headers, names: HeaderNames) -> TargetStatement | None:
+    """Return what a target states in an answer; None if its limit is no number.
+
+    An unreadable limit shows neither a limit nor the end of one.
+    """
+    value = get_header(headers, names.rate_limit)
+    leaving = get_header(headers, names.leaving) == LEAVING_VALUE
+    if value is None:
+        return TargetStatement(leaving=leaving)
+    rate_limit = _parse_rate(value)
+    if rate_limit is None:
+        log_event("target_limit_unreadable", limit=value.decode("latin-1"))
+        return None
+    return TargetStatement(rate_limit, leaving)
+
+
+def _parse_rate(value: bytes) -> float | None:
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
