Add a failing test of the limit that a target states

The clock of the relays is the test's own, so the count does not depend on the speed of the machine.

--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -26,16 +26,30 @@
     body: bytes
 
 
+class ManualClock:
+    """Clock that stands still until a test advances it."""
+
+    def __init__(self):
+        self.now = 1_000.0
+
+    def __call__(self):
+        return self.now
+
+    def advance(self, seconds):
+        self.now += seconds
+
+
 class Fleet:
     """The store, relays and targets of one test."""
 
-    def __init__(self, store, client_port, peer_port):
+    def __init__(self, store, client_port, peer_port, clock=time.monotonic):
         self.store = store
+        self.clock = clock
         self.client_port = client_port
         self.peer_port = peer_port
         self.relays = []
         self.targets = []
-        self.tasks = []
+        self.tasks = {}
         self.sent = 0
 
     async def add(self, service, *, slots=10, target=None):
@@ -44,25 +58,44 @@
         if target is None:
             target = StandinTarget(f"i-{number}")
             await target.open(host)
+        relay = await self.start(make_settings(self, host, service, target.address))
+        self.relays.append(relay)
+        self.targets.append(target)
+        await self.register(target, service, slots=slots)
+        return relay, target
+
+    async def start(self, settings):
+        """Start a relay that reads the store."""
         relay = Relay(
-            settings=make_settings(self, host, service, target.address),
+            settings=settings,
             names=HEADERS,
-            clock=time.monotonic,
+            clock=self.clock,
             wall=time.time,
-            rng=Random(number),
+            rng=Random(int(settings.name.rpartition(".")[2])),
         )
         await relay.open()
         client = StoreClient(address=self.store.address, clock=time.monotonic)
         reader = StoreReader(client=client, listener=relay.fleet_updater)
         loop = asyncio.get_running_loop()
-        self.tasks += [
+        self.tasks[relay] = [
             loop.create_task(reader.follow()),
             loop.create_task(run_ticks(relay)),
         ]
-        self.relays.append(relay)
-        self.targets.append(target)
-        await self.register(target, service, slots=slots)
-        return relay, target
+        return relay
+
+    async def restart(self, number):
+        """Replace a relay by a new one that knows nothing."""
+        old = self.relays[number]
+        self.stop(old)
+        await until(lambda: not old.links.sessions and not old.links.links)
+        self.relays[number] = await self.start(old.settings)
+        await self.wait_until_connected()
+
+    def stop(self, relay):
+        """End a relay at once."""
+        for task in self.tasks.pop(relay):
+            task.cancel()
+        relay.close()
 
     async def register(self, target, service, *, slots=10, state="ready", seq=1):
         entry = {
@@ -164,11 +197,13 @@
 
 
 @asynccontextmanager
-async def fleet_of(count, *, service="stalls", slots=10, **options):
+async def fleet_of(
+    count, *, service="stalls", slots=10, clock=time.monotonic, **options
+):
     """Run a fleet of `count` relays with one service."""
     store = StandinStore()
     await store.open()
-    fleet = Fleet(store, free_port(), free_port())
+    fleet = Fleet(store, free_port(), free_port(), clock)
     await store.put("op/config", configuration(**options))
     try:
         for _ in range(count):
@@ -176,10 +211,8 @@
         await fleet.wait_until_connected()
         yield fleet
     finally:
-        for task in fleet.tasks:
-            task.cancel()
         for relay in fleet.relays:
-            relay.close()
+            fleet.stop(relay)
         store.close()
         for target in fleet.targets:
             target.close()
--- /dev/null
+++ b/buckthornshed/tests/relay/test_stated_limit.py
@@ -0,0 +1,77 @@
+"""Tests of the limit that a target states for the requests of all relays together.
+
+The clock of the relays stands still unless a test advances it, so that the number of
+requests in a span of time does not depend on the speed of the machine.
+"""
+
+import asyncio
+
+from .fleet import ManualClock, fleet_of, until
+
+LIMIT = 2.5
+"""Stated limit in requests per second."""
+STEP_S = 0.1
+WINDOW_S = 4.0
+TOLERANCE = 1.5
+SLACK = 5
+"""A target may get `TOLERANCE` times its limit and `SLACK` requests in a window."""
+MAX_REQUESTS = TOLERANCE * LIMIT * WINDOW_S + SLACK
+
+
+async def fleet_with_limit(fleet, clock):
+    """Add two relays without a target of the service, and let all learn the limit."""
+    for _ in range(2):
+        await fleet.add("elsewhere")
+    await fleet.wait_until_connected()
+    target = fleet.targets[0]
+    target.extra_headers = f"server-limit: {LIMIT}\r\n"
+    for relay in fleet.relays:
+        response = await ask_in_time(fleet, clock, relay)
+        assert response.headers["server-limit"] == str(LIMIT)
+    return target
+
+
+async def ask_in_time(fleet, clock, relay, **options):
+    """Ask a relay and advance the clock until the response has come."""
+    asking = asyncio.ensure_future(fleet.ask(relay, **options))
+    await advance_until(clock, asking.done)
+    return asking.result()
+
+
+async def advance_until(clock, condition):
+    async def step():
+        clock.advance(STEP_S)
+        await asyncio.sleep(0.03)
+
+    await until(condition, ask=step)
+
+
+async def flood(fleet, clock, *, requests=25, seconds=WINDOW_S):
+    """Send requests to all relays at once, and more in each step of the clock.
+
+    Returns the responses.
+    """
+    asking = []
+    for step in range(round(seconds / STEP_S)):
+        for relay in fleet.relays:
+            for _ in range(requests if step == 0 else 1):
+                asking.append(asyncio.ensure_future(fleet.ask(relay)))
+        await asyncio.sleep(0.05)
+        clock.advance(STEP_S)
+    await advance_until(clock, lambda: all(each.done() for each in asking))
+    return [each.result() for each in asking]
+
+
+def test_requests_of_all_relays_together_keep_the_limit_that_a_target_states():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            before = len(target.received)
+            start = clock.now
+            responses = await flood(fleet, clock)
+            windows = (clock.now - start) / WINDOW_S
+            assert len(target.received) - before <= MAX_REQUESTS * max(1.0, windows)
+            assert {response.status for response in responses} == {200, 503}
+
+    asyncio.run(scenario())
