Keep the limit that a target states for all relays together

What callers saw: a target in need stated that it takes 15.8 requests a second from all relays together and got 131 in 4 s (100 allowed); another 2.7 a second and got 49 (21 allowed). Nothing was refused, so the target in need stayed in need.

Cause: no relay read the limit. The relay beside a target started calls whenever a slot was free. The class of fault: a bound for all relays together that no single place keeps.

Fix: the relay beside a target is the only way to it, so it alone keeps the limit for all callers: its concurrency limiter has a token bucket, and each start of a call (first sends, retries, calls of targets, half-open trials) takes a token. What does not fit in 0.4 s is refused as not run, lower ranks first, with the time of the next turn; callers try other targets, leave that target out until then, and admission gives the first hop the capacity of the limit. A relay that has restarted learns the limit from the relays that connect to it, before their first call, and keeps it until its target answers. The limit ends with an answer that states none to a call sent after the limit was last stated.

Ruled out: a share of the limit for each relay (wrong when relays start, end or are cut off, and wasteful when load is uneven); a limit carried by each call (the message on connecting already comes before the first call).

--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -25,6 +25,7 @@
 CAUSES = {
     "not_admitted": "a service that it depends on was saturated",
     "overload": "the target was overloaded and could not start it in time",
+    "rate_limited": "the limit that its target states was used up",
     "expired": "its deadline passed or could no longer be met before it was sent",
     "leaving": "its target was draining and no other target could serve it",
     "unreachable": "no target could be reached",
--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -1,14 +1,15 @@
-"""Concurrency limit and priority queue for calls to the target beside a relay.
+"""Concurrency and rate limit, and queue, for calls to the target beside a relay.
 
 Callers together can demand more than the target's slots can serve. All calls to the
 target pass through its relay, so the relay knows what runs there. It leaves a few slots
 free, as targets slow down when all are in use. Queued calls start in order of rank,
 then of deadline. A call that cannot meet its deadline is refused at once and has not
-run.
+run. If the target states a rate limit, a call that would wait long for its turn is
+refused as well, so that its caller can try another target.
 """
 
 import heapq
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
 from .call_times import MIN_CALL_TIME_S, CallTimes, RunningCall
 from .capacity import CapacityEstimate
 from .circuit_breaker import CircuitBreaker
+from .rate_limiter import RateLimiter
 from .stall_detector import StallDetector
 
 __all__ = [
@@ -33,6 +35,13 @@
 QUEUE_PER_SLOT = 4
 DEFAULT_SLOTS = 8
 """Slots that are assumed until the target's registration is known."""
+MAX_RATE_DELAY_S = 0.4
+"""Longest time that a call waits for its turn under a rate limit."""
+RATE_MARGIN = 0.9
+"""Fraction of a rate limit that is reported as capacity.
+
+Requests arrive unevenly, and a refused call far downstream fails its whole request.
+"""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 
@@ -67,7 +76,7 @@
 
 
 class ConcurrencyLimiter:
-    """Concurrency limit and queue in front of one target.
+    """Concurrency limit, rate limit and queue in front of one target.
 
     Attributes
     ----------
@@ -90,18 +99,28 @@
         self.capacity = CapacityEstimate()
         self.stall_detector = StallDetector()
         self.circuit_breaker = CircuitBreaker()
+        self.rate_limiter = RateLimiter()
 
     @property
     def load(self) -> float:
-        """Running and queued calls over the concurrency limit."""
-        return (self.running + self.queue_length) / self.limit
+        """Running and queued calls over the limit that is nearer."""
+        concurrency_load = (self.running + self.queue_length) / self.limit
+        if not self.rate_limiter.limited:
+            return concurrency_load
+        queue_capacity = self.rate_limiter.effective_rate * MAX_RATE_DELAY_S
+        rate_load = self.rate_limiter.utilization + self.queue_length / queue_capacity
+        return max(concurrency_load, rate_load)
 
     @property
     def usable_slots(self) -> float:
         """Estimated capacity; 0 while draining or the circuit breaker is tripped."""
         if self.draining or self.circuit_breaker.tripped:
             return 0.0
-        return self.capacity.usable_slots(self.limit)
+        slots = self.capacity.usable_slots(self.limit)
+        if not self.rate_limiter.limited:
+            return slots
+        rate = RATE_MARGIN * self.rate_limiter.effective_rate
+        return min(slots, rate * max(self.call_times.mean, MIN_CALL_TIME_S))
 
     @property
     def calls_per_second(self) -> float:
@@ -122,9 +141,12 @@
         )
 
     def retry_after(self) -> float:
-        """Return the seconds after which a slot should be free."""
+        """Return the seconds after which a call should find a free slot and a turn."""
         backlog = self.queue_length * self.call_times.mean / self.limit
-        return min(MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S + backlog)
+        turn = 0.0
+        if self.rate_limiter.limited:
+            turn = (self.queue_length + 1) / self.rate_limiter.effective_rate
+        return min(MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S + max(backlog, turn))
 
     def submit(self, now: float, call: LimiterCall) -> list[LimiterAction]:
         """Start, queue or refuse a call."""
@@ -138,9 +160,16 @@
             return [RefuseCall(call, RefusalReason.OVERLOAD, MIN_RETRY_AFTER_S)]
         if self._outlasts_deadline(now, call):
             return [RefuseCall(call, RefusalReason.OVERLOAD, self.retry_after())]
-        if self.running < self.limit and not self.queue_length:
+        if (
+            self.running < self.limit
+            and not self.queue_length
+            and self.rate_limiter.take(now)
+        ):
             return [self._start(now, call)]
-        if not self._can_meet_deadline(now, call):
+        ahead = self._calls_ahead(call)
+        if self.rate_limiter.delay(now, ahead) > MAX_RATE_DELAY_S:
+            return [RefuseCall(call, RefusalReason.RATE_LIMITED, self.retry_after())]
+        if not self._can_meet_deadline(now, call, ahead):
             return [RefuseCall(call, RefusalReason.OVERLOAD, self.retry_after())]
         self.calls[call.key] = call
         self.arrivals += 1
@@ -192,21 +221,33 @@
         return False, []
 
     def tick(self, now: float) -> list[LimiterAction]:
-        """Refuse queued calls that will miss their deadline; update the capacity."""
-        queue_delay = self.queue_length * self.call_times.mean / self.limit
-        self.capacity.update(
-            now, running=self.running, limit=self.limit, queue_delay=queue_delay
+        """Refuse queued calls that wait too long; update the capacity."""
+        self.rate_limiter.refill(now)
+        if not self.rate_limiter.limited:
+            # Under a rate limit, free slots show nothing about the capacity.
+            queue_delay = self.queue_length * self.call_times.mean / self.limit
+            self.capacity.update(
+                now, running=self.running, limit=self.limit, queue_delay=queue_delay
+            )
+        return [
+            *self._refuse_queued_if(lambda call: self._is_late(now, call)),
+            *self._check_stalled(now),
+            *self._start_queued(now),
+            *self._refuse_overdue(now),
+        ]
+
+    def _is_late(self, now: float, call: LimiterCall) -> bool:
+        """Return whether a queued call will miss its deadline."""
+        return call.deadline - now < self.call_times.of(call.message.route) / 2
+
+    def _refuse_overdue(self, now: float) -> list[LimiterAction]:
+        """Refuse the calls whose turn under a rate limit has not come in time."""
+        if not self.rate_limiter.limited:
+            return []
+        return self._refuse_queued_if(
+            lambda call: now - call.arrived > MAX_RATE_DELAY_S,
+            RefusalReason.RATE_LIMITED,
         )
-        actions: list[LimiterAction] = []
-        for entry in self.queue:
-            call = entry[3]
-            time_left = call.deadline - now
-            if (
-                not call.removed
-                and time_left < self.call_times.of(call.message.route) / 2
-            ):
-                actions.append(self._refuse(call, RefusalReason.EXPIRED))
-        return [*actions, *self._check_stalled(now), *self._start_queued(now)]
 
     def _check_stalled(self, now: float) -> list[LimiterAction]:
         """Refuse queued calls if the target stalls, so that callers try another.
@@ -230,11 +271,15 @@
         self, reason: RefusalReason = RefusalReason.LEAVING
     ) -> list[LimiterAction]:
         """Refuse all queued calls."""
-        return [
-            self._refuse(entry[3], reason)
-            for entry in self.queue
-            if not entry[3].removed
-        ]
+        return self._refuse_queued_if(lambda _: True, reason)
+
+    def _refuse_queued_if(
+        self,
+        condition: Callable[[LimiterCall], bool],
+        reason: RefusalReason = RefusalReason.EXPIRED,
+    ) -> list[LimiterAction]:
+        queued = [entry[3] for entry in self.queue if not entry[3].removed]
+        return [self._refuse(call, reason) for call in queued if condition(call)]
 
     def _refuse(self, call: LimiterCall, reason: RefusalReason) -> RefuseCall:
         call.removed = True
@@ -255,12 +300,17 @@
         while self.queue and self.running < self.limit:
             if self._blocked(now):
                 break
-            call = heapq.heappop(self.queue)[3]
+            call = self.queue[0][3]
             if call.removed:
+                heapq.heappop(self.queue)
                 continue
             if call.deadline <= now:
+                heapq.heappop(self.queue)
                 actions.append(self._refuse(call, RefusalReason.EXPIRED))
                 continue
+            if not self.rate_limiter.take(now):
+                break
+            heapq.heappop(self.queue)
             self.queue_length -= 1
             actions.append(self._start(now, call))
         return actions
@@ -289,13 +339,19 @@
         )
         return running >= MAX_PROBES
 
-    def _can_meet_deadline(self, now: float, call: LimiterCall) -> bool:
-        if self.queue_length >= self.limit * QUEUE_PER_SLOT:
-            return False
+    def _calls_ahead(self, call: LimiterCall) -> int:
+        """Return the queued calls that would start before a new one."""
         rank = call.message.rank
-        ahead = sum(
+        return sum(
             1 for entry in self.queue if entry[0] <= rank and not entry[3].removed
         )
-        queue_delay = (ahead + 1) * self.call_times.mean / self.limit
+
+    def _can_meet_deadline(self, now: float, call: LimiterCall, ahead: int) -> bool:
+        if self.queue_length >= self.limit * QUEUE_PER_SLOT:
+            return False
+        queue_delay = max(
+            (ahead + 1) * self.call_times.mean / self.limit,
+            self.rate_limiter.delay(now, ahead),
+        )
         call_time = self.call_times.of(call.message.route)
         return now + queue_delay + call_time <= call.deadline
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -48,6 +48,7 @@
 FREE_RETRY_REASONS = frozenset(
     {
         RefusalReason.OVERLOAD,
+        RefusalReason.RATE_LIMITED,
         RefusalReason.LEAVING,
         RefusalReason.UNREACHABLE,
     }
@@ -169,6 +170,7 @@
         self.load_balancer.record_load(now, record, answer.load)
         self.load_balancer.record_outcome(now, record, failed=answer.failed)
         record.call_times[pending.request.route.name] = answer.call_time
+        record.rate_limit = answer.rate_limit
         if answer.failed and self._retries_answer(now, pending, answer):
             pending.may_have_run = True
             pending.failed_answer = answer
@@ -195,6 +197,8 @@
             self.load_balancer.record_outcome(now, record, failed=True)
         if reason in EJECTION_REASONS:
             self.load_balancer.eject(now, record)
+        if reason is RefusalReason.RATE_LIMITED:
+            self.load_balancer.eject(now, record, refusal.retry_after)
         if reason.may_have_run:
             pending.may_have_run = True
         return self._retry_or_fail(now, pending, reason, refusal.retry_after)
--- a/buckthornshed/coordination/relay/load_balancer.py
+++ b/buckthornshed/coordination/relay/load_balancer.py
@@ -11,8 +11,10 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from ...protocol.relay_messages import StatedLimit
 from ...state.catalog import Route, Target
 from .call_times import DEFAULT_CALL_TIME_S
+from .rate_limiter import UNLIMITED
 
 if TYPE_CHECKING:
     from random import Random
@@ -30,6 +32,8 @@
 """The failure rate decays, as a target that gets no calls shows no successes."""
 EJECTION_S = 0.5
 """Time for which a target is ejected after a refusal that indicates a failure."""
+LIMIT_HORIZON_S = 0.5
+"""Time whose calls count as a full load of a target with a rate limit."""
 REPORT_STALE_AFTER_S = 1.0
 """Age above which a reported load is halved."""
 
@@ -51,7 +55,8 @@
     limit, `sent_since_report` the calls that this relay has sent since that report,
     `outstanding` the calls of this relay that have not ended, `call_times` the mean
     seconds of a call by route, and `failure_rate` the smoothed fraction of calls that
-    the target rejected or failed.
+    the target rejected or failed. `rate_limit` is the calls per second that the target
+    takes from all relays together, infinite if it states no limit, None if unknown.
     """
 
     target: Target
@@ -63,12 +68,25 @@
     failure_rate: float = 0.0
     outcome_at: float = 0.0
     call_times: dict[str, float] = field(default_factory=dict)
+    rate_limit: float | None = None
+
+    @property
+    def limited(self) -> bool:
+        """Whether the target is known to state a rate limit."""
+        return self.rate_limit is not None and self.rate_limit < UNLIMITED
+
+    @property
+    def concurrent_calls(self) -> float:
+        """Calls that raise the load by 1."""
+        if self.rate_limit is None:
+            return self.target.slots
+        return min(self.target.slots, max(1.0, self.rate_limit * LIMIT_HORIZON_S))
 
     def load_at(self, now: float) -> float:
         """Return the load, including the calls sent since the last report."""
-        load = self.load + self.sent_since_report / self.target.slots
+        load = self.load + self.sent_since_report / self.concurrent_calls
         if now - self.reported_at > REPORT_STALE_AFTER_S:
-            return max(load / 2, self.outstanding / self.target.slots)
+            return max(load / 2, self.outstanding / self.concurrent_calls)
         return load
 
     def failure_rate_at(self, now: float) -> float:
@@ -123,6 +141,14 @@
         """Drop the record of a removed target."""
         self.records.pop(name, None)
 
+    def known_limits(self) -> list[StatedLimit]:
+        """Return the rate limits that targets are known to state."""
+        return [
+            StatedLimit(each.target.name, each.target.started, each.rate_limit)
+            for each in self.records.values()
+            if each.rate_limit is not None and each.limited
+        ]
+
     def choose(
         self, now: float, route: Route, candidates: list[Target]
     ) -> TargetRecord | None:
@@ -177,9 +203,11 @@
         record.reported_at = now
         record.sent_since_report = 0
 
-    def eject(self, now: float, record: TargetRecord) -> None:
-        """Eject a target from load balancing for `EJECTION_S`."""
-        record.ejected_until = now + EJECTION_S
+    def eject(
+        self, now: float, record: TargetRecord, seconds: float = EJECTION_S
+    ) -> None:
+        """Eject a target from load balancing for a time in seconds."""
+        record.ejected_until = now + seconds
 
 
 def _mean_call_time(records: list[TargetRecord], route: str) -> float:
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -6,6 +6,7 @@
 expensive. docs/design/platform.md has the figures.
 """
 
+import math
 import zlib
 from enum import IntEnum
 from typing import NamedTuple
@@ -30,6 +31,7 @@
     "RefusalMessage",
     "RefusalReason",
     "RelayMessage",
+    "StatedLimit",
     "Status",
 ]
 
@@ -103,11 +105,13 @@
     """The call was sent, but got no usable answer; it may have run."""
     TIMED_OUT = 9
     """The deadline passed before an answer came; if sent, the call may have run."""
+    RATE_LIMITED = 10
+    """The rate limit that the target states is used up; the call did not run."""
 
     @property
     def may_have_run(self) -> bool:
         """Whether the call may have run."""
-        return self >= RefusalReason.LOST
+        return self in (RefusalReason.LOST, RefusalReason.TIMED_OUT)
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
@@ -148,6 +152,8 @@
 
     `load` is the number of the target's running and queued calls over its concurrency
     limit, `call_time` the smoothed time of a call of the same route, in seconds.
+    `rate_limit` is the calls per second that the target takes from all relays together,
+    infinite if it states no limit.
     """
 
     exchange: int
@@ -156,6 +162,7 @@
     body: bytes
     load: float
     call_time: float
+    rate_limit: float = math.inf
 
     @property
     def failed(self) -> bool:
@@ -217,6 +224,8 @@
         By route, the mean calls of a run by called route; None if unchanged.
     rejection_rate : float
         Fraction of its calls that the target itself rejects.
+    rate_limit : float or None
+        As in answers; None if the sender does not know whether its target states one.
     """
 
     service: str
@@ -227,6 +236,15 @@
     offered: dict[str, float]
     calls: dict[str, dict[str, float]] | None = None
     rejection_rate: float = 0.0
+    rate_limit: float | None = None
+
+
+class StatedLimit(NamedTuple):
+    """Rate limit of one incarnation of a target, in calls per second."""
+
+    target: str
+    started: int
+    rate: float
 
 
 class FleetUpdate(msgspec.Struct, array_like=True, tag=8):
@@ -240,11 +258,14 @@
         Registered targets.
     tombstones : list of tuple
         Name, start and last sequence number of targets that are no longer registered.
+    limits : list of StatedLimit
+        Limits that the sender remembers; the targets may have ended them since.
     """
 
     catalog: Catalog | None = None
     targets: list[Target] = []
     tombstones: list[tuple[str, int, int]] = []
+    limits: list[StatedLimit] = []
 
 
 RelayMessage = (
--- a/buckthornshed/tests/relay/test_stated_limit.py
+++ b/buckthornshed/tests/relay/test_stated_limit.py
@@ -65,7 +65,7 @@
 def test_requests_of_all_relays_together_keep_the_limit_that_a_target_states():
     async def scenario():
         clock = ManualClock()
-        async with fleet_of(1, clock=clock) as fleet:
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
             target = await fleet_with_limit(fleet, clock)
             before = len(target.received)
             start = clock.now
@@ -75,3 +75,74 @@
             assert {response.status for response in responses} == {200, 503}
 
     asyncio.run(scenario())
+
+
+def test_the_limit_holds_when_the_relay_of_the_target_has_restarted():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            before = len(target.received)
+            await fleet.restart(0)
+            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
+            assert len(target.received) - before <= MAX_REQUESTS
+
+    asyncio.run(scenario())
+
+
+def test_the_limit_holds_for_a_relay_that_was_cut_off_and_one_that_is_new():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            before = len(target.received)
+            for link in list(fleet.relays[1].links.links.values()):
+                link.abort()
+            await fleet.add("elsewhere")
+            await fleet.wait_until_connected()
+            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
+            assert len(target.received) - before <= MAX_REQUESTS
+
+    asyncio.run(scenario())
+
+
+def test_rejected_calls_and_their_retries_count():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            target.scripts = ["full", "error"] * 500
+            before = len(target.received)
+            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
+            assert len(target.received) - before <= MAX_REQUESTS
+
+    asyncio.run(scenario())
+
+
+def test_the_limit_ends_when_the_target_no_longer_states_it():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            target.extra_headers = ""
+            limiter = fleet.relays[0].local_target.limiter.rate_limiter
+            while limiter.limited:
+                await ask_in_time(fleet, clock, fleet.relays[1])
+            responses = await asyncio.gather(
+                *(fleet.ask(relay) for relay in fleet.relays for _ in range(15))
+            )
+            assert {response.status for response in responses} == {200}
+
+    asyncio.run(scenario())
+
+
+def test_requests_go_to_the_other_targets_while_one_states_a_limit():
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            await fleet.add("stalls", slots=80)
+            await fleet_with_limit(fleet, clock)
+            responses = await flood(fleet, clock, requests=5, seconds=1.0)
+            assert {response.status for response in responses} == {200}
+
+    asyncio.run(scenario())
--- a/buckthornshed/tests/relay/test_target_statement.py
+++ b/buckthornshed/tests/relay/test_target_statement.py
@@ -1,6 +1,7 @@
 """Tests of reading what a target states about itself."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -10,7 +11,7 @@
     read_statement,
 )
 
-from .fleet import fleet_of
+from .fleet import fleet_of, until
 
 
 @pytest.mark.parametrize(
@@ -19,7 +20,7 @@
         ((), TargetStatement()),
         (((b"server-limit", b"2.75"),), TargetStatement(2.75)),
         (((b"server-limit", b"0"),), TargetStatement(0.0)),
-        (((b"server-leaving", b"1"),), TargetStatement(None, True)),
+        (((b"server-leaving", b"1"),), TargetStatement(leaving=True)),
         (((b"server-leaving", b"0"),), TargetStatement()),
         (
             ((b"server-limit", b"7"), (b"server-leaving", b"1")),
@@ -44,9 +45,11 @@
             await fleet.ask(relay)
             assert relay.gauges().stated_limit == 2.5
             target.extra_headers = ""
-            await fleet.ask(relay)
-            assert relay.gauges().stated_limit == -1.0
-            assert relay.gauges().target_requests == 2
+            await until(
+                lambda: relay.gauges().stated_limit == -1.0,
+                ask=lambda: fleet.ask(relay),
+            )
+            assert relay.gauges().target_requests == len(target.received)
 
     with caplog.at_level("INFO"):
         asyncio.run(scenario())
@@ -55,4 +58,4 @@
         for record in caplog.records
         if record.msg["event"] == "target_statement"
     ]
-    assert limits == [2.5, None]
+    assert limits == [2.5, math.inf]
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -117,6 +117,8 @@
         """Apply the current registration of the target, None if it has none."""
         previous = self.registration
         if target is not None:
+            if previous is not None and incarnation(previous) != incarnation(target):
+                self.limiter.rate_limiter.reset()
             self.registration = target
             self.limiter.set_slots(target.slots)
         if previous is not None and target is None:
@@ -124,6 +126,11 @@
             self.registration = previous._replace(draining=True)
         self._update_draining()
 
+    def adopt_limit(self, rate: float | None) -> None:
+        """Keep the rate limit that other relays know, until the target answers."""
+        if rate is not None:
+            self.limiter.rate_limiter.adopt(self.clock(), rate)
+
     def refuse_new_calls(self) -> None:
         """Refuse new and queued calls; running calls continue."""
         self.refusing = True
@@ -227,6 +234,7 @@
         if isinstance(outcome, AnswerMessage):
             outcome.load = self.limiter.load
             outcome.call_time = self.limiter.call_times.of(call.message.route)
+            outcome.rate_limit = self.limiter.rate_limiter.effective_rate
         else:
             outcome.load = self.limiter.load
         self._deliver(call, outcome)
@@ -237,6 +245,10 @@
         statement = read_statement(answer.headers, self.names)
         if statement is None or answer.status == WRONG_TARGET_STATUS:
             return
+        assert call.started is not None
+        self.limiter.rate_limiter.record_statement(
+            self.clock(), statement.rate_limit, sent_at=call.started
+        )
         if statement != self.statement:
             log_event(
                 "target_statement",
@@ -303,6 +315,11 @@
             self.deliver(key, outcome)
 
 
+def incarnation(target: Target) -> tuple[str, int]:
+    """Return what distinguishes the incarnations of targets: name and start."""
+    return target.name, target.started
+
+
 def refusal_reason(answer: TargetAnswer, names: HeaderNames) -> RefusalReason | None:
     """Return why a target's answer cannot be passed on; None if it can."""
     if answer.status == WRONG_TARGET_STATUS:
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -31,6 +31,7 @@
     Pong,
     RefusalMessage,
     RelayMessage,
+    StatedLimit,
     Status,
 )
 from ...state.catalog import Target
@@ -55,8 +56,6 @@
 """File descriptors that client connections may not use."""
 TICKS_PER_STATUS = 8
 """Ticks between two status reports on the local target."""
-NO_LIMIT = -1.0
-"""Value of the gauge of the stated limit if the target states none."""
 TICKS_PER_SWEEP = 20
 """Ticks between two checks for expired connections and registrations."""
 
@@ -170,7 +169,7 @@
         """Return the current values of the gauges."""
         limiter = self.local_target.limiter
         catalog = self.fleet_view.catalog
-        rate_limit = self.local_target.statement.rate_limit
+        rate_limiter = limiter.rate_limiter
         return RelayGauges(
             generation=0 if catalog is None else catalog.generation,
             targets=sum(map(len, self.fleet_view.usable.values())),
@@ -180,7 +179,7 @@
             waiting=limiter.queue_length,
             room=limiter.calls_per_second,
             least_share=min(self.admission.shares.values(), default=1.0),
-            stated_limit=NO_LIMIT if rate_limit is None else rate_limit,
+            stated_limit=rate_limiter.effective_rate if rate_limiter.limited else -1.0,
             target_requests=self.local_target.pool.requests_sent,
         )
 
@@ -272,6 +271,7 @@
             self._handle_status(session, message)
         elif isinstance(message, FleetUpdate):
             self.fleet_updater.apply_update(message)
+            self._learn_limits(message.limits)
 
     def handle_session_loss(self, session: PeerSession) -> None:
         """Cancel the calls that arrived on a closed connection."""
@@ -294,7 +294,10 @@
     def handle_new_link(self, instance: str) -> None:
         """Send the configuration and the known targets to a newly connected relay."""
         log_event("peer_found", peer=instance)
-        self.links.send(instance, self.fleet_updater.snapshot())
+        snapshot = self.fleet_updater.snapshot()
+        # The target's own relay may have restarted and no longer know its limit.
+        snapshot.limits = self.load_balancer.known_limits()
+        self.links.send(instance, snapshot)
         # A relay that has just started does not know the downstream calls of routes.
         self.statuses.resend_calls()
 
@@ -328,6 +331,8 @@
             local_registrations, key=lambda target: target.started, default=None
         )
         self.local_target.update_registration(latest)
+        if latest is not None:
+            self.local_target.adopt_limit(self.load_balancer.record(latest).rate_limit)
         for name in self.load_balancer.records.keys() - targets.keys():
             if not self.load_balancer.records[name].outstanding:
                 self.load_balancer.forget(name)
@@ -357,8 +362,22 @@
             record = self.load_balancer.record(target)
             self.load_balancer.record_load(now, record, status.load)
             record.call_times |= status.call_times
+            if status.rate_limit is not None:
+                record.rate_limit = status.rate_limit
         self.statuses.receive(now, session.name, status)
 
+    def _learn_limits(self, limits: list[StatedLimit]) -> None:
+        """Take over limits that another relay remembers, where none is known."""
+        for limit in limits:
+            target = self.fleet_view.targets.get(limit.target)
+            if target is None or target.started != limit.started:
+                continue
+            record = self.load_balancer.record(target)
+            if record.rate_limit is None:
+                record.rate_limit = limit.rate
+            if target.address == self.settings.target_address:
+                self.local_target.adopt_limit(limit.rate)
+
     def update_settings(self, settings: RelaySettings) -> None:
         """Apply the grace time and retry limits of changed settings.
 
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -92,7 +92,7 @@
             service=self.service,
             target=target,
             load=round(limiter.load, 2),
-            slots=round(limiter.usable_slots, 1),
+            slots=round(limiter.usable_slots, 2),
             call_times={
                 route: round(seconds, 4)
                 for route, seconds in limiter.call_time_estimates(now).items()
@@ -100,6 +100,7 @@
             offered={r: round(v, 1) for r, v in self.offered.update(now).items()},
             calls=calls,
             rejection_rate=round(limiter.capacity.rejection_rate, 2),
+            rate_limit=limiter.rate_limiter.rate,
         )
         self.admission.report(now, self.instance, status)
         self.admission.update_shares(now, usable, unreachable)
--- a/buckthornshed/transport/relay/target_statement.py
+++ b/buckthornshed/transport/relay/target_statement.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+from ...coordination.relay.rate_limiter import UNLIMITED
 from ...protocol.http import get_header
 from ...protocol.messages import Headers
 from ...protocol.relay_messages import HeaderNames
@@ -18,14 +19,14 @@
 
     Parameters
     ----------
-    rate_limit : float or None
-        Requests per second that the target takes from all relays together; None if it
-        states no limit.
+    rate_limit : float
+        Requests per second that the target takes from all relays together; infinite if
+        it states no limit.
     leaving : bool
         Whether the target is about to stop.
     """
 
-    rate_limit: float | None = None
+    rate_limit: float = UNLIMITED
     leaving: bool = False
 
 
