Send no new requests to a target that states that it is leaving

What callers could see: a target says Server-Leaving in its answers before, or without, a registration that says so. Relays read only the registration and went on sending until it changed.

Cause: the answers of a target were not a source of the fleet view.

Fix: the relay beside the target reads the statement, refuses queued and new calls as not run, and tells all relays; the relay that gets the answer marks the target itself, so it holds also where that message is lost. The mark is of one incarnation: a registration that still says ready, or is written again, does not end it; a later start does. It is part of what a relay sends to a new peer, so a restart does not bring the target back.

Ruled out: going on to use the target for the drain time; it gains nothing while another target is up.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -171,6 +171,8 @@
         self.load_balancer.record_outcome(now, record, failed=answer.failed)
         record.call_times[pending.request.route.name] = answer.call_time
         record.rate_limit = answer.rate_limit
+        if answer.leaving:
+            self.fleet_view.mark_leaving(record.target.name, record.target.started)
         if answer.failed and self._retries_answer(now, pending, answer):
             pending.may_have_run = True
             pending.failed_answer = answer
--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet_view.py
@@ -14,6 +14,7 @@
 STORE_RECOVERY_GRACE_S = 2.0
 """Time after a store outage for which registrations that ended meanwhile are kept."""
 MAX_TOMBSTONES = 2_048
+MAX_LEAVING = 2_048
 
 
 class RegistrationVersion(NamedTuple):
@@ -36,6 +37,9 @@
         Targets that accept work, by service.
     outdated : set of str
         Targets at whose address another one has answered since they registered.
+    leaving : dict
+        Start of the incarnation of each target that has stated that it is leaving,
+        whatever its registration says.
     """
 
     def __init__(self) -> None:
@@ -47,6 +51,7 @@
         self.grace_until = 0.0
         self.pending_removal: set[str] = set()
         self.outdated: set[str] = set()
+        self.leaving: dict[str, int] = {}
 
     def accept_catalog(self, catalog: Catalog) -> bool:
         """Adopt a configuration if it is newer; return whether it was adopted."""
@@ -91,16 +96,35 @@
             self.outdated.add(target.name)
             self._rebuild_index()
 
+    def mark_leaving(self, name: str, started: int) -> bool:
+        """Record that a target has stated that it is leaving; return whether it is new.
+
+        This holds until another incarnation registers, as a registration may still say
+        that the target accepts work, or do so again.
+        """
+        if started <= self.leaving.get(name, 0):
+            return False
+        if len(self.leaving) >= MAX_LEAVING:
+            self.leaving.pop(next(iter(self.leaving)))
+        self.leaving[name] = started
+        self._rebuild_index()
+        return True
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target has stated that it is leaving."""
+        return target.started <= self.leaving.get(target.name, 0)
+
     def remove_target(self, now: float, name: str) -> bool:
         """Handle the end of a registration; return whether the target was removed.
 
         During a store outage and shortly after it, the target is kept unless it is
-        draining: registrations expire then although their targets are alive.
+        leaving: registrations expire then although their targets are alive.
         """
         current = self.targets.get(name)
         if current is None:
             return False
-        if (self.store_unavailable or now < self.grace_until) and not current.draining:
+        leaves = current.draining or self.is_leaving(current)
+        if (self.store_unavailable or now < self.grace_until) and not leaves:
             self.pending_removal.add(name)
             return False
         self._remove(current)
@@ -163,7 +187,8 @@
             # address only the latest one can be that of a running target.
             superseded = target.started < started[target.address]
             outdated = superseded or target.name in self.outdated
-            if not target.draining and not outdated:
+            leaves = target.draining or self.is_leaving(target)
+            if not leaves and not outdated:
                 usable.setdefault(target.service, []).append(target)
         self.usable = {service: tuple(targets) for service, targets in usable.items()}
 
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -153,7 +153,8 @@
     `load` is the number of the target's running and queued calls over its concurrency
     limit, `call_time` the smoothed time of a call of the same route, in seconds.
     `rate_limit` is the calls per second that the target takes from all relays together,
-    infinite if it states no limit.
+    infinite if it states no limit. `leaving` is true if the target states that it is
+    about to stop.
     """
 
     exchange: int
@@ -163,6 +164,7 @@
     load: float
     call_time: float
     rate_limit: float = math.inf
+    leaving: bool = False
 
     @property
     def failed(self) -> bool:
@@ -260,12 +262,15 @@
         Name, start and last sequence number of targets that are no longer registered.
     limits : list of StatedLimit
         Limits that the sender remembers; the targets may have ended them since.
+    leaving : list of tuple
+        Name and start of targets that have stated that they are leaving.
     """
 
     catalog: Catalog | None = None
     targets: list[Target] = []
     tombstones: list[tuple[str, int, int]] = []
     limits: list[StatedLimit] = []
+    leaving: list[tuple[str, int]] = []
 
 
 RelayMessage = (
--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -18,6 +18,7 @@
 
 HOST = "stalls.example"
 PORTS = Ports()
+BORN = 1_700_000_000_000
 
 
 class Response(NamedTuple):
@@ -97,7 +98,9 @@
             task.cancel()
         relay.close()
 
-    async def register(self, target, service, *, slots=10, state="ready", seq=1):
+    async def register(
+        self, target, service, *, slots=10, state="ready", seq=1, born=BORN
+    ):
         entry = {
             "service": service,
             "addr": target.address,
@@ -107,7 +110,7 @@
             "state": state,
             "coldLeftS": 0,
             "seq": seq,
-            "born": 1_700_000_000_000,
+            "born": born,
         }
         await self.store.put(f"servers/{target.name}", entry)
 
--- a/buckthornshed/transport/relay/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet_updater.py
@@ -90,6 +90,15 @@
         log_event("store_found")
         self.fleet_view.mark_store_available(self.clock())
 
+    # Statements of targets.
+
+    def handle_leaving(self, name: str) -> None:
+        """Record that a target stated that it is leaving, and tell all relays."""
+        target = self.fleet_view.targets.get(name)
+        if target is not None and self._mark_leaving(name, target.started, "answer"):
+            self.on_targets()
+            self.broadcast(FleetUpdate(leaving=[(name, target.started)]))
+
     # Updates from other relays.
 
     def apply_update(self, update: FleetUpdate) -> None:
@@ -104,11 +113,16 @@
                 name, RegistrationVersion(started, sequence)
             )
         ]
+        leaving = [
+            name
+            for name, started in update.leaving
+            if self._mark_leaving(name, started, "peer")
+        ]
         for target in changed:
             _log_registration(target, "peer")
         for name in removed:
             log_event("target_gone", target=name, source="peer")
-        if changed or removed:
+        if changed or removed or leaving:
             self.on_targets()
 
     def snapshot(self) -> FleetUpdate:
@@ -116,6 +130,7 @@
         return FleetUpdate(
             catalog=self.fleet_view.catalog,
             targets=list(self.fleet_view.targets.values()),
+            leaving=list(self.fleet_view.leaving.items()),
         )
 
     def remove_expired(self) -> None:
@@ -129,6 +144,12 @@
         if names:
             self.on_targets()
 
+    def _mark_leaving(self, name: str, started: int, source: str) -> bool:
+        marked = self.fleet_view.mark_leaving(name, started)
+        if marked:
+            log_event("target_leaving", target=name, started=started, source=source)
+        return marked
+
     def _apply_catalog(self, catalog: Catalog, source: str) -> None:
         if self.fleet_view.accept_catalog(catalog):
             log_event(
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -67,6 +67,8 @@
         Header names of the deployment.
     deliver : callable
         Called with the key and the outcome of a call.
+    on_leaving : callable
+        Called with the name of the target when it has stated that it is leaving.
     access_log : AccessLog
         Logs the ends of calls.
     clock : callable
@@ -79,12 +81,14 @@
         address: str,
         names: HeaderNames,
         deliver: Callable[[CallKey, CallOutcome], None],
+        on_leaving: Callable[[str], None],
         access_log: AccessLog,
         clock: Callable[[], float],
     ) -> None:
         self.address = address
         self.names = names
         self.deliver = deliver
+        self.on_leaving = on_leaving
         self.access_log = access_log
         self.clock = clock
         self.limiter = ConcurrencyLimiter()
@@ -235,6 +239,7 @@
             outcome.load = self.limiter.load
             outcome.call_time = self.limiter.call_times.of(call.message.route)
             outcome.rate_limit = self.limiter.rate_limiter.effective_rate
+            outcome.leaving = self.statement.leaving
         else:
             outcome.load = self.limiter.load
         self._deliver(call, outcome)
@@ -258,6 +263,8 @@
                 sent=self.pool.requests_sent,
             )
         self.statement = statement
+        if statement.leaving:
+            self.on_leaving(call.message.target)
 
     def _end_run(self, call: LimiterCall, *, succeeded: bool) -> None:
         message = call.message
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -107,6 +107,7 @@
             address=settings.target_address,
             names=names,
             deliver=self._handle_call_outcome,
+            on_leaving=self.fleet_updater.handle_leaving,
             access_log=self.access_log,
             clock=clock,
         )
@@ -330,6 +331,8 @@
         latest = max(
             local_registrations, key=lambda target: target.started, default=None
         )
+        if latest is not None and self.fleet_view.is_leaving(latest):
+            latest = latest._replace(draining=True)
         self.local_target.update_registration(latest)
         if latest is not None:
             self.local_target.adopt_limit(self.load_balancer.record(latest).rate_limit)
