Tell a new peer which targets have left

A relay that restarts reads the store. If the store still lists a target that has left, or lists it again, the relay sent it calls, although every other relay knew that it was gone: the message to a new peer held the configuration and the targets, but not the ends of registrations, and a relay that did not know the target dropped such an end.

Both are fixed: the message holds the tombstones, and a tombstone of an unknown target is kept, the later of two.

Ruled out: an older configuration after a restart; the message already holds the newest one, and a later generation always wins.

--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet_view.py
@@ -131,9 +131,16 @@
         return True
 
     def accept_tombstone(self, name: str, version: RegistrationVersion) -> bool:
-        """Remove a target whose registration ended according to another relay."""
+        """Remove a target whose registration ended according to another relay.
+
+        Returns whether it was removed. The end of a registration that this relay has
+        not seen is kept, as the store may still, or again, list the target.
+        """
         current = self.targets.get(name)
-        if current is None or registration_version(current) > version:
+        if current is None:
+            self._bury(name, version)
+            return False
+        if registration_version(current) > version:
             return False
         self._remove(current)
         return True
@@ -170,10 +177,15 @@
         del self.targets[target.name]
         self.pending_removal.discard(target.name)
         self.outdated.discard(target.name)
+        self._bury(target.name, registration_version(target))
+        self._rebuild_index()
+
+    def _bury(self, name: str, version: RegistrationVersion) -> None:
+        if self.tombstones.get(name, version) > version:
+            return
         if len(self.tombstones) >= MAX_TOMBSTONES:
             self.tombstones.pop(next(iter(self.tombstones)))
-        self.tombstones[target.name] = registration_version(target)
-        self._rebuild_index()
+        self.tombstones[name] = version
 
     def _rebuild_index(self) -> None:
         started: dict[str, int] = {}
--- a/buckthornshed/tests/relay/test_fleet_view.py
+++ b/buckthornshed/tests/relay/test_fleet_view.py
@@ -95,3 +95,17 @@
         make_target("t-2", address="10.0.0.1:9000", started=2_000, service="other")
     )
     assert "stalls" not in view.usable
+
+
+def test_a_target_that_left_before_this_relay_started_is_not_added_later():
+    fleet_view = FleetView()
+    assert not fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 5))
+    assert not fleet_view.accept_target(make_target(sequence=5))
+    assert fleet_view.accept_target(make_target(started=2_000, sequence=1))
+
+
+def test_an_older_tombstone_does_not_replace_a_later_one():
+    fleet_view = FleetView()
+    fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 5))
+    fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 3))
+    assert not fleet_view.accept_target(make_target(sequence=4))
--- a/buckthornshed/transport/relay/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet_updater.py
@@ -130,6 +130,9 @@
         return FleetUpdate(
             catalog=self.fleet_view.catalog,
             targets=list(self.fleet_view.targets.values()),
+            tombstones=[
+                (name, *version) for name, version in self.fleet_view.tombstones.items()
+            ],
             leaving=list(self.fleet_view.leaving.items()),
         )
 
