Read the whole store again when it returns from an old copy

A store that returns from a copy some seconds old gives out revisions again. A watch from a revision of before went on without an error and missed what was written under the revisions up to it: a configuration or the end of a registration.

The store's answers state the copy they are from. The client compares it in every answer, also in errors; a later one ends the watch or the range, and everything is read again. An answer of an earlier copy is an error.

Ruled out: comparing revisions alone; they can pass the old one before the next answer.

--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet_view.py
@@ -163,6 +163,10 @@
             self.store_unavailable = False
             self.grace_until = now + STORE_RECOVERY_GRACE_S
 
+    def mark_store_restored(self, now: float) -> None:
+        """Record that the store lacks recent registrations; start the grace period."""
+        self.grace_until = now + STORE_RECOVERY_GRACE_S
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove targets not renewed within the grace period; return their names."""
         if not self.pending_removal or self.store_unavailable or now < self.grace_until:
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -9,7 +9,13 @@
 from ..state.catalog import Catalog, Target
 from ..transport.logs import log_event
 from .documents import decode_catalog, decode_target
-from .store import Change, ChangeBatch, HistoryLostError, StoreClient
+from .store import (
+    Change,
+    ChangeBatch,
+    HistoryLostError,
+    StoreClient,
+    StoreRestoredError,
+)
 from .wire import ALL_KEYS, CATALOG_KEY, TARGET_PREFIX
 
 __all__ = ["StoreListener", "StoreReader"]
@@ -42,6 +48,13 @@
     def handle_store_available(self) -> None:
         """Handle the first successful read after a failure."""
 
+    def handle_store_restored(self) -> None:
+        """Handle the return of the store from an old copy.
+
+        Registrations that it has acknowledged since may be missing until they are
+        written again.
+        """
+
 
 class StoreReader:
     """Reads the configuration and the registered targets, then watches both.
@@ -52,12 +65,18 @@
         Client of the store.
     listener : StoreListener
         Handles what was read.
+
+    Attributes
+    ----------
+    revision : int or None
+        Revision from which to watch; None if everything has to be read.
     """
 
     def __init__(self, *, client: StoreClient, listener: StoreListener) -> None:
         self.client = client
         self.listener = listener
         self.unavailable = False
+        self.revision: int | None = None
 
     async def follow(self) -> None:
         """Read the store and report its changes until cancelled.
@@ -66,14 +85,18 @@
         second, so a watch that has stopped delivering changes, which would also miss a
         new configuration, is detected soon.
         """
-        revision: int | None = None
         delay = INITIAL_BACKOFF_S
         while True:
             try:
-                batch = await self._read_changes(revision)
+                batch = await self._read_changes(self.revision)
+            except StoreRestoredError as error:
+                log_event("store_restored", revision=self.revision, error=str(error))
+                self.listener.handle_store_restored()
+                self.revision = None
+                continue
             except HistoryLostError:
-                log_event("store_history_lost", revision=revision)
-                revision = None
+                log_event("store_history_lost", revision=self.revision)
+                self.revision = None
                 continue
             except PlatformError as error:
                 self._report_unavailable(str(error))
@@ -83,11 +106,11 @@
             delay = INITIAL_BACKOFF_S
             self._report_available()
             self._handle_catalog(batch.changes)
-            if revision is None:
+            if self.revision is None:
                 self._handle_all_targets(batch.changes)
             else:
                 self._handle_target_changes(batch.changes)
-            revision = batch.revision
+            self.revision = batch.revision
             if batch.changes:
                 await asyncio.sleep(COALESCING_DELAY_S)
 
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -12,9 +12,15 @@
 from ..errors import PlatformError
 from ..protocol.messages import Fault
 from ..transport.http_client import ConnectionPool, ExchangeHandlers, RawAnswer
-from .wire import is_history_lost
+from .wire import is_history_lost, read_era
 
-__all__ = ["Change", "ChangeBatch", "HistoryLostError", "StoreClient"]
+__all__ = [
+    "Change",
+    "ChangeBatch",
+    "HistoryLostError",
+    "StoreClient",
+    "StoreRestoredError",
+]
 
 READ_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 1.0
@@ -26,6 +32,10 @@
     """The store no longer has the changes after the revision of a watch."""
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store has returned from an old copy and gives out revisions again."""
+
+
 class Change(NamedTuple):
     """A key and its value, which is None if the key was deleted."""
 
@@ -84,6 +94,8 @@
     ----------
     calls : int
         Number of calls to the store so far.
+    era : int or None
+        Number of the copy that the store runs from; None if it has stated none.
     """
 
     def __init__(self, *, address: str, clock: Callable[[], float]) -> None:
@@ -93,12 +105,15 @@
         )
         self.last_exchange = 0
         self.calls = 0
+        self.era: int | None = None
 
     async def range(self, prefix: str) -> ChangeBatch:
         """Read all items under a prefix, page by page.
 
         Raises
         ------
+        StoreRestoredError
+            If the store has returned from an old copy since the last answer.
         PlatformError
             If the store does not answer, or answers with an error or invalid data.
         """
@@ -125,6 +140,8 @@
         ------
         HistoryLostError
             If the store no longer has the changes after that revision.
+        StoreRestoredError
+            If the store has returned from an old copy since the last answer.
         PlatformError
             If the store does not answer, or answers with an error or invalid data.
         """
@@ -166,6 +183,7 @@
         finally:
             # After a timeout this closes the connection, as the answer may still come.
             self.pool.cancel(exchange)
+        self._check_era(answer)
         if is_history_lost(answer.status):
             raise HistoryLostError(
                 subject="store", found="history dropped", expected="events"
@@ -174,6 +192,24 @@
             raise self._error(f"status {answer.status}", "status 200")
         return answer.body
 
+    def _check_era(self, answer: RawAnswer) -> None:
+        """Compare the copy that an answer is from with that of earlier answers."""
+        era = read_era(answer.headers)
+        previous = self.era
+        if era is None or era == previous:
+            return
+        if previous is not None and era < previous:
+            raise self._error(
+                f"an answer of the earlier copy {era}", f"copy {previous}"
+            )
+        self.era = era
+        if previous is not None:
+            raise StoreRestoredError(
+                subject=f"store at {self.address}",
+                found=f"copy {era}",
+                expected=f"copy {previous}",
+            )
+
     def _error(self, found: str, expected: str) -> PlatformError:
         return PlatformError(
             subject=f"store at {self.address}", found=found, expected=expected
--- a/buckthornshed/platform/wire.py
+++ b/buckthornshed/platform/wire.py
@@ -1,5 +1,7 @@
 """Names of headers, keys, paths and status codes that the platform defines."""
 
+from ..protocol.http import get_header
+from ..protocol.messages import Headers
 from ..protocol.relay_messages import HeaderNames
 
 __all__ = [
@@ -9,6 +11,7 @@
     "READY_PATH",
     "TARGET_PREFIX",
     "is_history_lost",
+    "read_era",
 ]
 
 HEADERS = HeaderNames(
@@ -31,6 +34,8 @@
 """Prefix of all keys of the store."""
 
 CATALOG_KEY = "op/config"
+ERA_HEADER = b"store-era"
+"""Header of the store's answers that rises when the store returns from an old copy."""
 TARGET_PREFIX = "servers/"
 """Prefix of the keys of registrations; the name of the target follows."""
 
@@ -38,3 +43,11 @@
 def is_history_lost(status: int) -> bool:
     """Return whether the status of a watch means that its history was dropped."""
     return status == 410
+
+
+def read_era(headers: Headers) -> int | None:
+    """Return the number of the copy that the store runs from, None if not stated."""
+    value = get_header(headers, ERA_HEADER)
+    if value is None or not value.isdigit():
+        return None
+    return int(value)
--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -51,6 +51,7 @@
         self.relays = []
         self.targets = []
         self.tasks = {}
+        self.readers = {}
         self.sent = 0
 
     async def add(self, service, *, slots=10, target=None):
@@ -77,6 +78,7 @@
         await relay.open()
         client = StoreClient(address=self.store.address, clock=time.monotonic)
         reader = StoreReader(client=client, listener=relay.fleet_updater)
+        self.readers[relay] = reader
         loop = asyncio.get_running_loop()
         self.tasks[relay] = [
             loop.create_task(reader.follow()),
@@ -90,7 +92,6 @@
         self.stop(old)
         await until(lambda: not old.links.sessions and not old.links.links)
         self.relays[number] = await self.start(old.settings)
-        await self.wait_until_connected()
 
     def stop(self, relay):
         """End a relay at once."""
--- a/buckthornshed/tests/relay/standin_store.py
+++ b/buckthornshed/tests/relay/standin_store.py
@@ -14,6 +14,8 @@
     mode : str
         ``up``, or how requests fail: ``busy`` (status 503), ``many`` (status 429),
         ``reset`` (connection aborted) or ``silent`` (no response).
+    era : int
+        Number of the copy that the store runs from, sent in all its responses.
     """
 
     def __init__(self):
@@ -24,6 +26,7 @@
         self.mode = "up"
         self.page_size = 500
         self.calls = []
+        self.era = 1
         self.changed = asyncio.Condition()
         self.server: asyncio.Server | None = None
         self.address = ""
@@ -54,6 +57,18 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy of the contents, for `restore`."""
+        return self.revision, dict(self.items), list(self.history)
+
+    async def restore(self, copy):
+        """Go back to a copy; revisions after it are given out again."""
+        revision, items, history = copy
+        self.revision, self.items, self.history = revision, dict(items), list(history)
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     async def _record(self, key):
         self.history.append((self.revision, self._event(key)))
         async with self.changed:
@@ -80,7 +95,8 @@
                 data = json.dumps(body).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
-                    b"content-length: %d\r\n\r\n%s" % (status, len(data), data)
+                    b"store-era: %d\r\ncontent-length: %d\r\n\r\n%s"
+                    % (status, self.era, len(data), data)
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -111,7 +127,7 @@
 
     async def _watch(self, query):
         after = int(query["after"])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return 410, {"error": "history is gone"}
         try:
             async with asyncio.timeout(int(query["waitMs"]) / 1e3):
--- a/buckthornshed/tests/relay/test_leaving_target.py
+++ b/buckthornshed/tests/relay/test_leaving_target.py
@@ -51,6 +51,7 @@
         async with fleet_of(3) as fleet:
             told = await tell_all(fleet)
             await fleet.restart(number)
+            await fleet.wait_until_connected()
             await until(lambda: fleet.relays[number].fleet_view.leaving)
             await ask_all(fleet)
             assert len(fleet.targets[0].received) == told
--- a/buckthornshed/tests/relay/test_stated_limit.py
+++ b/buckthornshed/tests/relay/test_stated_limit.py
@@ -84,6 +84,7 @@
             target = await fleet_with_limit(fleet, clock)
             before = len(target.received)
             await fleet.restart(0)
+            await fleet.wait_until_connected()
             await flood(fleet, clock, seconds=WINDOW_S - 1.0)
             assert len(target.received) - before <= MAX_REQUESTS
 
--- a/buckthornshed/transport/relay/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet_updater.py
@@ -90,6 +90,10 @@
         log_event("store_found")
         self.fleet_view.mark_store_available(self.clock())
 
+    def handle_store_restored(self) -> None:
+        """Record that the store has returned from an old copy."""
+        self.fleet_view.mark_store_restored(self.clock())
+
     # Statements of targets.
 
     def handle_leaving(self, name: str) -> None:
