Keep a relay running when an entry or a task fails unexpectedly

What callers could see: one registration with a sequence number of 10**30, which anyone may write to the store, ended every relay process: it was decoded, and could not be encoded for the other relays (OverflowError). A configuration version 'r²' did the same (ValueError): str.isdigit accepts digits that int does not.

Cause: the documents' types allowed more than the relays can handle, and any error in one task ended the process with all others.

Fix: the documents check ranges, addresses, weights and the version, and reject an entry as such. The reader, the ticks, the settings and the links to other relays start again after an unexpected error, which is logged with its trace (task_failed).

--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -1,7 +1,9 @@
 """Decoders of the JSON documents in the platform's store."""
 
+import ipaddress
+import re
 from collections import defaultdict
-from typing import NoReturn
+from typing import Annotated, NoReturn
 
 import msgspec
 
@@ -10,6 +12,17 @@
 
 __all__ = ["decode_catalog", "decode_target"]
 
+MAX_INTEGER = 2**63 - 1
+"""Greatest integer that can be sent to other relays."""
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+VERSION = re.compile(r"r([0-9]{1,18})")
+
+PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
+
 # Fields keep the platform's names. A field with `name=` has another name in JSON.
 
 
@@ -17,14 +30,16 @@
     """A service that receives part of a route's traffic."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class Action(msgspec.Struct):
     """Destination of a rule's requests; `service` is absent if traffic is split."""
 
-    timeout: float = msgspec.field(name="timeoutS")  # Seconds.
-    attempts: int = 1  # Maximum number of targets that one request is sent to.
+    timeout: Seconds = msgspec.field(name="timeoutS")
+    attempts: PositiveInteger = (
+        1  # Maximum number of targets that one request is sent to.
+    )
     service: str | None = None
     split: list[WeightedService] | None = msgspec.field(
         name="trafficSplit", default=None
@@ -44,8 +59,8 @@
     kind: str  # Requests may run more than once only if this is "idempotent".
     match: Match
     action: Action
-    objective: float = msgspec.field(name="sloS", default=1.0)  # Latency in seconds.
-    priority: int = 0  # 0 is the highest.
+    objective: Seconds = msgspec.field(name="sloS", default=1.0)  # Latency.
+    priority: NonNegativeInteger = 0  # 0 is the highest.
 
 
 class HostRules(msgspec.Struct):
@@ -85,10 +100,10 @@
     service: str
     addr: str  # Address of the target, reachable only from its own instance.
     zone: str  # Failure domain.
-    slots: int  # Maximum number of concurrent calls.
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]  # Concurrent calls.
     state: str  # A key of DRAINING_BY_STATE.
-    born: int  # Start of the target in Unix milliseconds.
-    seq: int  # Sequence number of the registration, within one start.
+    born: PositiveInteger  # Start of the target in Unix milliseconds.
+    seq: NonNegativeInteger  # Sequence number of the registration, within one start.
     warmup_left: float = msgspec.field(name="coldLeftS", default=0.0)  # In seconds.
 
 
@@ -148,18 +163,8 @@
         _reject(
             f"registration {name}", f"state {registration.state!r}", "ready or draining"
         )
-    host, _, port = registration.addr.rpartition(":")
-    if (
-        not host
-        or not port.isdigit()
-        or registration.slots < 1
-        or registration.born <= 0
-    ):
-        _reject(
-            f"registration {name}",
-            f"address {registration.addr!r}",
-            "ip:port and slots",
-        )
+    if not _is_address(registration.addr):
+        _reject(f"registration {name}", f"address {registration.addr!r}", "ip:port")
     return Target(
         name=name,
         started=registration.born,
@@ -173,9 +178,18 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT
+
+
 def _route(host: str, rule: Rule) -> Route:
     action = rule.action
-    if action.split:
+    if action.split and sum(part.weight for part in action.split) > 0.0:
         destinations = tuple(
             RouteDestination(part.service, part.weight) for part in action.split
         )
@@ -197,10 +211,10 @@
 
 
 def _generation(version: str) -> int:
-    digits = version.removeprefix("r")
-    if digits == version or not digits.isdigit():
+    match = VERSION.fullmatch(version)
+    if match is None:
         _reject("configuration version", repr(version), "r and a number")
-    return int(digits)
+    return int(match[1])
 
 
 def _reject(subject: str, found: str, expected: str) -> NoReturn:
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -85,6 +85,7 @@
         second, so a watch that has stopped delivering changes, which would also miss a
         new configuration, is detected soon.
         """
+        self.revision = None
         delay = INITIAL_BACKOFF_S
         while True:
             try:
--- a/buckthornshed/tests/relay/test_platform_documents.py
+++ b/buckthornshed/tests/relay/test_platform_documents.py
@@ -101,6 +101,19 @@
         decode_catalog(value)
 
 
+@pytest.mark.parametrize("version", ["r²", "r" + "9" * 5_000, "r", "12", "r-1"])
+def test_an_invalid_version_raises_a_platform_error(version):
+    document = make_document(service="huvo11a") | {"version": version}
+    with pytest.raises(PlatformError):
+        decode_catalog(encode(document))
+
+
+def test_a_split_without_any_weight_raises_a_platform_error():
+    split = [{"service": "x", "weight": 0}, {"service": "y", "weight": 0}]
+    with pytest.raises(PlatformError):
+        decode_catalog(encode(make_document(trafficSplit=split)))
+
+
 def test_a_registration_is_decoded_into_a_target():
     target = decode_target("i-1", encode(REGISTRATION))
     assert target.name == "i-1"
@@ -122,6 +135,13 @@
         {"born": None},
         {"seq": "x"},
         {"service": None},
+        {"seq": 2**64},
+        {"seq": -1},
+        {"born": 2**64},
+        {"slots": 10**25},
+        {"addr": "10.1.0.8:²"},
+        {"addr": "10.1.0.8:99999"},
+        {"addr": "somewhere:80"},
     ],
 )
 def test_an_invalid_registration_raises_a_platform_error(changes):
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol, cast
 
 from ...coordination.relay.load_balancer import Availability
@@ -23,6 +24,7 @@
     RelayMessage,
 )
 from ..logs import log_event
+from .supervision import keep_running
 
 __all__ = ["PeerHandler", "PeerLinks", "PeerSession"]
 
@@ -271,7 +273,9 @@
         pending on it; a later call of this method closes it.
         """
         for instance in instances - self.link_tasks.keys():
-            task = asyncio.get_running_loop().create_task(self._maintain_link(instance))
+            task = asyncio.get_running_loop().create_task(
+                keep_running(f"link {instance}", partial(self._maintain_link, instance))
+            )
             self.link_tasks[instance] = task
         for instance in self.link_tasks.keys() - instances:
             link = self.links.get(instance)
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -20,6 +20,7 @@
 from .metrics_handler import MetricsHandler
 from .relay import Relay
 from .responses import local_response
+from .supervision import keep_running
 
 __all__ = ["FleetReader", "run_relay"]
 
@@ -182,9 +183,9 @@
         await self._open_metrics(settings.metrics_address)
         log_event("started", instance=settings.name, service=settings.target_service)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.reader.follow)
-            tasks.start_soon(self._tick)
-            tasks.start_soon(self._follow_settings)
+            tasks.start_soon(keep_running, "reader", self.reader.follow)
+            tasks.start_soon(keep_running, "tick", self._tick)
+            tasks.start_soon(keep_running, "settings", self._follow_settings)
             await self._wait_for_stop()
             await self._drain()
             tasks.cancel_scope.cancel()
