Tell a late copy of an answer apart from the answer to a retry

What callers could see: a target rejects a booking with 503, the relay sends it again on the same connection, and the target runs it. A late second copy of the rejection then came first, bore the identifier of the request and was taken for its answer: the client was told that the booking had not run, or it was sent once more and ran twice.

Cause: answers are told apart by the request's identifier alone, and a retry at the same target has the identifier of the first send. Pools reuse the latest connection, so it was the same one as a rule. An answer without any identifier was accepted, too.

Fix: a request never takes the connection that carried its previous send, and an answer without the identifier of its request is not accepted.

Evidence: the two new tests failed before.

Ruled out: other requests; their identifiers differ (tested before).

--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -12,9 +12,10 @@
     ----------
     scripts : list
         Behaviours for the next requests, in order; ``ok`` once the list is empty.
-        ``full`` and ``wrong`` reject the request with 503 and 421, ``slow`` waits for
-        `release`, ``hang`` waits until the caller disconnects. The others are the
-        kinds of answers in `BEHAVIOURS`.
+        ``full`` and ``wrong`` reject the request with 503 and 421, ``full-then-copy``
+        with 503 and a second copy of it before the next answer on the connection.
+        ``slow`` waits for `release`, ``hang`` waits until the caller disconnects. The
+        others are the kinds of answers in `BEHAVIOURS`.
     ran : list
         Identifiers of the requests that ran, in order.
     received : list
@@ -36,6 +37,7 @@
         self.disconnected = []
         self.delay = 0.0
         self.extra_headers = ""
+        self.late_copies = {}
         self.release = asyncio.Event()
         self.server: asyncio.Server | None = None
 
@@ -65,12 +67,16 @@
     async def _run(self, headers, body, reader, writer):
         script = self.scripts.pop(0) if self.scripts else "ok"
         request_id = headers["request-id"]
-        if script in ("full", "wrong") or headers["expect-instance"] != self.name:
-            status = 503 if script == "full" else 421
-            writer.write(
-                f"HTTP/1.1 {status} X\r\nnot-executed: 1\r\n{self.extra_headers}"
-                f"content-length: 0\r\n\r\n".encode()
-            )
+        writer.write(self.late_copies.pop(writer, b""))
+        if script in REJECTIONS or headers["expect-instance"] != self.name:
+            answer = (
+                f"HTTP/1.1 {REJECTIONS.get(script, 421)} X\r\n"
+                f"request-id: {request_id}\r\nnot-executed: 1\r\n"
+                f"{self.extra_headers}content-length: 0\r\n\r\n"
+            ).encode()
+            writer.write(answer)
+            if script == "full-then-copy":
+                self.late_copies[writer] = answer
             return True
         self.ran.append(request_id)
         self.running += 1
@@ -104,6 +110,9 @@
         return head.encode() + body
 
 
+REJECTIONS = {"full": 503, "full-then-copy": 503, "wrong": 421}
+
+
 async def respond_ok(target, request_id, writer):
     writer.write(target.signed_answer(request_id))
     return True
@@ -138,6 +147,12 @@
     return True
 
 
+async def respond_without_id(target, request_id, writer):
+    answer = target.signed_answer(request_id)
+    writer.write(answer.replace(b"request-id: ", b"other-id: ", 1))
+    return True
+
+
 async def respond_unframed(target, request_id, writer):
     answer = target.signed_answer(request_id)
     head, _, body = answer.partition(b"\r\n\r\n")
@@ -165,6 +180,7 @@
     "reset": respond_reset,
     "extra": respond_extra,
     "late-extra": respond_late_extra,
+    "without-id": respond_without_id,
     "unframed": respond_unframed,
     "unsigned": respond_unsigned,
     "encoded": respond_encoded,
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -45,7 +45,9 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("script", ["truncated", "reset", "unsigned", "encoded"])
+@pytest.mark.parametrize(
+    "script", ["truncated", "reset", "unsigned", "encoded", "without-id"]
+)
 def test_an_unusable_answer_to_a_non_idempotent_request_gives_502(script):
     async def scenario():
         async with fleet_of(2) as fleet:
@@ -58,7 +60,9 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("script", ["truncated", "reset", "unsigned", "encoded"])
+@pytest.mark.parametrize(
+    "script", ["truncated", "reset", "unsigned", "encoded", "without-id"]
+)
 def test_an_idempotent_request_is_retried_after_an_unusable_answer(script):
     async def scenario():
         async with fleet_of(2) as fleet:
@@ -86,6 +90,18 @@
     run(scenario())
 
 
+def test_a_late_copy_of_a_rejection_does_not_answer_the_retry_of_the_same_request():
+    async def scenario():
+        async with fleet_of(1) as fleet:
+            target = fleet.targets[0]
+            target.scripts = ["full-then-copy", "ok"]
+            response = await fleet.ask(fleet.relays[0], "/book/1", body=b"stall 7")
+            assert response.status == 200
+            assert len(target.ran) == 1
+
+    run(scenario())
+
+
 def test_an_answer_without_a_length_ends_at_connection_close():
     async def scenario():
         async with fleet_of(1) as fleet:
--- a/buckthornshed/transport/relay/target_pool.py
+++ b/buckthornshed/transport/relay/target_pool.py
@@ -1,8 +1,10 @@
 """Connection pool for the target beside the relay.
 
 Each connection carries one exchange at a time and is reused only after a complete
-answer. An answer that echoes the identifier of another request, such as a late answer
-to an earlier one, is discarded.
+answer. An answer that echoes the identifier of another request, such as a late copy of
+the answer to an earlier one, is discarded; one without any identifier is not accepted.
+A request that is sent again takes another connection than before, because a late copy
+of its first answer would bear its identifier.
 """
 
 import asyncio
@@ -12,6 +14,7 @@
 
 import httptools
 
+from ...protocol.http import get_header
 from ...protocol.messages import Headers
 from ...protocol.relay_messages import HeaderNames
 from ..http_parsing import MessageCollector, ParserError, framing_fault
@@ -162,7 +165,11 @@
         if fault is not None:
             self._fail(FaultKind.UNUSABLE, fault)
             return
-        if self._answers_other_request(headers):
+        answered_id = get_header(headers, self.pool.names.request_id)
+        if answered_id is None and self.request_id:
+            self._fail(FaultKind.UNUSABLE, "answer without the request's identifier")
+            return
+        if answered_id is not None and answered_id != self.request_id:
             self.collector.reset()
             self.delimited_by_close = False
             return
@@ -182,12 +189,6 @@
             self.transport.close()
         self.pool.end(exchange, answer)
 
-    def _answers_other_request(self, headers: Headers) -> bool:
-        for name, value in headers:
-            if name == self.pool.names.request_id:
-                return value != self.request_id
-        return False
-
     def _fail(self, kind: FaultKind, detail: str) -> None:
         exchange = self.exchange
         self.abort()
@@ -234,7 +235,7 @@
         self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
     ) -> None:
         """Send a request on an idle connection, or open a new one for it."""
-        connection = self._pop_idle()
+        connection = self._pop_idle(request_id)
         if connection is not None:
             self.active[exchange] = connection
             connection.send(exchange, request_id, data, head_only=head_only)
@@ -286,17 +287,15 @@
                 connection.transport.close()
         self.idle.clear()
 
-    def _pop_idle(self) -> TargetConnection | None:
-        now = self.clock()
-        while self.idle:
-            connection = self.idle.pop()
+    def _pop_idle(self, request_id: bytes) -> TargetConnection | None:
+        """Remove and return the connection to reuse for a request, if there is one."""
+        self.close_expired()
+        for connection in reversed(self.idle):
             transport = connection.transport
-            if transport is None or transport.is_closing():
-                continue
-            if connection.idle_until <= now:
-                transport.close()
-                continue
-            return connection
+            is_open = transport is not None and not transport.is_closing()
+            if is_open and connection.request_id != request_id:
+                self.idle.remove(connection)
+                return connection
         return None
 
     async def _connect_and_send(
