Answer the requests that outlast a planned stop

A request that was still in progress at the end of the grace period was cut off without an answer when the process ended. It now gets its final answer then: 503 if no target has got it, 502 if it may have run; its call is cancelled.

Ruled out: ending such requests earlier, or refusing them when they arrive; most of those with long timeouts are answered in time.

Test: test_requests_that_outlast_a_planned_stop_get_a_true_answer.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -221,16 +221,30 @@
         due = now - TIMEOUT_MARGIN_S
         overdue = [p for p in self.pending.values() if p.request.deadline <= due]
         for pending in overdue:
-            del self.pending[pending.token]
             if pending.record is not None:
-                exchange = pending.exchange
-                record = self._detach(pending)
-                self.load_balancer.record_outcome(now, record, failed=True)
-                pending.may_have_run = True
-                actions.append(CancelCall(record.target, exchange))
-            actions.append(
-                self._give_up(pending, RefusalReason.TIMED_OUT, NO_TARGET_RETRY_AFTER_S)
-            )
+                self.load_balancer.record_outcome(now, pending.record, failed=True)
+            actions += self._abandon(pending, RefusalReason.TIMED_OUT)
+        return actions
+
+    def end_all(self) -> list[DispatchAction]:
+        """End all requests, as the relay is about to stop, and cancel their calls."""
+        actions: list[DispatchAction] = []
+        for pending in list(self.pending.values()):
+            actions += self._abandon(pending, RefusalReason.LEAVING)
+        return actions
+
+    def _abandon(
+        self, pending: PendingRequest, reason: RefusalReason
+    ) -> list[DispatchAction]:
+        """End a request without waiting for the answer to its call, if there is one."""
+        del self.pending[pending.token]
+        actions: list[DispatchAction] = []
+        if pending.record is not None:
+            exchange = pending.exchange
+            record = self._detach(pending)
+            pending.may_have_run = True
+            actions.append(CancelCall(record.target, exchange))
+        actions.append(self._give_up(pending, reason, NO_TARGET_RETRY_AFTER_S))
         return actions
 
     def _retry_or_fail(
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -288,6 +288,29 @@
     run(scenario())
 
 
+def test_requests_that_outlast_a_planned_stop_get_a_true_answer():
+    async def scenario():
+        async with fleet_of(1, slots=1) as fleet:
+            relay, target = fleet.relays[0], fleet.targets[0]
+            target.scripts = ["slow"]
+            sent = asyncio.create_task(fleet.ask(relay, "/book/1", body=b"x"))
+            await until(lambda: target.running)
+            reader, writer = await fleet.connect(relay)
+            writer.write(fleet.request("/book/2", body=b"y"))
+            await until(lambda: relay.local_target.limiter.queue_length)
+            relay.start_draining(relay.clock() + 6.0)
+            relay.end_requests()
+            assert (await sent).status == 502
+            queued = await read_response(reader)
+            assert queued.headers["connection"] == "close"
+            assert queued.status in (502, 503)
+            writer.close()
+            target.release.set()
+            assert len(target.ran) == 1
+
+    run(scenario())
+
+
 def test_requests_beyond_the_pipelining_limit_are_all_answered():
     async def scenario():
         async with fleet_of(1, slots=80) as fleet:
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -246,6 +246,7 @@
         await asyncio.sleep(RELAY_NOTICE_S)
         relay.refuse_new_calls()
         await self._wait_while(lambda: relay.busy, deadline)
+        relay.end_requests()
         relay.listener.stop_accepting()
         relay.listener.close_idle()
         await asyncio.sleep(FINAL_FLUSH_S)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -214,6 +214,10 @@
         """
         self.local_target.refuse_new_calls()
 
+    def end_requests(self) -> None:
+        """Answer all requests that are still in progress, as the process ends."""
+        self._execute(self.dispatcher.end_all())
+
     def tick(self) -> None:
         """Run the periodic work that is due."""
         now = self.clock()
