Split the relay and the dispatcher by job

Final responses to clients (client_responses.py) and the reports of other relays on targets (target_reports.py) are modules of their own, and the messages of other relays are handled by a table of types in place of a chain of ifs. The reasons of refusals by what follows from them, and the state of a pending request, moved out of the dispatcher.

All tests of tests/relay pass, in 80 s.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ...protocol.relay_messages import (
@@ -30,6 +29,13 @@
 )
 from .fleet_view import FleetView
 from .load_balancer import Availability, LoadBalancer, TargetRecord
+from .pending_request import PendingRequest
+from .refusal_reasons import (
+    EJECTION_REASONS,
+    FINAL_REASONS,
+    FREE_RETRY_REASONS,
+    TARGET_FAILURE_REASONS,
+)
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
@@ -45,49 +51,6 @@
 RETRY_JITTER = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
 
-FREE_RETRY_REASONS = frozenset(
-    {
-        RefusalReason.OVERLOAD,
-        RefusalReason.RATE_LIMITED,
-        RefusalReason.LEAVING,
-        RefusalReason.UNREACHABLE,
-    }
-)
-"""Refusals by relays: no target received the call, so a retry costs no budget."""
-
-TARGET_FAILURE_REASONS = frozenset({RefusalReason.TARGET_FULL, RefusalReason.LOST})
-"""Refusals that count as failures of the target."""
-
-FINAL_REASONS = frozenset({RefusalReason.EXPIRED, RefusalReason.TIMED_OUT})
-"""Refusals after which a request is not retried."""
-
-EJECTION_REASONS = frozenset(
-    {
-        RefusalReason.LEAVING,
-        RefusalReason.WRONG_TARGET,
-        RefusalReason.UNREACHABLE,
-        RefusalReason.LOST,
-    }
-)
-"""Refusals after which a target is ejected from load balancing for a while."""
-
-
-@dataclass(slots=True, kw_only=True)
-class PendingRequest:
-    """A request without a final answer."""
-
-    token: int
-    request: RoutedRequest
-    service: str
-    record: TargetRecord | None = None
-    exchange: int = 0
-    attempts: list[Attempt] = field(default_factory=list)
-    may_have_run: bool = False
-    tried_targets: set[str] = field(default_factory=set)
-    rejected_by: set[str] = field(default_factory=set)
-    failed_answer: AnswerMessage | None = None
-    """Answer of a target that failed the request, delivered if no retry succeeds."""
-
 
 class Dispatcher:
     """Sends the requests of one relay to targets and retries them.
--- /dev/null
+++ b/buckthornshed/transport/relay/client_responses.py
@@ -0,0 +1,107 @@
+"""Final responses to the requests of clients and of the local target."""
+
+from collections.abc import Callable
+
+from ...coordination.relay.admission import AdmissionController
+from ...coordination.relay.dispatch_messages import (
+    DeliverAnswer,
+    FailRequest,
+    RoutedRequest,
+)
+from ...protocol.relay_messages import HeaderNames
+from .access_log import AccessLog
+from .client_listener import Exchange
+from .responses import local_response, refusal_status
+
+__all__ = ["ClientResponses"]
+
+
+class ClientResponses:
+    """Writes and logs one response for each exchange.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Header names of the deployment.
+    access_log : AccessLog
+        Logs the ends of requests.
+    admission : AdmissionController
+        Records whether requests of clients succeeded.
+    clock : callable
+        Returns seconds of the monotonic clock.
+
+    Attributes
+    ----------
+    exchanges : dict
+        Exchanges without a response, by token.
+    draining : bool
+        Whether connections close after their latest response.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        access_log: AccessLog,
+        admission: AdmissionController,
+        clock: Callable[[], float],
+    ) -> None:
+        self.names = names
+        self.access_log = access_log
+        self.admission = admission
+        self.clock = clock
+        self.exchanges: dict[int, Exchange] = {}
+        self.draining = False
+
+    def deliver(self, action: DeliverAnswer) -> None:
+        """Respond with the answer of a target."""
+        exchange = self.exchanges.pop(action.token, None)
+        if exchange is None:
+            return
+        answer = action.answer
+        close = self._should_close(exchange)
+        head_end = b"connection: close\r\n\r\n" if close else b"\r\n"
+        body = b"" if exchange.head_only else answer.body
+        data = b"".join((answer.head, head_end, body))
+        exchange.connection.respond(exchange, data, close=close)
+        self._record_attempt(action.request, succeeded=not answer.failed)
+        self.access_log.log_answer(self.clock(), action)
+
+    def fail(self, action: FailRequest) -> None:
+        """Respond in place of a target."""
+        exchange = self.exchanges.pop(action.token, None)
+        if exchange is None:
+            return
+        status = refusal_status(action.reason, may_have_run=action.may_have_run)
+        retry_after = None if action.may_have_run else action.retry_after
+        self.respond_locally(exchange, status, action.request.request_id, retry_after)
+        self._record_attempt(action.request, succeeded=False)
+        share = self.admission.shares.get(action.request.route.name, 1.0)
+        self.access_log.log_failure(self.clock(), action, status=status, share=share)
+
+    def respond_locally(
+        self,
+        exchange: Exchange,
+        status: int,
+        request_id: bytes,
+        retry_after: float | None,
+    ) -> None:
+        """Respond with a status of the relay; `retry_after` is in seconds."""
+        close = self._should_close(exchange)
+        data = local_response(status, self.names, request_id, retry_after, close=close)
+        exchange.connection.respond(exchange, data, close=close)
+
+    def _record_attempt(self, request: RoutedRequest, *, succeeded: bool) -> None:
+        if not request.nested:
+            self.admission.success_rates.record_attempt(
+                request.route.name, succeeded=succeeded
+            )
+
+    def _should_close(self, exchange: Exchange) -> bool:
+        """Whether the connection closes after a response.
+
+        While draining, it closes after the response to the latest request. Pipelined
+        requests may already have been sent to targets, so all of them are answered
+        first.
+        """
+        return self.draining and exchange.connection.is_last(exchange)
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -234,7 +234,7 @@
         """
         relay = self.relay
         now = relay.clock()
-        log_event("stopping", requests=len(relay.exchanges))
+        log_event("stopping", requests=len(relay.responses.exchanges))
         grace = relay.settings.grace
         deadline = now + grace - SHUTDOWN_MARGIN_S
         notice = min(DRAIN_NOTICE_S, grace * MAX_DRAIN_NOTICE_FRACTION)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -5,14 +5,13 @@
 """
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
     DispatchAction,
     FailRequest,
-    RoutedRequest,
     SendCall,
 )
 from ...coordination.relay.dispatcher import Dispatcher
@@ -31,7 +30,6 @@
     Pong,
     RefusalMessage,
     RelayMessage,
-    StatedLimit,
     Status,
 )
 from ...state.catalog import Target
@@ -39,13 +37,15 @@
 from ..logs import log_event
 from .access_log import AccessLog
 from .client_listener import ClientListener, Exchange
+from .client_responses import ClientResponses
 from .counts import RelayCounts, RelayGauges
 from .fleet_updater import FleetUpdater
 from .local_target import CallKey, CallOutcome, LocalTarget
 from .peer_links import PeerLinks, PeerSession
 from .request_router import RequestRouter, UnroutedRequest
-from .responses import local_response, refusal_status
+from .responses import local_response
 from .status_exchange import StatusExchange
+from .target_reports import TargetReports
 
 if TYPE_CHECKING:
     from random import Random
@@ -119,6 +119,17 @@
             broadcast=lambda status: self.links.broadcast(status),
         )
         self.admission = self.statuses.admission
+        self.responses = ClientResponses(
+            names=names,
+            access_log=self.access_log,
+            admission=self.admission,
+            clock=clock,
+        )
+        self.target_reports = TargetReports(
+            fleet_view=self.fleet_view,
+            load_balancer=self.load_balancer,
+            local_target=self.local_target,
+        )
         self.router = RequestRouter(
             names=names,
             fleet_view=self.fleet_view,
@@ -145,21 +156,26 @@
             handler=self,
             clock=clock,
         )
-        self.exchanges: dict[int, Exchange] = {}
         self.sessions: dict[int, PeerSession] = {}
-        self.draining = False
+        self.session_handlers: dict[type, Callable[[PeerSession, Any], None]] = {
+            CallMessage: self._submit_call,
+            CancelMessage: self._cancel_call,
+            Ping: self._answer_ping,
+            Status: self._record_status,
+            FleetUpdate: self._apply_update,
+        }
         self.leaving = False
         self.tick_count = 0
 
     @property
     def ready(self) -> bool:
         """Whether the relay accepts new requests of clients."""
-        return not self.draining and self.fleet_view.catalog is not None
+        return not self.responses.draining and self.fleet_view.catalog is not None
 
     @property
     def busy(self) -> bool:
         """Whether a request or a call is in progress."""
-        return bool(self.exchanges) or self.local_target.busy
+        return bool(self.responses.exchanges) or self.local_target.busy
 
     @property
     def serves_clients(self) -> bool:
@@ -175,7 +191,7 @@
             generation=0 if catalog is None else catalog.generation,
             targets=sum(map(len, self.fleet_view.usable.values())),
             peers=len(self.links.links),
-            requests=len(self.exchanges),
+            requests=len(self.responses.exchanges),
             running=limiter.running,
             waiting=limiter.queue_length,
             room=limiter.calls_per_second,
@@ -195,7 +211,7 @@
         Requests still arrive and are served. The target goes on taking calls that are
         due before `ends_at`, as it would be missed by the others.
         """
-        self.draining = True
+        self.responses.draining = True
         self.local_target.limiter.ends_at = ends_at
 
     def refuse_new_requests(self) -> None:
@@ -240,16 +256,16 @@
         routed = self.router.route(now, request)
         if isinstance(routed, UnroutedRequest):
             request_id = self.router.request_id(request)
-            self._respond_locally(
+            self.responses.respond_locally(
                 exchange, routed.status, request_id, routed.retry_after
             )
             return
-        self.exchanges[exchange.token] = exchange
+        self.responses.exchanges[exchange.token] = exchange
         self._execute(self.dispatcher.submit(now, exchange.token, routed))
 
     def handle_disconnect(self, exchange: Exchange) -> None:
         """Cancel the call of a request whose client has disconnected."""
-        if self.exchanges.pop(exchange.token, None) is not None:
+        if self.responses.exchanges.pop(exchange.token, None) is not None:
             now = self.clock()
             self._execute(self.dispatcher.client_disconnected(now, exchange.token))
 
@@ -264,19 +280,29 @@
         self, session: PeerSession, message: RelayMessage
     ) -> None:
         """Handle a message on a connection that another relay opened."""
-        if isinstance(message, CallMessage):
-            self.sessions[session.number] = session
-            key = CallKey(session.number, message.exchange)
-            self.local_target.submit(key, message)
-        elif isinstance(message, CancelMessage):
-            self.local_target.cancel(CallKey(session.number, message.exchange))
-        elif isinstance(message, Ping):
-            session.send(Pong(self.local_target.limiter.load))
-        elif isinstance(message, Status):
-            self._handle_status(session, message)
-        elif isinstance(message, FleetUpdate):
-            self.fleet_updater.apply_update(message)
-            self._learn_limits(message.limits)
+        handle = self.session_handlers.get(type(message))
+        if handle is not None:
+            handle(session, message)
+
+    def _submit_call(self, session: PeerSession, message: CallMessage) -> None:
+        self.sessions[session.number] = session
+        key = CallKey(session.number, message.exchange)
+        self.local_target.submit(key, message)
+
+    def _cancel_call(self, session: PeerSession, message: CancelMessage) -> None:
+        self.local_target.cancel(CallKey(session.number, message.exchange))
+
+    def _answer_ping(self, session: PeerSession, _: Ping) -> None:
+        session.send(Pong(self.local_target.limiter.load))
+
+    def _record_status(self, session: PeerSession, status: Status) -> None:
+        now = self.clock()
+        self.target_reports.record_status(now, status)
+        self.statuses.receive(now, session.name, status)
+
+    def _apply_update(self, _: PeerSession, update: FleetUpdate) -> None:
+        self.fleet_updater.apply_update(update)
+        self.target_reports.learn_limits(update.limits)
 
     def handle_session_loss(self, session: PeerSession) -> None:
         """Cancel the calls that arrived on a closed connection."""
@@ -294,7 +320,7 @@
             log_event("peer_leaving", peer=instance)
             self.links.mark_draining(instance)
         elif isinstance(message, Pong):
-            self._record_load(now, instance, message.load)
+            self.target_reports.record_load(now, instance, message.load)
 
     def handle_new_link(self, instance: str) -> None:
         """Send the configuration and the known targets to a newly connected relay."""
@@ -327,22 +353,8 @@
             {t.instance for t in targets.values() if t.instance != self.instance}
         )
         self.budget.relays = max(1, len({t.instance for t in targets.values()}))
-        local_registrations = [
-            target
-            for target in targets.values()
-            if target.address == self.settings.target_address
-        ]
-        latest = max(
-            local_registrations, key=lambda target: target.started, default=None
-        )
-        if latest is not None and self.fleet_view.is_leaving(latest):
-            latest = latest._replace(draining=True)
-        self.local_target.update_registration(latest)
-        if latest is not None:
-            self.local_target.adopt_limit(self.load_balancer.record(latest).rate_limit)
-        for name in self.load_balancer.records.keys() - targets.keys():
-            if not self.load_balancer.records[name].outstanding:
-                self.load_balancer.forget(name)
+        self.target_reports.update_local_target()
+        self.target_reports.forget_removed_targets()
 
     def _broadcast_status(self, now: float) -> None:
         target = self.local_target.registration
@@ -362,29 +374,6 @@
             unreachable,
         )
 
-    def _handle_status(self, session: PeerSession, status: Status) -> None:
-        now = self.clock()
-        target = self.fleet_view.targets.get(status.target)
-        if target is not None:
-            record = self.load_balancer.record(target)
-            self.load_balancer.record_load(now, record, status.load)
-            record.call_times |= status.call_times
-            if status.rate_limit is not None:
-                record.rate_limit = status.rate_limit
-        self.statuses.receive(now, session.name, status)
-
-    def _learn_limits(self, limits: list[StatedLimit]) -> None:
-        """Take over limits that another relay remembers, where none is known."""
-        for limit in limits:
-            target = self.fleet_view.targets.get(limit.target)
-            if target is None or target.started != limit.started:
-                continue
-            record = self.load_balancer.record(target)
-            if record.rate_limit is None:
-                record.rate_limit = limit.rate
-            if target.address == self.settings.target_address:
-                self.local_target.adopt_limit(limit.rate)
-
     def update_settings(self, settings: RelaySettings) -> None:
         """Apply the grace time and retry limits of changed settings.
 
@@ -404,13 +393,6 @@
         self.links.close()
         self.local_target.pool.close_idle()
 
-    def _record_load(self, now: float, instance: str, load: float) -> None:
-        for target in self.fleet_view.targets.values():
-            if target.instance == instance:
-                self.load_balancer.record_load(
-                    now, self.load_balancer.record(target), load
-                )
-
     def _availability(self, target: Target) -> Availability:
         if target.instance != self.instance:
             return self.links.availability(target.instance)
@@ -423,9 +405,9 @@
             if isinstance(action, SendCall):
                 self._send(action)
             elif isinstance(action, DeliverAnswer):
-                self._deliver(action)
+                self.responses.deliver(action)
             elif isinstance(action, FailRequest):
-                self._fail(action)
+                self.responses.fail(action)
             else:
                 self._cancel(action)
 
@@ -454,53 +436,3 @@
             self._execute(self.dispatcher.handle_answer(self.clock(), outcome))
         else:
             self._execute(self.dispatcher.handle_refusal(self.clock(), outcome))
-
-    def _deliver(self, action: DeliverAnswer) -> None:
-        exchange = self.exchanges.pop(action.token, None)
-        if exchange is None:
-            return
-        answer = action.answer
-        close = self._should_close(exchange)
-        head_end = b"connection: close\r\n\r\n" if close else b"\r\n"
-        body = b"" if exchange.head_only else answer.body
-        data = b"".join((answer.head, head_end, body))
-        exchange.connection.respond(exchange, data, close=close)
-        self._record_attempt(action.request, succeeded=not answer.failed)
-        self.access_log.log_answer(self.clock(), action)
-
-    def _fail(self, action: FailRequest) -> None:
-        exchange = self.exchanges.pop(action.token, None)
-        if exchange is None:
-            return
-        status = refusal_status(action.reason, may_have_run=action.may_have_run)
-        retry_after = None if action.may_have_run else action.retry_after
-        self._respond_locally(exchange, status, action.request.request_id, retry_after)
-        self._record_attempt(action.request, succeeded=False)
-        share = self.admission.shares.get(action.request.route.name, 1.0)
-        self.access_log.log_failure(self.clock(), action, status=status, share=share)
-
-    def _record_attempt(self, request: RoutedRequest, *, succeeded: bool) -> None:
-        if not request.nested:
-            self.admission.success_rates.record_attempt(
-                request.route.name, succeeded=succeeded
-            )
-
-    def _respond_locally(
-        self,
-        exchange: Exchange,
-        status: int,
-        request_id: bytes,
-        retry_after: float | None,
-    ) -> None:
-        close = self._should_close(exchange)
-        data = local_response(status, self.names, request_id, retry_after, close=close)
-        exchange.connection.respond(exchange, data, close=close)
-
-    def _should_close(self, exchange: Exchange) -> bool:
-        """Whether the connection closes after a response.
-
-        While draining, it closes after the response to the latest request. Pipelined
-        requests may already have been sent to targets, so all of them are answered
-        first.
-        """
-        return self.draining and exchange.connection.is_last(exchange)
