--- a/buckthornshed/tests/relay/test_rate_limiter.py
+++ b/buckthornshed/tests/relay/test_rate_limiter.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from buckthornshed.coordination.relay.admission import AdmissionController
+from buckthornshed.coordination.relay.call_graph import CallGraph
 from buckthornshed.coordination.relay.concurrency_limiter import (
     MAX_RATE_DELAY_S,
     ConcurrencyLimiter,
@@ -13,9 +15,9 @@
     StartCall,
 )
 from buckthornshed.coordination.relay.rate_limiter import UNLIMITED, RateLimiter
-from buckthornshed.protocol.relay_messages import RefusalReason
+from buckthornshed.protocol.relay_messages import RefusalReason, Status
 
-from .makers import make_call
+from .makers import make_call, make_catalog, make_route
 
 WINDOW_S = 4.0
 
@@ -144,3 +146,32 @@
     assert limiter.load == 0.0
     limiter.submit(1.0, make_call(1, now=1.0))
     assert limiter.load == 1.0
+
+
+def test_what_exceeds_a_limit_is_refused_at_the_first_hop_lower_priority_first():
+    limiter = make_limiter(rate=10.0)
+    routes = (make_route("book", rank=0), make_route("avail", rank=1))
+    offered = {"book": 6.0, "avail": 20.0}
+    admission = AdmissionController(graph=CallGraph())
+    admission.configure(make_catalog(routes=routes))
+    status = Status(
+        service="stalls",
+        target="t-1",
+        load=limiter.load,
+        slots=limiter.usable_slots,
+        call_times=dict.fromkeys(offered, limiter.call_times.mean),
+        offered=offered,
+        rate_limit=limiter.rate_limiter.rate,
+    )
+    admission.report(0.0, "instance-1", status)
+    admission.update_shares(0.1, {"stalls": 1})
+    admitted = {
+        route: rate * admission.shares[route] for route, rate in offered.items()
+    }
+    assert admission.shares["book"] == pytest.approx(1.0)
+    assert 0.0 < admission.shares["avail"] < 0.5
+    assert sum(admitted.values()) <= 10.0
+    rejections = [
+        admission.reject(0.2, routes[1], b"r-%d" % number) for number in range(50)
+    ]
+    assert all(r.retry_after > 0.0 for r in rejections if r is not None)
