Take the end of a limit only from genuine answers of the target

What callers could see: a target in need spoils some of its answers. One without its headers counted as the end of the limit, and as many calls as the target has slots started before the next answer stated it again. And the answer of a new incarnation whose limit could not be read was reported to callers with the statement of the previous one, that it was leaving.

Cause: statements were read before the answer was checked, and the latest one was used where an answer had none.

Fix: statements are read only from answers with the target's signature, or that it did not run the request, and an answer carries its own statement.

Evidence: with the code before, test_a_spoiled_answer_does_not_end_the_limit fails for an unsigned answer, and the test of the next incarnation fails.

Ruled out for the other spoiled answers (cut, reset, without an identifier): they have never counted, as they are faults of the connection.

--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -37,9 +37,7 @@
     """Destination of a rule's requests; `service` is absent if traffic is split."""
 
     timeout: Seconds = msgspec.field(name="timeoutS")
-    attempts: PositiveInteger = (
-        1  # Maximum number of targets that one request is sent to.
-    )
+    attempts: PositiveInteger = 1  # Targets that one request is sent to, at most.
     service: str | None = None
     split: list[WeightedService] | None = msgspec.field(
         name="trafficSplit", default=None
--- a/buckthornshed/tests/relay/test_leaving_target.py
+++ b/buckthornshed/tests/relay/test_leaving_target.py
@@ -94,6 +94,23 @@
     run(scenario())
 
 
+def test_an_unreadable_limit_of_the_next_incarnation_does_not_mark_it_as_leaving():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            told = await tell_all(fleet)
+            target = fleet.targets[0]
+            target.extra_headers = "server-limit: many\r\n"
+            await fleet.register(target, "stalls", born=BORN + 60_000)
+            await until(
+                lambda: len(target.received) > told,
+                ask=lambda: fleet.ask(fleet.relays[0]),
+            )
+            for relay in fleet.relays:
+                assert relay.fleet_view.leaving == {target.name: BORN}
+
+    run(scenario())
+
+
 def test_a_queued_call_of_a_leaving_target_goes_to_another():
     async def scenario():
         async with fleet_of(2, slots=1) as fleet:
--- a/buckthornshed/tests/relay/test_stated_limit.py
+++ b/buckthornshed/tests/relay/test_stated_limit.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import pytest
+
 from .fleet import ManualClock, fleet_of, until
 
 LIMIT = 2.5
@@ -137,6 +139,24 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("script", ["unsigned", "truncated", "reset", "without-id"])
+def test_a_spoiled_answer_does_not_end_the_limit(script):
+    async def scenario():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            target.extra_headers = ""
+            target.scripts = [script]
+            clock.advance(STEP_S)
+            response = await ask_in_time(
+                fleet, clock, fleet.relays[1], path="/book/1", body=b"x"
+            )
+            assert response.status == 502
+            assert fleet.relays[0].local_target.limiter.rate_limiter.limited
+
+    asyncio.run(scenario())
+
+
 def test_requests_go_to_the_other_targets_while_one_states_a_limit():
     async def scenario():
         clock = ManualClock()
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -219,8 +219,7 @@
         if call is None:
             return
         del self.run_ids[call.key]
-        if isinstance(result, TargetAnswer):
-            self._record_statement(call, result)
+        statement = self._read_statement(call, result)
         outcome = self._create_outcome(call, result)
         # A failed run may end early, so its time and calls are not representative.
         succeeded = isinstance(outcome, AnswerMessage) and not outcome.failed
@@ -239,17 +238,34 @@
             outcome.load = self.limiter.load
             outcome.call_time = self.limiter.call_times.of(call.message.route)
             outcome.rate_limit = self.limiter.rate_limiter.effective_rate
-            outcome.leaving = self.statement.leaving
+            outcome.leaving = statement is not None and statement.leaving
         else:
             outcome.load = self.limiter.load
         self._deliver(call, outcome)
         self._execute(actions)
 
-    def _record_statement(self, call: LimiterCall, answer: TargetAnswer) -> None:
-        """Record what the target states about itself, and log changes."""
-        statement = read_statement(answer.headers, self.names)
-        if statement is None or answer.status == WRONG_TARGET_STATUS:
-            return
+    def _read_statement(
+        self, call: LimiterCall, result: TargetAnswer | TargetFault
+    ) -> TargetStatement | None:
+        """Return and record what the target states about itself in an answer.
+
+        Returns None for what is not certainly an answer of this target: the headers of
+        spoiled answers may be missing, which must not end a limit.
+        """
+        if isinstance(result, TargetFault) or not self._is_genuine(result):
+            return None
+        statement = read_statement(result.headers, self.names)
+        if statement is not None:
+            self._record_statement(call, statement)
+        return statement
+
+    def _is_genuine(self, answer: TargetAnswer) -> bool:
+        if answer.status == WRONG_TARGET_STATUS:
+            return False
+        marks = (self.names.signature, self.names.not_run)
+        return any(get_header(answer.headers, mark) is not None for mark in marks)
+
+    def _record_statement(self, call: LimiterCall, statement: TargetStatement) -> None:
         assert call.started is not None
         self.limiter.rate_limiter.record_statement(
             self.clock(), statement.rate_limit, sent_at=call.started
