--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,12 @@
 RUN_S = 0.02
 
 
+@lru_cache(maxsize=1)
+def allocate_ports():
+    """Return the ports of all relays, the same for all seeds of a process."""
+    return [free_port() for _ in range(4)]
+
+
 class RecordingTarget(StandinTarget):
     """A stand-in target that records its requests in the history of the soak."""
 
@@ -149,8 +156,8 @@
         self.folder = folder
         self.history = History()
         self.store = StandinStore()
-        self.client_port, self.ready_port = free_port(), free_port()
-        self.internal_ports = sorted(free_port() for _ in range(2))
+        self.client_port, self.ready_port, *internal_ports = allocate_ports()
+        self.internal_ports = sorted(internal_ports)
         self.instances: list[Instance] = []
         self.version = 1
         self.sent = 0
