--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/concurrency_limiter.py
@@ -4,7 +4,7 @@
 target pass through its relay, so the relay knows what runs there. It leaves a few slots
 free, as targets slow down when all are in use. Queued calls start in order of rank,
 then of deadline. A call that cannot meet its deadline is refused at once and has not
-run. If the target states a rate limit, a call that would wait long for its turn is
+run. If the target states a rate limit, a call that would wait long for a token is
 refused as well, so that its caller can try another target.
 """
 
@@ -36,7 +36,7 @@
 DEFAULT_SLOTS = 8
 """Slots that are assumed until the target's registration is known."""
 MAX_RATE_DELAY_S = 0.4
-"""Longest time that a call waits for its turn under a rate limit."""
+"""Longest time that a call waits for a token of the rate limiter."""
 RATE_MARGIN = 0.9
 """Fraction of a rate limit that is reported as capacity.
 
@@ -141,12 +141,12 @@
         )
 
     def retry_after(self) -> float:
-        """Return the seconds after which a call should find a free slot and a turn."""
+        """Return the seconds after which a call should find a slot and a token."""
         backlog = self.queue_length * self.call_times.mean / self.limit
-        turn = 0.0
+        token_delay = 0.0
         if self.rate_limiter.limited:
-            turn = (self.queue_length + 1) / self.rate_limiter.effective_rate
-        return min(MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S + max(backlog, turn))
+            token_delay = (self.queue_length + 1) / self.rate_limiter.effective_rate
+        return min(MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S + max(backlog, token_delay))
 
     def submit(self, now: float, call: LimiterCall) -> list[LimiterAction]:
         """Start, queue or refuse a call."""
@@ -241,7 +241,7 @@
         return call.deadline - now < self.call_times.of(call.message.route) / 2
 
     def _refuse_overdue(self, now: float) -> list[LimiterAction]:
-        """Refuse the calls whose turn under a rate limit has not come in time."""
+        """Refuse the calls that have waited too long for a token."""
         if not self.rate_limiter.limited:
             return []
         return self._refuse_queued_if(
--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet_view.py
@@ -138,7 +138,7 @@
         """
         current = self.targets.get(name)
         if current is None:
-            self._bury(name, version)
+            self._add_tombstone(name, version)
             return False
         if registration_version(current) > version:
             return False
@@ -181,10 +181,10 @@
         del self.targets[target.name]
         self.pending_removal.discard(target.name)
         self.outdated.discard(target.name)
-        self._bury(target.name, registration_version(target))
+        self._add_tombstone(target.name, registration_version(target))
         self._rebuild_index()
 
-    def _bury(self, name: str, version: RegistrationVersion) -> None:
+    def _add_tombstone(self, name: str, version: RegistrationVersion) -> None:
         if self.tombstones.get(name, version) > version:
             return
         if len(self.tombstones) >= MAX_TOMBSTONES:
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -8,10 +8,18 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-__all__ = ["LATENCY_BUCKETS_S", "LatencyHistogram", "RelayCounts", "RelayGauges"]
+__all__ = [
+    "LATENCY_BUCKETS_S",
+    "NO_LIMIT",
+    "LatencyHistogram",
+    "RelayCounts",
+    "RelayGauges",
+]
 
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 """Upper bounds of the latency buckets; a last bucket has no bound."""
+NO_LIMIT = -1.0
+"""Value of the gauge `stated_limit` if the target states no limit."""
 
 
 class RelayGauges(NamedTuple):
@@ -34,8 +42,7 @@
     least_share : float
         Smallest admission share of any route, 0 to 1.
     stated_limit : float
-        Calls per second that the local target states as its limit; -1 if it states
-        none.
+        Calls per second that the local target states as its limit, or `NO_LIMIT`.
     target_requests : int
         Requests sent to the local target since the start of the relay.
     """
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -38,7 +38,7 @@
 from .access_log import AccessLog
 from .client_listener import ClientListener, Exchange
 from .client_responses import ClientResponses
-from .counts import RelayCounts, RelayGauges
+from .counts import NO_LIMIT, RelayCounts, RelayGauges
 from .fleet_updater import FleetUpdater
 from .local_target import CallKey, CallOutcome, LocalTarget
 from .peer_links import PeerLinks, PeerSession
@@ -196,7 +196,9 @@
             waiting=limiter.queue_length,
             room=limiter.calls_per_second,
             least_share=min(self.admission.shares.values(), default=1.0),
-            stated_limit=rate_limiter.effective_rate if rate_limiter.limited else -1.0,
+            stated_limit=(
+                rate_limiter.effective_rate if rate_limiter.limited else NO_LIMIT
+            ),
             target_requests=self.local_target.pool.requests_sent,
         )
 
