Log a stated limit only when it changes clearly

A target may state another decimal number in each answer; each would have been a line of the log, which costs processor time and the log's budget. Decisions are unchanged.

--- a/buckthornshed/tests/relay/test_target_statement.py
+++ b/buckthornshed/tests/relay/test_target_statement.py
@@ -37,6 +37,15 @@
     assert read_statement(((b"server-limit", value),), HEADERS) is None
 
 
+@pytest.mark.parametrize(
+    ("limit", "differs"), [(10.0, False), (11.0, False), (13.0, True), (math.inf, True)]
+)
+def test_a_small_change_of_a_limit_is_no_clear_difference(limit, differs):
+    statement = TargetStatement(10.0)
+    assert statement.differs_clearly(TargetStatement(limit)) == differs
+    assert statement.differs_clearly(TargetStatement(10.0, leaving=True))
+
+
 def test_a_changed_statement_is_logged_and_shown_by_the_metrics(caplog):
     async def scenario():
         async with fleet_of(1) as fleet:
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -100,7 +100,7 @@
         self.run_ids: dict[Hashable, int] = {}
         self.next_run_id = 1
         self.refusing = False
-        self.statement = TargetStatement()
+        self.logged_statement = TargetStatement()
         self.graph = CallGraph()
         self.calls_by_request_id: dict[bytes, LimiterCall] = {}
 
@@ -270,7 +270,8 @@
         self.limiter.rate_limiter.record_statement(
             self.clock(), statement.rate_limit, sent_at=call.started
         )
-        if statement != self.statement:
+        if statement.differs_clearly(self.logged_statement):
+            self.logged_statement = statement
             log_event(
                 "target_statement",
                 target=call.message.target,
@@ -278,7 +279,6 @@
                 leaving=statement.leaving,
                 sent=self.pool.requests_sent,
             )
-        self.statement = statement
         if statement.leaving:
             self.on_leaving(call.message.target)
 
--- a/buckthornshed/transport/relay/target_statement.py
+++ b/buckthornshed/transport/relay/target_statement.py
@@ -12,6 +12,8 @@
 __all__ = ["TargetStatement", "read_statement"]
 
 LEAVING_VALUE = b"1"
+LOGGED_LIMIT_CHANGE = 0.2
+"""Relative change of a limit from which it is logged again."""
 
 
 class TargetStatement(NamedTuple):
@@ -29,6 +31,13 @@
     rate_limit: float = UNLIMITED
     leaving: bool = False
 
+    def differs_clearly(self, other: "TargetStatement") -> bool:
+        """Return whether another statement differs by more than a small change."""
+        if self.leaving != other.leaving:
+            return True
+        tolerance = LOGGED_LIMIT_CHANGE
+        return not math.isclose(self.rate_limit, other.rate_limit, rel_tol=tolerance)
+
 
 def read_statement(headers: Headers, names: HeaderNames) -> TargetStatement | None:
     """Return what a target states in an answer; None if its limit is no number.
