Set up the tests of the stated limit in one place

Eight tests repeated the fleet, its clock and the count of a flood. Bounds, loads and times are unchanged.

--- a/buckthornshed/tests/relay/test_stated_limit.py
+++ b/buckthornshed/tests/relay/test_stated_limit.py
@@ -35,6 +35,18 @@
     return target
 
 
+def run_with_limit(scenario):
+    """Run a scenario with a fleet, its clock and a target that states a limit."""
+
+    async def run():
+        clock = ManualClock()
+        async with fleet_of(1, slots=80, clock=clock) as fleet:
+            target = await fleet_with_limit(fleet, clock)
+            await scenario(fleet, clock, target)
+
+    asyncio.run(run())
+
+
 async def ask_in_time(fleet, clock, relay, **options):
     """Ask a relay and advance the clock until the response has come."""
     asking = asyncio.ensure_future(fleet.ask(relay, **options))
@@ -66,136 +78,111 @@
     return [each.result() for each in asking]
 
 
+async def count_in_flood(fleet, clock, target):
+    """Return the requests that the target gets in a flood of less than a window."""
+    before = len(target.received)
+    await flood(fleet, clock, seconds=WINDOW_S - 1.0)
+    return len(target.received) - before
+
+
 def test_requests_of_all_relays_together_keep_the_limit_that_a_target_states():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            before = len(target.received)
-            start = clock.now
-            responses = await flood(fleet, clock)
-            windows = (clock.now - start) / WINDOW_S
-            assert len(target.received) - before <= MAX_REQUESTS * max(1.0, windows)
-            assert {response.status for response in responses} == {200, 503}
+    async def scenario(fleet, clock, target):
+        before = len(target.received)
+        start = clock.now
+        responses = await flood(fleet, clock)
+        windows = (clock.now - start) / WINDOW_S
+        assert len(target.received) - before <= MAX_REQUESTS * max(1.0, windows)
+        assert {response.status for response in responses} == {200, 503}
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_the_limit_holds_when_the_relay_of_the_target_has_restarted():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            before = len(target.received)
-            await fleet.restart(0)
-            await fleet.wait_until_connected()
-            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
-            assert len(target.received) - before <= MAX_REQUESTS
+    async def scenario(fleet, clock, target):
+        await fleet.restart(0)
+        await fleet.wait_until_connected()
+        assert await count_in_flood(fleet, clock, target) <= MAX_REQUESTS
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_the_limit_holds_for_a_relay_that_was_cut_off_and_one_that_is_new():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            before = len(target.received)
-            for link in list(fleet.relays[1].links.links.values()):
-                link.abort()
-            await fleet.add("elsewhere")
-            await fleet.wait_until_connected()
-            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
-            assert len(target.received) - before <= MAX_REQUESTS
+    async def scenario(fleet, clock, target):
+        for link in list(fleet.relays[1].links.links.values()):
+            link.abort()
+        await fleet.add("elsewhere")
+        await fleet.wait_until_connected()
+        assert await count_in_flood(fleet, clock, target) <= MAX_REQUESTS
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_rejected_calls_and_their_retries_count():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            target.scripts = ["full", "error"] * 500
-            before = len(target.received)
-            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
-            assert len(target.received) - before <= MAX_REQUESTS
+    async def scenario(fleet, clock, target):
+        target.scripts = ["full", "error"] * 500
+        assert await count_in_flood(fleet, clock, target) <= MAX_REQUESTS
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_the_limit_holds_after_the_relay_of_the_target_was_frozen():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            before = len(target.received)
-            clock.advance(30.0)
-            await flood(fleet, clock, seconds=WINDOW_S - 1.0)
-            assert len(target.received) - before <= MAX_REQUESTS
+    async def scenario(fleet, clock, target):
+        clock.advance(30.0)
+        assert await count_in_flood(fleet, clock, target) <= MAX_REQUESTS
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_calls_that_the_target_makes_itself_count():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            target.scripts = ["slow"]
-            clock.advance(1.0 / LIMIT + STEP_S)
-            run = asyncio.ensure_future(
-                fleet.ask(fleet.relays[1], "/book/1", body=b"x", request_id="run")
+    async def scenario(fleet, clock, target):
+        target.scripts = ["slow"]
+        clock.advance(1.0 / LIMIT + STEP_S)
+        run = asyncio.ensure_future(
+            fleet.ask(fleet.relays[1], "/book/1", body=b"x", request_id="run")
+        )
+        await advance_until(clock, lambda: target.running)
+        before = len(target.received)
+        nested = [
+            asyncio.ensure_future(
+                fleet.ask(fleet.relays[0], request_id=f"run.{number}")
             )
-            await advance_until(clock, lambda: target.running)
-            before = len(target.received)
-            nested = [
-                asyncio.ensure_future(
-                    fleet.ask(fleet.relays[0], request_id=f"run.{number}")
-                )
-                for number in range(60)
-            ]
-            await advance_until(clock, lambda: all(each.done() for each in nested))
-            assert len(target.received) - before <= MAX_REQUESTS
-            target.release.set()
-            await run
+            for number in range(60)
+        ]
+        await advance_until(clock, lambda: all(each.done() for each in nested))
+        assert len(target.received) - before <= MAX_REQUESTS
+        target.release.set()
+        await run
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 def test_the_limit_ends_when_the_target_no_longer_states_it():
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            target.extra_headers = ""
-            limiter = fleet.relays[0].local_target.limiter.rate_limiter
-            while limiter.limited:
-                await ask_in_time(fleet, clock, fleet.relays[1])
-            responses = await asyncio.gather(
-                *(fleet.ask(relay) for relay in fleet.relays for _ in range(15))
-            )
-            assert {response.status for response in responses} == {200}
+    async def scenario(fleet, clock, target):
+        target.extra_headers = ""
+        limiter = fleet.relays[0].local_target.limiter.rate_limiter
+        while limiter.limited:
+            await ask_in_time(fleet, clock, fleet.relays[1])
+        responses = await asyncio.gather(
+            *(fleet.ask(relay) for relay in fleet.relays for _ in range(15))
+        )
+        assert {response.status for response in responses} == {200}
 
-    asyncio.run(scenario())
+    run_with_limit(scenario)
 
 
 @pytest.mark.parametrize("script", ["unsigned", "truncated", "reset", "without-id"])
 def test_a_spoiled_answer_does_not_end_the_limit(script):
-    async def scenario():
-        clock = ManualClock()
-        async with fleet_of(1, slots=80, clock=clock) as fleet:
-            target = await fleet_with_limit(fleet, clock)
-            target.extra_headers = ""
-            target.scripts = [script]
-            clock.advance(1.0 / LIMIT + STEP_S)
-            response = await ask_in_time(
-                fleet, clock, fleet.relays[1], path="/book/1", body=b"x"
-            )
-            assert response.status == 502
-            assert fleet.relays[0].local_target.limiter.rate_limiter.limited
-
-    asyncio.run(scenario())
+    async def scenario(fleet, clock, target):
+        target.extra_headers = ""
+        target.scripts = [script]
+        clock.advance(1.0 / LIMIT + STEP_S)
+        response = await ask_in_time(
+            fleet, clock, fleet.relays[1], path="/book/1", body=b"x"
+        )
+        assert response.status == 502
+        assert fleet.relays[0].local_target.limiter.rate_limiter.limited
+
+    run_with_limit(scenario)
 
 
 def test_requests_go_to_the_other_targets_while_one_states_a_limit():
