Read that a target is leaving also beside an unreadable limit

What callers saw: a target that named an unreadable Server-Limit and Server-Leaving in the same answer went on getting requests from relays that had passed its answers on.

Cause: read_statement returned None for the whole answer when the limit was no number, although only the limit is unknown then.

Change: the statement keeps what could be read; its limit is None, which neither sets nor ends a limit. The log line shows the limit known before.

test_an_unreadable_limit_states_nothing asserted the faulty None. It is replaced by one that asserts that the limit is unknown and, beside it, one that the leaving is read; the same six values.

With the change 44 tests of statements, leaving targets and limits pass.

Ruled out: the tests of stated limits pass unchanged, so an unreadable value still does not end a limit.

--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -255,8 +255,7 @@
         if isinstance(result, TargetFault) or not self._is_genuine(result):
             return None
         statement = read_statement(result.headers, self.names)
-        if statement is not None:
-            self._record_statement(call, statement)
+        self._record_statement(call, statement)
         return statement
 
     def _is_genuine(self, answer: TargetAnswer) -> bool:
@@ -267,9 +266,13 @@
 
     def _record_statement(self, call: LimiterCall, statement: TargetStatement) -> None:
         assert call.started is not None
-        self.limiter.rate_limiter.record_statement(
-            self.clock(), statement.rate_limit, sent_at=call.started
-        )
+        if statement.rate_limit is None:
+            known_limit = self.logged_statement.rate_limit
+            statement = statement._replace(rate_limit=known_limit)
+        else:
+            self.limiter.rate_limiter.record_statement(
+                self.clock(), statement.rate_limit, sent_at=call.started
+            )
         if statement.differs_clearly(self.logged_statement):
             self.logged_statement = statement
             log_event(
--- a/buckthornshed/transport/relay/target_statement.py
+++ b/buckthornshed/transport/relay/target_statement.py
@@ -21,29 +21,29 @@
 
     Parameters
     ----------
-    rate_limit : float
+    rate_limit : float or None
         Requests per second that the target takes from all relays together; infinite if
-        it states no limit.
+        it states no limit. None if it is unreadable, which shows neither a limit nor
+        the end of one.
     leaving : bool
         Whether the target is about to stop.
     """
 
-    rate_limit: float = UNLIMITED
+    rate_limit: float | None = UNLIMITED
     leaving: bool = False
 
     def differs_clearly(self, other: "TargetStatement") -> bool:
         """Return whether another statement differs by more than a small change."""
         if self.leaving != other.leaving:
             return True
+        if self.rate_limit is None or other.rate_limit is None:
+            return False
         tolerance = LOGGED_LIMIT_CHANGE
         return not math.isclose(self.rate_limit, other.rate_limit, rel_tol=tolerance)
 
 
-def read_statement(headers: Headers, names: HeaderNames) -> TargetStatement | None:
-    """Return what a target states in an answer; None if its limit is no number.
-
-    An unreadable limit shows neither a limit nor the end of one.
-    """
+def read_statement(headers: Headers, names: HeaderNames) -> TargetStatement:
+    """Return what a target states in an answer."""
     value = get_header(headers, names.rate_limit)
     leaving = get_header(headers, names.leaving) == LEAVING_VALUE
     if value is None:
@@ -51,7 +51,6 @@
     rate_limit = _parse_rate(value)
     if rate_limit is None:
         log_event("target_limit_unreadable", limit=value.decode("latin-1"))
-        return None
     return TargetStatement(rate_limit, leaving)
 
 
