Keep the retry limit with little traffic and calls of retried runs

Cause: three gaps. A relay's part of the slack was at least one whole token, whatever the size of the fleet. A token of the slack spent on a run was multiplied by the calls that the run repeats. And the relay beside the target began retried runs whatever debt the calls of earlier ones had left, while all other relays went on with retries of their own.

Change: the slack of a service is divided between it and the services whose runs call it, by the calls of a run (retry_slack). A relay whose part is less than a token holds one for that fraction of the time, and the relays start at different points. A relay does not begin a retried run while its own budget does not cover the calls of it; the refusal retry_limited says that it has not run, so that another relay can be tried. The demand of a route moves from admission into route_demand, which both use.

ONE_RETRY had a limit of zero and rested on the floor of one token, which was the fault; it now states a slack that gives one.

Left: three levels of calls that all fail at once share the slack, but the ratio is only tested for two.

--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -26,6 +26,7 @@
     "not_admitted": "a service that it depends on was saturated",
     "overload": "the target was overloaded and could not start it in time",
     "rate_limited": "the limit that its target states was used up",
+    "retry_limited": "the calls of another run would have exceeded the retry limit",
     "expired": "its deadline passed or could no longer be met before it was sent",
     "leaving": "its target was draining and no other target could serve it",
     "unreachable": "no target could be reached",
--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -16,7 +16,6 @@
 
 import math
 import zlib
-from collections import defaultdict
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -24,7 +23,6 @@
 from ...state.catalog import Catalog, Route
 from .allocation import Precedence, allocate
 from .call_graph import CallGraph
-from .call_times import DEFAULT_CALL_TIME_S
 from .fleet_load import (
     Report,
     call_times,
@@ -34,6 +32,7 @@
     serving_targets,
 )
 from .outages import Outages
+from .route_demand import RouteDemand, route_demand
 from .success_rates import SuccessRates
 
 __all__ = ["AdmissionController"]
@@ -52,23 +51,12 @@
 """Age from which a report is ignored."""
 ALWAYS_NEEDED_CALLS = 0.99
 """Mean calls of a service from which all requests of a route need it."""
-MAX_CALL_DEPTH = 8
 NOT_ADMITTED_RETRY_FRACTION = 0.35
 """Retry-After of a request that is shed, as a fraction of the objective."""
 HASH_RANGE = 2**32
 HASH_FACTOR = 2_654_435_761
 
 
-class RouteDemand(NamedTuple):
-    """Demand of one request on each service, including all downstream calls.
-
-    `slot_seconds` is the time that its calls hold slots, `calls` is their number.
-    """
-
-    slot_seconds: dict[str, float]
-    calls: dict[str, float]
-
-
 class Rejection(NamedTuple):
     """A client request that is not admitted; `retry_after` is in seconds."""
 
@@ -227,31 +215,9 @@
         return self.missing_services[route]
 
     def _route_demand(self, route: str) -> RouteDemand:
-        """Return the demand of one request of a route, empty for an unknown route."""
-        slot_seconds: dict[str, float] = defaultdict(float)
-        calls: dict[str, float] = defaultdict(float)
-        level = {route: 1.0}
-        for _ in range(MAX_CALL_DEPTH):
-            next_level: dict[str, float] = defaultdict(float)
-            for name, times in level.items():
-                known_route = self.routes.get(name)
-                if known_route is None:
-                    continue
-                total = sum(
-                    destination.weight for destination in known_route.destinations
-                )
-                for destination in known_route.destinations:
-                    share = times * destination.weight / total
-                    calls[destination.service] += share
-                    slot_seconds[destination.service] += share * self.call_times.get(
-                        (destination.service, name), DEFAULT_CALL_TIME_S
-                    )
-                for called, count in self.graph.calls_per_run(name).items():
-                    next_level[called] += times * count
-            if not next_level:
-                break
-            level = next_level
-        return RouteDemand(dict(slot_seconds), dict(calls))
+        return route_demand(
+            route, routes=self.routes, graph=self.graph, call_times=self.call_times
+        )
 
 
 def _min_fair_share_fraction(relative_success_rate: float) -> float:
--- a/buckthornshed/coordination/relay/call_graph.py
+++ b/buckthornshed/coordination/relay/call_graph.py
@@ -62,6 +62,11 @@
             for called in calls:
                 calls[called] /= 2
 
+    def calling_routes(self) -> set[str]:
+        """Return the names of the routes whose runs are known to make calls."""
+        known = self.reported.keys() | self.runs.keys() | self.failed_run_maxima.keys()
+        return {route for route in known if self.calls_per_run(route)}
+
     def calls_per_run(self, route: str) -> dict[str, float]:
         """Return the mean calls of a run of a route, by called route."""
         if self.runs.get(route, 0.0) >= MIN_RUNS:
@@ -85,7 +90,7 @@
     def _failed_run_calls(self, route: str) -> dict[str, float]:
         return {
             called: float(count)
-            for called, count in self.failed_run_maxima[route].items()
+            for called, count in self.failed_run_maxima.get(route, {}).items()
         }
 
     def _mean_calls(self, route: str) -> dict[str, float]:
--- a/buckthornshed/coordination/relay/refusal_reasons.py
+++ b/buckthornshed/coordination/relay/refusal_reasons.py
@@ -13,6 +13,7 @@
     {
         RefusalReason.OVERLOAD,
         RefusalReason.RATE_LIMITED,
+        RefusalReason.RETRY_LIMITED,
         RefusalReason.LEAVING,
         RefusalReason.UNREACHABLE,
     }
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -107,6 +107,8 @@
     """The deadline passed before an answer came; if sent, the call may have run."""
     RATE_LIMITED = 10
     """The rate limit that the target states is used up; the call did not run."""
+    RETRY_LIMITED = 11
+    """The calls of a retried run would exceed the retry limit; it did not run."""
 
     @property
     def may_have_run(self) -> bool:
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -20,8 +20,8 @@
 
 TWO = (make_target("t-1"), make_target("t-2"))
 THREE = (*TWO, make_target("t-3"))
-ONE_RETRY = RetryLimits(ratio=0.0, window=10.0, slack=0.0)
-"""Limits that leave an idle relay one token."""
+ONE_RETRY = RetryLimits(ratio=0.0, window=10.0, slack=4.0)
+"""Limits that leave a relay, the only one, one token until calls of runs are known."""
 
 
 def refusal(action, reason, retry_after=0.3):
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -69,6 +69,8 @@
         Called with the key and the outcome of a call.
     on_leaving : callable
         Called with the name of the target when it has stated that it is leaving.
+    covers_retried_run : callable
+        Returns whether the retry limit allows the calls of a retried run of a route.
     access_log : AccessLog
         Logs the ends of calls.
     clock : callable
@@ -82,6 +84,7 @@
         names: HeaderNames,
         deliver: Callable[[CallKey, CallOutcome], None],
         on_leaving: Callable[[str], None],
+        covers_retried_run: Callable[[str], bool],
         access_log: AccessLog,
         clock: Callable[[], float],
     ) -> None:
@@ -89,6 +92,7 @@
         self.names = names
         self.deliver = deliver
         self.on_leaving = on_leaving
+        self.covers_retried_run = covers_retried_run
         self.access_log = access_log
         self.clock = clock
         self.limiter = ConcurrencyLimiter()
@@ -146,6 +150,10 @@
         call = LimiterCall(
             key=key, message=message, deadline=now + message.time_left, arrived=now
         )
+        if message.is_retry and not self.covers_retried_run(message.route):
+            retry_after = self.limiter.retry_after()
+            self._refuse(call, RefusalReason.RETRY_LIMITED, retry_after)
+            return
         self._execute(self.limiter.submit(now, call))
 
     def cancel(self, key: CallKey) -> None:
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -4,6 +4,7 @@
 clients, exchanges calls with other relays and runs calls at the target beside it.
 """
 
+from bisect import bisect_left
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -17,6 +18,11 @@
 from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retry_budget import RetryBudget
+from ...coordination.relay.retry_slack import slack_parts
+from ...coordination.relay.route_demand import (
+    calls_between_services,
+    calls_of_run,
+)
 from ...protocol.http import Request
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -108,6 +114,7 @@
             names=names,
             deliver=self._handle_call_outcome,
             on_leaving=self.fleet_updater.handle_leaving,
+            covers_retried_run=self._covers_retried_run,
             access_log=self.access_log,
             clock=clock,
         )
@@ -249,6 +256,7 @@
             self.listener.close_expired()
             self.local_target.pool.close_expired()
             self.fleet_updater.remove_expired()
+            self._divide_retry_slack()
 
     # Requests of clients and nested requests of the target.
 
@@ -354,10 +362,24 @@
         self.links.set_instances(
             {t.instance for t in targets.values() if t.instance != self.instance}
         )
-        self.budget.relays = max(1, len({t.instance for t in targets.values()}))
+        instances = sorted({t.instance for t in targets.values()})
+        self.budget.relays = max(1, len(instances))
+        self.budget.rank = bisect_left(instances, self.instance)
         self.target_reports.update_local_target()
         self.target_reports.forget_removed_targets()
 
+    def _divide_retry_slack(self) -> None:
+        calls = calls_between_services(
+            routes=self.admission.routes, graph=self.local_target.graph
+        )
+        self.budget.set_slack_parts(slack_parts(calls))
+
+    def _covers_retried_run(self, route: str) -> bool:
+        calls = calls_of_run(
+            route, routes=self.admission.routes, graph=self.local_target.graph
+        )
+        return self.budget.covers(self.clock(), calls)
+
     def _broadcast_status(self, now: float) -> None:
         target = self.local_target.registration
         unreachable = frozenset(
