Cut off messages that never end

What callers could see: a target, a client or the store sends bytes that are no message, without end. A relay over its memory limit is killed, with all that it has in hand.

Cause: the parser reports a header, a trailer or the first line only when it is complete, and the sizes were counted in its reports. Interim answers and answers to other requests start the count anew.

Change: MessageParser counts what the parser keeps without a report and marks the message as too large beyond the size of a head; pools, listeners and the store's client all use it. At most 16 interim or foreign answers precede an answer. The incomplete bodies of all connections of a relay together hold at most an eighth of its memory (limits.memoryMb); the largest one is dropped first. An answer may have 16 instead of 64 MiB, as several copies exist on its way. The reader of the platform has a time limit for the whole answer.

Each request is now checked against the limits in force at its start, not against those of the time when its connection was accepted.

Ruled out: counting all bytes of a feed as unreported rejects bodies and pipelined requests that arrive in one read, so parts of 16 KiB are parsed one by one and only parts without a report count.

--- a/buckthornshed/platform/settings.py
+++ b/buckthornshed/platform/settings.py
@@ -10,6 +10,7 @@
 __all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings"]
 
 SETTINGS_VARIABLE = "BUCKTHORNSHED_BOOT"
+BYTES_PER_MB = 1_000_000
 
 Value = TypeVar("Value")
 
@@ -62,6 +63,7 @@
             slack=_parse_number(fields, "bounds.retrySlack", float),
         ),
         descriptors=_parse_number(fields, "limits.maxFds", int),
+        memory=int(_parse_number(fields, "limits.memoryMb", float) * BYTES_PER_MB),
     )
 
 
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -26,6 +26,7 @@
 WATCH_MARGIN_S = 1.0
 """Time that a watch may take in addition to its wait time before it times out."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_RANGE_ITEMS = 100_000
 
 
 class HistoryLostError(PlatformError):
@@ -131,6 +132,8 @@
             changes += map(_to_change, page.items)
             if not page.more or not page.items:
                 return ChangeBatch(tuple(changes), revision)
+            if page.items[-1].key <= after or len(changes) > MAX_RANGE_ITEMS:
+                raise self._error("pages without an end", "a last page")
             after = page.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait: float) -> ChangeBatch:
--- a/buckthornshed/state/relay_settings.py
+++ b/buckthornshed/state/relay_settings.py
@@ -47,6 +47,8 @@
         Limit on retries.
     descriptors : int
         Maximum number of open file descriptors.
+    memory : int
+        Maximum memory of the process, in bytes.
     """
 
     name: str
@@ -61,6 +63,7 @@
     grace: float
     retry_limits: RetryLimits
     descriptors: int
+    memory: int
 
     @property
     def peer_port(self) -> int:
--- a/buckthornshed/tests/relay/fleet.py
+++ b/buckthornshed/tests/relay/fleet.py
@@ -168,6 +168,7 @@
         grace=6.0,
         retry_limits=RetryLimits(ratio=0.2, window=10.0, slack=49.0),
         descriptors=1_000,
+        memory=200_000_000,
     )
 
 
--- a/buckthornshed/tests/relay/relay_processes.py
+++ b/buckthornshed/tests/relay/relay_processes.py
@@ -20,6 +20,7 @@
         "appAddr": target,
         "service": "stalls",
         "limits.maxFds": 1000,
+        "limits.memoryMb": 200,
         "bounds.graceS": 6,
         "bounds.retryRatio": 0.2,
         "bounds.retryWindowS": 10,
--- a/buckthornshed/tests/relay/test_platform_documents.py
+++ b/buckthornshed/tests/relay/test_platform_documents.py
@@ -23,6 +23,7 @@
 bounds.retryWindowS=10
 bounds.retrySlack=49
 limits.maxFds=4100
+limits.memoryMb=200
 platform.addr=10.200.1.7:8309
 something.new=ignored
 """
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -12,7 +12,13 @@
 import httptools
 
 from ..protocol.messages import Fault, Headers
-from .http_parsing import MessageCollector, ParserError, framing_fault
+from .http_parsing import (
+    MAX_SKIPPED_ANSWERS,
+    MessageCollector,
+    MessageParser,
+    ParserError,
+    framing_fault,
+)
 
 __all__ = ["ConnectionPool", "ExchangeHandlers", "RawAnswer"]
 
@@ -64,6 +70,7 @@
         self.head_only = False
         self.reused = False
         self.received = False
+        self.interim_answers = 0
         self.idle_since = 0.0
         self.collector = MessageCollector(
             max_body_bytes=pool.max_body_bytes,
@@ -71,6 +78,7 @@
             on_head=self._head_complete,
         )
         self.parser = httptools.HttpResponseParser(self.collector)
+        self.feed = MessageParser(parser=self.parser, collector=self.collector).feed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -91,7 +99,7 @@
             return
         self.received = True
         try:
-            self.parser.feed_data(data)
+            self.feed(data)
         except (ParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"invalid answer: {error}")
             return
@@ -106,6 +114,7 @@
         self.handlers = handlers
         self.head_only = head_only
         self.received = False
+        self.interim_answers = 0
         self.collector.reset()
         assert self.transport is not None
         self.transport.write(data)
@@ -126,7 +135,12 @@
 
     def _message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if self.exchange is None or status < 200:
+        if self.exchange is None:
+            return
+        if status < 200:
+            self.interim_answers += 1
+            if self.interim_answers > MAX_SKIPPED_ANSWERS:
+                self._fail("interim answers without an end")
             return
         fault = framing_fault(self.collector.headers) or self._length_fault(status)
         if fault is not None:
--- a/buckthornshed/transport/http_server.py
+++ b/buckthornshed/transport/http_server.py
@@ -13,7 +13,12 @@
 from ..protocol.http import Request
 from ..protocol.messages import refusal_answer
 from ..protocol.outcome import Outcome, Reason
-from .http_parsing import MessageCollector, ParserError, framing_fault
+from .http_parsing import (
+    MessageCollector,
+    MessageParser,
+    ParserError,
+    framing_fault,
+)
 from .responses import client_response
 
 __all__ = ["Listener", "ServerConnection", "ServerHandlers"]
@@ -67,6 +72,7 @@
             on_head=self._head_complete,
         )
         self.parser = httptools.HttpRequestParser(self.collector)
+        self.feed = MessageParser(parser=self.parser, collector=self.collector).feed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -97,7 +103,7 @@
         if self.request_started_at is None:
             self.request_started_at = self.listener.clock()
         try:
-            self.parser.feed_data(data)
+            self.feed(data)
         except httptools.HttpParserUpgrade:
             # An upgrade is optional and ignored (RFC 9110 section 7.8). The parser
             # stops after it, so the connection is closed after this request.
--- a/buckthornshed/transport/platform_reader.py
+++ b/buckthornshed/transport/platform_reader.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+import anyio
 import httpx
 import msgspec
 
@@ -11,7 +12,10 @@
 __all__ = ["PlatformReader", "Unchanged", "Value"]
 
 READ_TIMEOUT_S = 5.0
-"""Timeout of a read, in addition to the requested wait."""
+"""Timeout of each part of an answer, in addition to the requested wait."""
+
+ANSWER_TIMEOUT_S = 20.0
+"""Timeout of a whole answer, whose parts may come without end."""
 
 MAX_INSTANCES_BYTES = 4_000_000
 """Maximum size of the instance list."""
@@ -109,12 +113,13 @@
         request = self.client.stream("GET", path, params=parameters, timeout=timeout)
         body = bytearray()
         try:
-            async with request as response:
-                async for chunk in response.aiter_bytes():
-                    body += chunk
-                    if len(body) > limit:
-                        raise answer_error(path, "a longer value", f"{limit} bytes")
-        except httpx.HTTPError as error:
+            with anyio.fail_after(ANSWER_TIMEOUT_S + wait):
+                async with request as response:
+                    async for chunk in response.aiter_bytes():
+                        body += chunk
+                        if len(body) > limit:
+                            raise answer_error(path, "a longer value", f"{limit} bytes")
+        except (httpx.HTTPError, TimeoutError) as error:
             found = f"{type(error).__name__}: {error}"
             raise answer_error(path, found, "an answer") from error
         if response.status_code not in (httpx.codes.OK, httpx.codes.NOT_MODIFIED):
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/client_listener.py
@@ -13,7 +13,13 @@
 
 from ...protocol.http import Request
 from ...state.catalog import Limits
-from ..http_parsing import MessageCollector, ParserError, framing_fault
+from ..buffer_budget import BufferBudget
+from ..http_parsing import (
+    MessageCollector,
+    MessageParser,
+    ParserError,
+    framing_fault,
+)
 
 __all__ = ["ClientListener", "Exchange", "RequestHandler", "ServerConnection"]
 
@@ -24,8 +30,6 @@
 
 Closing a socket with unread data sends a reset, which can discard the response.
 """
-HEAD_MARGIN_BYTES = 1_024
-"""Allowance for the request line and the separators between headers."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -74,15 +78,16 @@
         self.paused = False
         self.closed_at: float | None = None
         self.request_started_at: float | None = None
-        self.head_bytes = 0
         self.idle_since = 0.0
         self.collector = MessageCollector(
             max_body_bytes=listener.limits.body_bytes,
             on_message=self._message_complete,
             on_head=self._head_complete,
             max_head_bytes=listener.limits.head_bytes,
+            buffers=listener.buffers,
         )
         self.parser = httptools.HttpRequestParser(self.collector)
+        self.feed = MessageParser(parser=self.parser, collector=self.collector).feed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -98,6 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the unanswered requests of the closed connection."""
         self.listener.connections.discard(self)
+        self.collector.reset()
         self.transport = None
         remaining, self.exchanges = self.exchanges, deque()
         for exchange in remaining:
@@ -114,15 +120,18 @@
             return
         if self.request_started_at is None:
             self.request_started_at = self.listener.clock()
+            self.collector.max_head_bytes = self.listener.limits.head_bytes
+            self.collector.max_body_bytes = self.listener.limits.body_bytes
         try:
-            self.parser.feed_data(data)
+            self.feed(data)
         except httptools.HttpParserUpgrade:
             # The server ignores a requested upgrade, RFC 9110 section 7.8.
             self.closing = True
         except ParserError as error:
             self._reject(400, str(error))
         else:
-            self._check_size_limits(len(data))
+            if self.collector.too_large and not self.collector.complete:
+                self._reject_too_large()
 
     def respond(self, exchange: Exchange, data: bytes, *, close: bool) -> None:
         """Write the response of an exchange after those of earlier exchanges."""
@@ -177,22 +186,6 @@
             self.transport.write_eof()
         self.listener.lingering.append(self)
 
-    def _check_size_limits(self, size: int) -> None:
-        """Reject a message over a size limit before it is complete.
-
-        The parser reports a header line only when it is complete, so the bytes of an
-        incomplete head are counted here as well.
-        """
-        in_head = (
-            self.request_started_at is not None and not self.collector.head_complete
-        )
-        self.head_bytes = self.head_bytes + size if in_head else 0
-        too_large = (
-            self.head_bytes > self.listener.limits.head_bytes + HEAD_MARGIN_BYTES
-        )
-        if too_large or (self.collector.too_large and not self.collector.complete):
-            self._reject_too_large()
-
     def _head_complete(self) -> None:
         if self.collector.too_large or self.exchanges:
             return
@@ -232,6 +225,7 @@
         request = Request(
             method, self.collector.url, self.collector.headers, self.collector.body
         )
+        self.collector.reset()
         self.listener.handler.handle_request(exchange, request)
 
     def _reject_too_large(self) -> None:
@@ -272,12 +266,13 @@
         Connections above this number are closed immediately.
     clock : callable
         Returns seconds of the monotonic clock.
+    buffers : BufferBudget, optional
+        Bounds the bytes of incomplete requests.
 
     Attributes
     ----------
     limits : Limits
-        Current limits. Connections keep the size limits that they were accepted
-        under, but an incomplete head is checked against the current limit.
+        Current limits; each request is checked against those at its start.
     """
 
     def __init__(
@@ -286,10 +281,12 @@
         handler: RequestHandler,
         max_connections: int,
         clock: Callable[[], float],
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.handler = handler
         self.max_connections = max_connections
         self.clock = clock
+        self.buffers = buffers
         self.limits = Limits()
         self.connections: set[ServerConnection] = set()
         self.lingering: deque[ServerConnection] = deque()
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -20,6 +20,7 @@
     RefusalReason,
 )
 from ...state.catalog import Target
+from ..buffer_budget import BufferBudget
 from ..logs import log_event
 from .access_log import AccessLog
 from .responses import response_head
@@ -75,6 +76,8 @@
         Logs the ends of calls.
     clock : callable
         Returns seconds of the monotonic clock.
+    buffers : BufferBudget
+        Bounds the bytes of incomplete answers.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         covers_retried_run: Callable[[str], bool],
         access_log: AccessLog,
         clock: Callable[[], float],
+        buffers: BufferBudget,
     ) -> None:
         self.address = address
         self.names = names
@@ -97,7 +101,11 @@
         self.clock = clock
         self.limiter = ConcurrencyLimiter()
         self.pool = TargetPool(
-            address=address, names=names, on_end=self._handle_end, clock=clock
+            address=address,
+            names=names,
+            on_end=self._handle_end,
+            clock=clock,
+            buffers=buffers,
         )
         self.registration: Target | None = None
         self.runs: dict[int, LimiterCall] = {}
@@ -167,13 +175,7 @@
         if call.started is not None and not call.message.idempotent:
             # Only idempotent calls may be interrupted.
             return
-        was_running, actions = self.limiter.cancel(self.clock(), key)
-        if was_running:
-            run_id = self.run_ids.pop(key)
-            del self.runs[run_id]
-            self._end_run(call, succeeded=False)
-            self.pool.cancel(run_id)
-        self._execute(actions)
+        self._stop(call)
 
     def cancel_session(self, session: int) -> None:
         """Cancel all calls of a connection that has ended."""
@@ -184,6 +186,16 @@
         """Refuse queued calls that are late and start those that may run."""
         self._execute(self.limiter.tick(now))
 
+    def _stop(self, call: LimiterCall) -> None:
+        """Remove a call; close its connection if it is running."""
+        was_running, actions = self.limiter.cancel(self.clock(), call.key)
+        if was_running:
+            run_id = self.run_ids.pop(call.key)
+            del self.runs[run_id]
+            self._end_run(call, succeeded=False)
+            self.pool.cancel(run_id)
+        self._execute(actions)
+
     def _update_draining(self) -> None:
         target_draining = self.registration is not None and self.registration.draining
         draining = self.refusing or target_draining
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -40,6 +40,7 @@
 )
 from ...state.catalog import Target
 from ...state.relay_settings import RelaySettings
+from ..buffer_budget import BufferBudget
 from ..logs import log_event
 from .access_log import AccessLog
 from .client_listener import ClientListener, Exchange
@@ -60,6 +61,11 @@
 
 RESERVED_DESCRIPTORS = 400
 """File descriptors that client connections may not use."""
+BUFFER_FRACTION = 0.125
+"""Part of the memory that incomplete messages may hold.
+
+A message is copied a few times on its way, and all others need memory as well.
+"""
 TICKS_PER_STATUS = 8
 """Ticks between two status reports on the local target."""
 TICKS_PER_SWEEP = 20
@@ -109,6 +115,7 @@
             failure_domain=settings.failure_domain, rng=rng
         )
         self.budget = RetryBudget(limits=settings.retry_limits)
+        buffers = BufferBudget(limit=int(settings.memory * BUFFER_FRACTION))
         self.local_target = LocalTarget(
             address=settings.target_address,
             names=names,
@@ -117,6 +124,7 @@
             covers_retried_run=self._covers_retried_run,
             access_log=self.access_log,
             clock=clock,
+            buffers=buffers,
         )
         self.statuses = StatusExchange(
             instance=settings.name,
@@ -156,6 +164,7 @@
             handler=self,
             max_connections=settings.descriptors - RESERVED_DESCRIPTORS,
             clock=clock,
+            buffers=buffers,
         )
         self.links = PeerLinks(
             hello=Hello(settings.name, int(wall() * 1e3)),
--- a/buckthornshed/transport/relay/target_pool.py
+++ b/buckthornshed/transport/relay/target_pool.py
@@ -17,7 +17,14 @@
 from ...protocol.http import get_header
 from ...protocol.messages import Headers
 from ...protocol.relay_messages import HeaderNames
-from ..http_parsing import MessageCollector, ParserError, framing_fault
+from ..buffer_budget import BufferBudget
+from ..http_parsing import (
+    MAX_SKIPPED_ANSWERS,
+    MessageCollector,
+    MessageParser,
+    ParserError,
+    framing_fault,
+)
 
 __all__ = ["FaultKind", "TargetAnswer", "TargetFault", "TargetPool"]
 
@@ -26,7 +33,7 @@
 """Keep-alive time of idle connections if the target announces none."""
 IDLE_MARGIN_S = 1.0
 """Time before the end of the keep-alive time at which a connection is closed."""
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class FaultKind(Enum):
@@ -70,6 +77,7 @@
         self.delimited_by_close = False
         self.complete_answer: TargetAnswer | None = None
         self.reusable = False
+        self.skipped_answers = 0
         self.idle_until = 0.0
         self._new_parser()
 
@@ -100,7 +108,7 @@
             self.abort()
             return
         try:
-            self.parser.feed_data(data)
+            self.feed(data)
         except (ParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
             if self.complete_answer is None:
@@ -122,6 +130,7 @@
         self.head_only = head_only
         self.delimited_by_close = False
         self.reusable = False
+        self.skipped_answers = 0
         self.collector.reset()
         self.pool.requests_sent += 1
         assert self.transport is not None
@@ -130,6 +139,7 @@
     def abort(self) -> None:
         """Abort the connection; an exchange in progress ends without a report."""
         self.exchange = None
+        self.collector.reset()
         if self.transport is not None:
             self.transport.abort()
 
@@ -138,8 +148,10 @@
             max_body_bytes=MAX_ANSWER_BYTES,
             on_message=self._message_complete,
             on_head=self._head_complete,
+            buffers=self.pool.buffers,
         )
         self.parser = httptools.HttpResponseParser(self.collector)
+        self.feed = MessageParser(parser=self.parser, collector=self.collector).feed
 
     def _head_complete(self) -> None:
         if self.parser.get_status_code() < 200:
@@ -152,7 +164,10 @@
 
     def _message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if self.exchange is None or status < 200 or self.complete_answer is not None:
+        if self.exchange is None or self.complete_answer is not None:
+            return
+        if status < 200:
+            self._skip_answer()
             return
         bodyless = status in (204, 304)
         if self.delimited_by_close and not bodyless and self.transport is not None:
@@ -170,15 +185,23 @@
             self._fail(FaultKind.UNUSABLE, "answer without the request's identifier")
             return
         if answered_id is not None and answered_id != self.request_id:
-            self.collector.reset()
-            self.delimited_by_close = False
+            self._skip_answer()
             return
         status = self.parser.get_status_code()
         self.complete_answer = TargetAnswer(status, headers, self.collector.body)
         self.reusable = reusable and not self.head_only
 
+    def _skip_answer(self) -> None:
+        """Discard an interim answer, or one to another request."""
+        self.collector.reset()
+        self.delimited_by_close = False
+        self.skipped_answers += 1
+        if self.skipped_answers > MAX_SKIPPED_ANSWERS:
+            self._fail(FaultKind.UNUSABLE, "other answers without an end")
+
     def _end_exchange(self) -> None:
         exchange, answer = self.exchange, self.complete_answer
+        self.collector.reset()
         self.exchange = None
         self.complete_answer = None
         if exchange is None or answer is None:
@@ -209,6 +232,8 @@
         Called once with an exchange and its answer or fault.
     clock : callable
         Returns seconds of the monotonic clock.
+    buffers : BufferBudget
+        Bounds the bytes of incomplete answers.
     """
 
     def __init__(
@@ -218,6 +243,7 @@
         names: HeaderNames,
         on_end: EndHandler,
         clock: Callable[[], float],
+        buffers: BufferBudget,
     ) -> None:
         host, _, port = address.rpartition(":")
         self.host = host
@@ -225,6 +251,7 @@
         self.names = names
         self.on_end = on_end
         self.clock = clock
+        self.buffers = buffers
         self.idle: list[TargetConnection] = []
         self.active: dict[int, TargetConnection] = {}
         self.connecting: dict[int, asyncio.Task[None]] = {}
