End a call that its target does not end after the deadline

What callers could see: a target that never ends its answer to a call which must not be repeated keeps one of its slots for ever, as such a call is not cancelled. With as many of them as it has slots, the relay starts nothing any more.

Cause: only idempotent calls are cancelled at the deadline. Others end with the answer or the connection, and a target in trouble gives neither.

Change: a running call is given up 5 s after its deadline; its connection is closed and the event target_overdue is logged. The client has had its answer by then, 504.

Evidence: test_overdue_calls fails before (the slot is never free) and passes now, in 7 s of the test's clock after a deadline of 2 s.

Ruled out: cancelling at the deadline. A target that finishes a booking late should not be interrupted; it stops work itself at the deadline it was told.

--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -39,6 +39,12 @@
 WRONG_TARGET_STATUS = 421
 """Status by which a target rejects a request that is meant for another one."""
 
+MAX_OVERRUN_S = 5.0
+"""Time after its deadline at which a running call is given up.
+
+A target stops work at the deadline, but one in trouble may send an answer without end.
+"""
+
 PARENT_SEPARATOR = b"."
 """Separates the identifier of a run from the suffix of its nested requests."""
 
@@ -183,7 +189,18 @@
             self.cancel(key)  # type: ignore[arg-type]
 
     def tick(self, now: float) -> None:
-        """Refuse queued calls that are late and start those that may run."""
+        """End calls that are late and start those that may run."""
+        overdue = [
+            call for call in self.runs.values() if now - call.deadline > MAX_OVERRUN_S
+        ]
+        for call in overdue:
+            log_event(
+                "target_overdue",
+                request=call.message.request_id.decode("latin-1"),
+                target=call.message.target,
+            )
+            self._stop(call)
+            self._refuse(call, RefusalReason.TIMED_OUT, 0.0)
         self._execute(self.limiter.tick(now))
 
     def _stop(self, call: LimiterCall) -> None:
