Close connections to the readiness probe that never end a request

What operators could see: 64 connections to the port of the readiness probe that begin a request and never end it make the relay unready for good, as further connections are closed at once. Connections of a machine that lost power count as well.

Cause: only the listener of clients was swept for expired connections.

Evidence: test_connections_that_never_end_a_request_do_not_make_a_relay_unready with a relay process; before, no probe is answered within its 20 s.

--- a/buckthornshed/tests/relay/test_relay_process.py
+++ b/buckthornshed/tests/relay/test_relay_process.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from buckthornshed.transport.relay.process import MAX_OPERATOR_CONNECTIONS
+
 from .fleet import configuration as make_configuration
 from .fleet import free_port, read_response, until
 from .relay_processes import settings_text, start_process
@@ -65,7 +67,7 @@
     async def ready_status(self):
         try:
             response = await self.get("ready", "/ready")
-        except ConnectionError:
+        except (ConnectionError, asyncio.IncompleteReadError):
             return 0
         return response.status
 
@@ -175,3 +177,20 @@
         assert "setting ip: found nothing" in out.decode()
 
     asyncio.run(scenario())
+
+
+def test_connections_that_never_end_a_request_do_not_make_a_relay_unready(tmp_path):
+    async def scenario(relay):
+        opened = [
+            await asyncio.open_connection(HOST, relay.ports["ready"])
+            for _ in range(MAX_OPERATOR_CONNECTIONS)
+        ]
+        for _, writer in opened:
+            writer.write(b"GET /ready HTTP/1.1\r\nx: ")
+        async with asyncio.timeout(20.0):
+            while await relay.ready_status() != 200:
+                await asyncio.sleep(0.1)
+        for _, writer in opened:
+            writer.close()
+
+    run(scenario, tmp_path)
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -26,6 +26,7 @@
 
 TICK_INTERVAL_S = 0.025
 DROPPED_REPORT_INTERVAL_S = 1.0
+SWEEP_INTERVAL_S = 0.5
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Interval at which the settings are read again, as they may change without SIGHUP."""
 DRAIN_NOTICE_S = 2.6
@@ -186,6 +187,7 @@
             tasks.start_soon(keep_running, "reader", self.reader.follow)
             tasks.start_soon(keep_running, "tick", self._tick)
             tasks.start_soon(keep_running, "settings", self._follow_settings)
+            tasks.start_soon(keep_running, "sweep", self._close_expired)
             await self._wait_for_stop()
             await self._drain()
             tasks.cancel_scope.cancel()
@@ -198,6 +200,13 @@
             self.relay.tick()
             self._flush_log()
 
+    async def _close_expired(self) -> None:
+        """Close the connections of operators that are idle or never end a request."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self.readiness_listener.close_expired()
+            self.metrics_listener.close_expired()
+
     def _flush_log(self) -> None:
         now = self.relay.clock()
         if now - self.dropped_reported_at >= DROPPED_REPORT_INTERVAL_S:
