Check idle links between relays at a rate that does not grow with the fleet

What users pay: with 195 relays each pings 194 others three times a second and answers as many, whatever the traffic: about 2,600 messages a second.

Cause: a link was pinged 0.3 s after the last data, although only a link with a pending call has something to lose.

Change: links with a pending call are checked as before. All idle links together get at most 100 pings a second. When one link turns out to be silent, all others are checked at once, as a cut of a failure domain silences many.

Up to 30 links nothing changes. Ruled out: pings at a fixed long interval, which would delay the detection in small fleets too.

--- /dev/null
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -0,0 +1,123 @@
+"""Tests that the work of a relay for its links does not grow with the fleet."""
+
+import pytest
+
+from buckthornshed.coordination.relay.load_balancer import Availability
+from buckthornshed.protocol.relay_messages import FrameReader, Hello, Ping, Pong
+from buckthornshed.transport.relay import peer_links
+from buckthornshed.transport.relay.peer_links import PeerLink, PeerLinks
+
+from .fleet import ManualClock
+from .makers import make_message
+
+TICK_S = 0.025
+SMALL, LARGE = 30, 200
+
+
+class FakeTransport:
+    """Counts the messages that are written to it."""
+
+    def __init__(self):
+        self.reader = FrameReader()
+        self.received = []
+
+    def write(self, data):
+        self.received += self.reader.feed(data)
+
+    def is_closing(self):
+        return False
+
+    def abort(self):
+        pass
+
+    @property
+    def pings(self):
+        return sum(isinstance(message, Ping) for message in self.received)
+
+
+class IdleHandler:
+    """Handles nothing."""
+
+    def handle_link_message(self, instance, message):
+        pass
+
+    def handle_link_loss(self, instance, exchanges):
+        pass
+
+
+class Loop:
+    """Runs what a link schedules at once."""
+
+    def call_soon(self, callback, *arguments):
+        callback(*arguments)
+
+
+class LinkedRelay:
+    """A relay with links to peers that answer every ping, unless they are cut off."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.links = PeerLinks(
+            hello=Hello("a", 1), port=1, handler=IdleHandler(), clock=self.clock
+        )
+        self.transports = {}
+        self.cut_off = set()
+        for number in range(count):
+            name = f"10.0.{number // 250}.{number % 250}"
+            link = PeerLink(links=self.links, instance=name)
+            self.transports[name] = FakeTransport()
+            link.connection_made(self.transports[name])
+            self.links.links[name] = link
+
+    def run(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            answered = {name: each.pings for name, each in self.transports.items()}
+            self.links.tick(self.clock())
+            for name, link in list(self.links.links.items()):
+                asked = self.transports[name].pings > answered[name]
+                if asked and name not in self.cut_off:
+                    link.last_received_at, link.pinged_at = self.clock(), None
+                    link.links.handler.handle_link_message(name, Pong(0.0))
+
+    @property
+    def pings(self):
+        return sum(each.pings for each in self.transports.values())
+
+
+@pytest.fixture(autouse=True)
+def run_at_once(monkeypatch):
+    monkeypatch.setattr(peer_links.asyncio, "get_running_loop", Loop)
+
+
+def pings_of(count, seconds=10.0):
+    relay = LinkedRelay(count)
+    relay.run(seconds)
+    return relay.pings
+
+
+def test_pings_of_idle_links_do_not_grow_with_the_fleet():
+    assert pings_of(LARGE) <= 1.15 * pings_of(SMALL)
+
+
+def test_a_link_with_a_pending_call_is_checked_as_often_in_a_large_fleet():
+    relay = LinkedRelay(LARGE)
+    relay.run(1.0)
+    name = next(iter(relay.links.links))
+    relay.cut_off.add(name)
+    assert relay.links.send(name, make_message())
+    relay.run(peer_links.PING_AFTER_S + peer_links.PING_TIMEOUT_S + 3 * TICK_S)
+    assert relay.links.availability(name) is Availability.DOWN
+
+
+def test_a_silent_link_makes_a_relay_check_all_others():
+    """Replays a cut of a failure domain while one call is pending there."""
+    relay = LinkedRelay(LARGE)
+    relay.run(1.0)
+    names = list(relay.links.links)
+    relay.cut_off = set(names[::6])
+    relay.links.send(names[0], make_message())
+    detection = peer_links.PING_AFTER_S + peer_links.PING_TIMEOUT_S
+    relay.run(detection + peer_links.PING_TIMEOUT_S + 6 * TICK_S)
+    assert not relay.cut_off & relay.links.links.keys()
+    assert len(relay.links.links) == LARGE - len(relay.cut_off)
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -33,6 +33,12 @@
 MAX_BACKOFF_S = 0.5
 PING_AFTER_S = 0.3
 """Time without received data after which a ping is sent."""
+MAX_IDLE_PINGS_PER_S = 100.0
+"""Pings per second that a relay sends on all its links without a pending call.
+
+With many links each of them is checked less often, so that the work does not grow with
+the fleet. A link with a pending call is always checked after `PING_AFTER_S`.
+"""
 PING_TIMEOUT_S = 0.6
 """Time without received data after a ping at which a link counts as failed."""
 PAUSE_THRESHOLD_S = 0.25
@@ -197,21 +203,29 @@
             self.exchanges.add(message.exchange)
         self.outbox.send(self.transport, message)
 
-    def tick(self, now: float, *, paused: bool) -> None:
+    def tick(self, now: float, *, paused: bool, idle_interval: float) -> None:
         """Send a ping if no data arrives; abort the connection if it stays unanswered.
 
         `paused` means that this process was paused since the last tick; the timeout of
-        a pending ping then starts anew.
+        a pending ping then starts anew. `idle_interval` is the time without received
+        data, in seconds, after which a link without a pending call is pinged.
         """
         if self.transport is None:
             return
         if paused and self.pinged_at is not None:
             self.pinged_at = now
+        ping_after = PING_AFTER_S if self.exchanges else idle_interval
         if self.pinged_at is not None:
             if now - self.pinged_at > PING_TIMEOUT_S:
                 log_event("peer_silent", peer=self.instance)
                 self.abort()
-        elif now - self.last_received_at > PING_AFTER_S:
+                self.links.check_all(now)
+        elif now - self.last_received_at > ping_after:
+            self.ping(now)
+
+    def ping(self, now: float) -> None:
+        """Send a ping, unless one is unanswered."""
+        if self.transport is not None and self.pinged_at is None:
             self.pinged_at = now
             self.send(Ping())
 
@@ -345,8 +359,15 @@
         """Check all links for a failed connection."""
         paused = now - self.last_tick_at > PAUSE_THRESHOLD_S
         self.last_tick_at = now
+        idle_interval = max(PING_AFTER_S, len(self.links) / MAX_IDLE_PINGS_PER_S)
+        for link in list(self.links.values()):
+            link.tick(now, paused=paused, idle_interval=idle_interval)
+
+    def check_all(self, now: float) -> None:
+        """Ping all links that were idle, as one has failed and others may have."""
         for link in list(self.links.values()):
-            link.tick(now, paused=paused)
+            if now - link.last_received_at > PING_AFTER_S:
+                link.ping(now)
 
     def link_closed(self, link: PeerLink) -> None:
         """Remove a link that has ended and report its pending calls."""
