Send a status to a bounded number of relays in turn

What users pay: every relay sent its status to all others, every 0.2 s under load and every 0.8 s otherwise, and decoded everyone's: with 195 relays up to 970 statuses a second at each, and bytes between failure domains that grow with the square of the fleet.

Cause: admission needs sums and means over the fleet, not each single value, but was given all of them. The calls of a run were sent to all as soon as their mean changed in the second decimal, and again for each new link.

Change: a status goes to 32 relays, the next one to the next 32. A relay thus knows a sample, from which offered load and capacity were already scaled; the number of targets that serve is now scaled as well. Under load a sample becomes complete within MAX_REPORT_AGE_S up to 300 relays. Calls of runs go to all when a mean changes by a tenth, and to a new link alone. Old reports are dropped.

Up to 33 relays nothing changes but the calls of runs.

A status reaches each link equally often. The tests of admission in small fleets pass unchanged.

Ruled out: longer intervals to all relays, which would let shares lag behind a burst by seconds.

--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission.py
@@ -167,14 +167,18 @@
 
     def _recent_statuses(self, now: float, unreachable: frozenset[str]) -> list[Status]:
         """Return the recent statuses of relays whose targets can be reached."""
+        self.reports = {
+            instance: report
+            for instance, report in self.reports.items()
+            if now - report.received_at < MAX_REPORT_AGE_S
+        }
         return [
             report.status
             for report in self.reports.values()
-            if now - report.received_at < MAX_REPORT_AGE_S
-            and report.status.target not in unreachable
+            if report.status.target not in unreachable
         ]
 
-    def _capacities(self, serving: Mapping[str, int]) -> dict[str, float]:
+    def _capacities(self, serving: Mapping[str, float]) -> dict[str, float]:
         """Return the slots of each service that has reported any."""
         return {
             service: mean * serving[service]
--- a/buckthornshed/coordination/relay/fleet_load.py
+++ b/buckthornshed/coordination/relay/fleet_load.py
@@ -63,24 +63,28 @@
 
 def serving_targets(
     statuses: Iterable[Status], usable: Mapping[str, int]
-) -> dict[str, int]:
+) -> dict[str, float]:
     """Return the number of targets of each service that are assumed to serve calls.
 
-    A target without a report counts. One that reports no usable slots does not, but the
-    number is at least one if any target can be reached.
+    A target without a report serves with the probability of those that report. One that
+    reports no usable slots does not, but the number is at least one if any target can
+    be reached.
     """
     reporting: Counter[str] = Counter()
     unavailable: Counter[str] = Counter()
     for status in statuses:
         (reporting if status.slots > 0.0 else unavailable)[status.service] += 1
-    return {
-        service: max(
-            reporting[service],
-            usable.get(service, 0) - unavailable[service],
-            min(1, usable.get(service, 0)),
+    serving: dict[str, float] = {}
+    for service in usable.keys() | reporting.keys():
+        reachable = usable.get(service, 0)
+        missing = float(unavailable[service])
+        if reporting[service]:
+            known = reporting[service] + unavailable[service]
+            missing *= max(1.0, reachable / known)
+        serving[service] = max(
+            reporting[service], reachable - missing, min(1, reachable)
         )
-        for service in usable.keys() | reporting.keys()
-    }
+    return serving
 
 
 def rejection_rates(statuses: Iterable[Status]) -> dict[str, float]:
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -45,10 +45,14 @@
     )
 
 
-def make_admission(offered, *, stables, rejection_rate=0.0):
+def make_graph():
     graph = CallGraph()
     graph.merge(CALLS)
-    admission = AdmissionController(graph=graph)
+    return graph
+
+
+def make_admission(offered, *, stables, rejection_rate=0.0):
+    admission = AdmissionController(graph=make_graph())
     admission.configure(make_catalog(routes=ROUTES))
     admission.report(0.0, "i-1", status("stables", stables, offered, rejection_rate))
     for number, service in enumerate(("board", "booking", "farrier"), start=2):
--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -1,11 +1,14 @@
 """Tests that the work of a relay for its links does not grow with the fleet."""
 
+import asyncio
+
 import pytest
 
 from buckthornshed.coordination.relay.load_balancer import Availability
 from buckthornshed.protocol.relay_messages import FrameReader, Hello, Ping, Pong
 from buckthornshed.transport.relay import peer_links
 from buckthornshed.transport.relay.peer_links import PeerLink, PeerLinks
+from buckthornshed.transport.relay.status_exchange import STATUS_RECIPIENTS
 
 from .fleet import ManualClock
 from .makers import make_message
@@ -14,10 +17,11 @@
 SMALL, LARGE = 30, 200
 
 
-class FakeTransport:
+class FakeTransport(asyncio.Transport):
     """Counts the messages that are written to it."""
 
     def __init__(self):
+        super().__init__()
         self.reader = FrameReader()
         self.received = []
 
@@ -38,6 +42,15 @@
 class IdleHandler:
     """Handles nothing."""
 
+    def handle_session_message(self, session, message):
+        pass
+
+    def handle_session_loss(self, session):
+        pass
+
+    def handle_new_link(self, instance):
+        pass
+
     def handle_link_message(self, instance, message):
         pass
 
@@ -121,3 +134,24 @@
     relay.run(detection + peer_links.PING_TIMEOUT_S + 6 * TICK_S)
     assert not relay.cut_off & relay.links.links.keys()
     assert len(relay.links.links) == LARGE - len(relay.cut_off)
+
+
+def test_statuses_of_a_relay_do_not_grow_with_the_fleet_and_reach_everyone():
+    relay = LinkedRelay(LARGE)
+    for _ in range(20):
+        relay.links.broadcast_in_turn(Pong(0.0), STATUS_RECIPIENTS)
+    received = [
+        sum(isinstance(message, Pong) for message in transport.received)
+        for transport in relay.transports.values()
+    ]
+    assert sum(received) == 20 * STATUS_RECIPIENTS
+    assert max(received) - min(received) <= 1
+
+
+def test_in_a_small_fleet_everyone_gets_each_status():
+    relay = LinkedRelay(STATUS_RECIPIENTS)
+    relay.links.broadcast_in_turn(Pong(0.0), STATUS_RECIPIENTS)
+    assert all(
+        isinstance(transport.received[-1], Pong)
+        for transport in relay.transports.values()
+    )
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -271,6 +271,7 @@
         self.retry_events: dict[str, asyncio.Event] = {}
         self.last_session_number = 0
         self.last_tick_at = clock()
+        self.next_recipient = 0
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str) -> None:
@@ -331,6 +332,15 @@
         for link in list(self.links.values()):
             link.send(message)
 
+    def broadcast_in_turn(self, message: RelayMessage, recipients: int) -> None:
+        """Send a message on a number of links, on the next ones each time."""
+        links = list(self.links.values())
+        count = min(recipients, len(links))
+        for offset in range(count):
+            links[(self.next_recipient + offset) % len(links)].send(message)
+        if links:
+            self.next_recipient = (self.next_recipient + count) % len(links)
+
     def broadcast_to_sessions(self, message: RelayMessage) -> None:
         """Send a message on all sessions."""
         for session in list(self.sessions):
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -132,6 +132,7 @@
             limiter=self.local_target.limiter,
             graph=self.local_target.graph,
             broadcast=lambda status: self.links.broadcast(status),
+            send_in_turn=lambda *turn: self.links.broadcast_in_turn(*turn),
         )
         self.admission = self.statuses.admission
         self.responses = ClientResponses(
@@ -349,7 +350,9 @@
         snapshot.limits = self.load_balancer.known_limits()
         self.links.send(instance, snapshot)
         # A relay that has just started does not know the downstream calls of routes.
-        self.statuses.resend_calls()
+        status = self.statuses.status_for_new_peer()
+        if status is not None:
+            self.links.send(instance, status)
 
     def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
         """Handle the loss of a connection with calls in progress."""
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/status_exchange.py
@@ -1,7 +1,10 @@
 """Status reports between relays, and the admission shares computed from them."""
 
+import math
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from ...coordination.relay.admission import AdmissionController
 from ...coordination.relay.call_graph import CallGraph
 from ...coordination.relay.concurrency_limiter import ConcurrencyLimiter
@@ -17,6 +20,13 @@
 """Number of statuses of which one is broadcast while no service is overloaded."""
 CALL_GRAPH_INTERVAL = 4
 """Number of statuses of which one includes the downstream calls, if they changed."""
+STATUS_RECIPIENTS = 32
+"""Relays that get one status; the next ones get the next status.
+
+In a larger fleet each relay knows a sample of the others, which changes all the time.
+"""
+CLEAR_CALLS_CHANGE = 0.1
+"""Relative change of the mean calls of a run from which other relays are told."""
 MIN_LOGGED_SHARE_CHANGE = 0.15
 """Change of an admission share from which the shares are logged."""
 
@@ -36,6 +46,8 @@
         Downstream calls of each route.
     broadcast : callable
         Sends a status to all relays.
+    send_in_turn : callable
+        Sends a status to a number of relays, to the next ones each time.
 
     Attributes
     ----------
@@ -53,12 +65,15 @@
         limiter: ConcurrencyLimiter,
         graph: CallGraph,
         broadcast: Callable[[Status], None],
+        send_in_turn: Callable[[Status, int], None],
     ) -> None:
         self.instance = instance
         self.service = service
         self.limiter = limiter
         self.graph = graph
         self.broadcast = broadcast
+        self.send_in_turn = send_in_turn
+        self.latest: Status | None = None
         self.offered = OfferedRates()
         self.admission = AdmissionController(graph=graph)
         self.reported_calls: dict[str, dict[str, float]] = {}
@@ -102,14 +117,17 @@
             rejection_rate=round(limiter.capacity.rejection_rate, 2),
             rate_limit=limiter.rate_limiter.rate,
         )
+        self.latest = status
         self.admission.report(now, self.instance, status)
         self.admission.update_shares(now, usable, unreachable)
         limiter.capacity.shedding = self.service in self.admission.saturated
         self._log_shares()
         periodic_due = self.report_count % UNLOADED_BROADCAST_INTERVAL == 0
         limited = any(share < 1.0 for share in self.admission.shares.values())
-        if limiter.load >= BUSY_LOAD or limited or periodic_due or calls is not None:
+        if calls is not None:
             self.broadcast(status)
+        elif limiter.load >= BUSY_LOAD or limited or periodic_due:
+            self.send_in_turn(status, STATUS_RECIPIENTS)
 
     def receive(self, now: float, instance: str, status: Status) -> None:
         """Process the status of another relay."""
@@ -117,15 +135,17 @@
         if status.calls is not None:
             self.graph.merge(status.calls)
 
-    def resend_calls(self) -> None:
-        """Include the downstream calls in a status soon, for a new peer."""
-        self.reported_calls = {}
+    def status_for_new_peer(self) -> Status | None:
+        """Return the latest status with the downstream calls, None before the first."""
+        if self.latest is None:
+            return None
+        return msgspec.structs.replace(self.latest, calls=self.graph.learned_calls())
 
     def _changed_calls(self) -> dict[str, dict[str, float]] | None:
         if self.report_count % CALL_GRAPH_INTERVAL:
             return None
         calls = self.graph.learned_calls()
-        if calls == self.reported_calls:
+        if not _differ_clearly(calls, self.reported_calls):
             return None
         self.reported_calls = calls
         return calls
@@ -153,3 +173,19 @@
             waiting=limiter.queue_length,
             mean_ms=round(limiter.call_times.mean * 1e3, 1),
         )
+
+
+def _differ_clearly(
+    calls: Mapping[str, Mapping[str, float]], known: Mapping[str, Mapping[str, float]]
+) -> bool:
+    """Return whether mean calls of runs differ in more than small changes."""
+    if calls.keys() != known.keys():
+        return True
+    return any(
+        called.keys() != known[route].keys()
+        or any(
+            not math.isclose(count, known[route][name], rel_tol=CLEAR_CALLS_CHANGE)
+            for name, count in called.items()
+        )
+        for route, called in calls.items()
+    )
