Read the store at a relay that no reader is connected to

Cause: when the registration of a target ends, the other relays close their connections to the relay beside it, which still serves its clients. Its own connections to them stayed up, so it counted their last reports for 3.5 s more, and then waited for its turn among relays that would never tell it.

Change: a relay counts only those that are connected to it, which it knows by the instance that they name in their first message. One that nobody is connected to reads at once.

Evidence: test_a_relay_whose_target_is_gone_reads_the_store_at_once, with a clock that stands still, fails without the check (no read within 20 s) and passes with it.

--- a/buckthornshed/coordination/relay/store_readers.py
+++ b/buckthornshed/coordination/relay/store_readers.py
@@ -3,8 +3,9 @@
 A few relays of each failure domain read it and tell all others what has changed. Every
 relay decides alone whether it is one of them, by an order of the domain's instances
 that all compute in the same way and by the reports of those before it. Relays that
-disagree about who reads cost a few calls to the store; a relay that hears of no reader
-reads the store itself.
+disagree about who reads cost a few calls to the store. A relay that no reader is
+connected to reads the store itself, such as one whose target has crashed: the others no
+longer know of it, while its clients go on.
 """
 
 import zlib
@@ -36,13 +37,14 @@
     ----------
     instance : str
         Instance of the relay.
-    is_up : callable
-        Returns whether the relay on another instance can be reached.
+    is_connected : callable
+        Returns whether the relay on another instance can tell this one of changes: it
+        has a connection to this one and answers.
     """
 
-    def __init__(self, *, instance: str, is_up: Callable[[str], bool]) -> None:
+    def __init__(self, *, instance: str, is_connected: Callable[[str], bool]) -> None:
         self.instance = instance
-        self.is_up = is_up
+        self.is_connected = is_connected
         self.ahead: list[str] = []
         self.reports: dict[str, ReadReport] = {}
         self.own_report = ReadReport(True, 0.0)
@@ -69,12 +71,13 @@
 
     def should_read(self, now: float) -> bool:
         """Return whether this relay is to read the store."""
-        reading = sum(self._reads(now, each) for each in self.ahead)
+        ahead = [each for each in self.ahead if self.is_connected(each)]
+        reading = sum(self._reads(now, each) for each in ahead)
         missing = READERS_PER_DOMAIN - reading
         if missing <= 0:
             self.missing_since = None
             return False
-        not_reading = len(self.ahead) - reading
+        not_reading = len(ahead) - reading
         if not_reading < missing:
             return True
         if self.missing_since is None:
@@ -86,13 +89,12 @@
         return not failed or now - self.own_report.at >= RETRY_INTERVAL_S
 
     def _reads(self, now: float, instance: str) -> bool:
-        """Return whether a relay has lately read the store, and can tell this one."""
+        """Return whether a relay has lately read the store."""
         report = self.reports.get(instance)
         return (
             report is not None
             and report.succeeded
             and now - report.at < REPORT_LIFETIME_S
-            and self.is_up(instance)
         )
 
 
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -121,11 +121,12 @@
     """First message on a connection: introduces the relay that opened it.
 
     `name` is the name of its instance, `started` the time of its start in Unix
-    milliseconds.
+    milliseconds, `instance` the IP address of its instance.
     """
 
     name: str
     started: int
+    instance: str = ""
 
 
 class CallMessage(msgspec.Struct, array_like=True, tag=1):
--- a/buckthornshed/tests/relay/test_store_readers.py
+++ b/buckthornshed/tests/relay/test_store_readers.py
@@ -11,7 +11,7 @@
     StoreReaders,
 )
 
-from .fleet import configuration, fleet_of, until
+from .fleet import ManualClock, configuration, fleet_of, until
 
 STEP_S = 0.05
 WATCH_S = 2.0
@@ -26,7 +26,7 @@
     def __init__(self, domain, number):
         self.domain = domain
         self.instance = f"10.1.0.{number}"
-        self.readers = StoreReaders(instance=self.instance, is_up=domain.is_up)
+        self.readers = StoreReaders(instance=self.instance, is_connected=domain.is_up)
         self.running = True
         self.turned_away = False
         self.busy_until = 0.0
@@ -151,13 +151,13 @@
     assert domain.calls_since(back) < 100
 
 
-def test_a_relay_that_hears_of_no_reader_reads_itself():
+def test_a_relay_that_no_other_is_connected_to_reads_at_once():
     domain = Domain(33)
     domain.run(10.0)
     alone = next(r for r in domain.relays if r not in domain.current_readers)
     others = [r for r in domain.relays if r is not alone]
-    alone.readers.is_up = lambda _: False
-    domain.run(33 * 0.1 + 1.0)
+    alone.readers.is_connected = lambda _: False
+    domain.run(2 * STEP_S)
     assert alone.reading
     assert sum(r.reading for r in others) == READERS_PER_DOMAIN
 
@@ -197,6 +197,27 @@
     asyncio.run(scenario())
 
 
+def test_a_relay_whose_target_is_gone_reads_the_store_at_once():
+    """Replays a server that crashes for good: its relay still serves clients.
+
+    The others close their connections to it and tell it no more. The clock stands
+    still, so that no report expires.
+    """
+
+    async def scenario():
+        async with fleet_of(5, clock=ManualClock()) as fleet:
+            await until(lambda: standing_by(fleet) >= 1)
+            alone = next(r for r in fleet.relays if fleet.readers[r].standing_by)
+            target = fleet.targets[fleet.relays.index(alone)]
+            await fleet.store.delete(f"servers/{target.name}")
+            await until(lambda: not alone.links.sessions)
+            await until(lambda: not fleet.readers[alone].standing_by)
+            await fleet.store.put("op/config", configuration(2))
+            await until(lambda: generation(alone) == 2)
+
+    asyncio.run(scenario())
+
+
 def generation(relay):
     return relay.fleet_view.catalog.generation
 
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol, cast
@@ -103,12 +104,15 @@
     ----------
     name : str
         Name of the other relay's instance, empty until its `Hello` has arrived.
+    instance : str
+        IP address of the other relay's instance, empty until then.
     """
 
     def __init__(self, *, links: "PeerLinks", number: int) -> None:
         self.links = links
         self.number = number
         self.name = ""
+        self.instance = ""
         self.reader = FrameReader()
         self.outbox = Outbox()
         self.transport: asyncio.Transport | None = None
@@ -126,6 +130,7 @@
         """Report the end of the connection."""
         self.transport = None
         self.links.sessions.discard(self)
+        self.links.count_session(self.instance, -1)
         self.links.handler.handle_session_loss(self)
 
     def data_received(self, data: bytes) -> None:
@@ -139,10 +144,16 @@
             return
         for message in messages:
             if isinstance(message, Hello):
-                self.name = message.name
+                self._introduce(message)
             else:
                 self.links.handler.handle_session_message(self, message)
 
+    def _introduce(self, hello: Hello) -> None:
+        self.name = hello.name
+        if not self.instance:
+            self.instance = hello.instance
+            self.links.count_session(self.instance, 1)
+
     def send(self, message: RelayMessage) -> None:
         """Send a message, unless the connection has ended."""
         if self.transport is not None:
@@ -274,6 +285,7 @@
         self.handler = handler
         self.clock = clock
         self.sessions: set[PeerSession] = set()
+        self.sessions_by_instance: Counter[str] = Counter()
         self.links: dict[str, PeerLink] = {}
         self.link_tasks: dict[str, asyncio.Task[None]] = {}
         self.closed_events: dict[str, asyncio.Event] = {}
@@ -316,6 +328,18 @@
             return Availability.DOWN
         return Availability.DRAINING if link.draining else Availability.UP
 
+    def count_session(self, instance: str, change: int) -> None:
+        """Count the begin or the end of a session of an instance."""
+        if instance:
+            self.sessions_by_instance[instance] += change
+
+    def is_connected(self, instance: str) -> bool:
+        """Return whether an instance has a session here and answers this relay."""
+        return (
+            self.sessions_by_instance[instance] > 0
+            and self.availability(instance) is Availability.UP
+        )
+
     def retry_now(self, instance: str) -> None:
         """Retry the link to an instance at once, because its relay is known to run."""
         retry = self.retry_events.get(instance)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -109,7 +109,7 @@
         self.access_log = AccessLog(counts=self.counts)
         self.store_readers = StoreReaders(
             instance=self.instance,
-            is_up=lambda each: self.links.availability(each) is Availability.UP,
+            is_connected=lambda each: self.links.is_connected(each),
         )
         self.domain_peers: list[str] = []
         self.fleet_updater = FleetUpdater(
@@ -178,7 +178,7 @@
             buffers=buffers,
         )
         self.links = PeerLinks(
-            hello=Hello(settings.name, int(wall() * 1e3)),
+            hello=Hello(settings.name, int(wall() * 1e3), self.instance),
             port=settings.peer_port,
             handler=self,
             clock=clock,
