Send the whole view of the fleet to a new relay from a few others only

What users pay: on each new link a relay sent its whole view: configuration, registrations, ended registrations and limits. At a start of 195 relays that is 37,830 views of 195 targets, nearly all of them the same, and most bytes cross failure domains. Each relay that adopted a configuration sent it to all others, the square of the fleet again.

Change: six sponsors, three of the failure domain of the new relay and three of others, chosen by a hash, send their whole view; everyone else only the limit of the target beside the new relay, which it must know before its first call. A relay without a configuration asks one of those connected to it every half second, in case its sponsors have restarted as well. What is read from the store is told by each reader to its own failure domain, and by the first reader of a domain to all others; it isn't passed on any more by those that were told.

Evidence: the sponsors of an instance are as many at 200 relays as at 30, and spread over the fleet; a relay that starts while the store is down serves its clients, also if it has no sponsor. 347 tests of relays pass, and 82 of those that concern restarts, limits and leaving targets again.

--- a/buckthornshed/coordination/relay/store_readers.py
+++ b/buckthornshed/coordination/relay/store_readers.py
@@ -88,6 +88,12 @@
         failed = not self.own_report.succeeded
         return not failed or now - self.own_report.at >= RETRY_INTERVAL_S
 
+    def is_first(self, now: float) -> bool:
+        """Return whether no relay before this one reads the store."""
+        return not any(
+            self.is_connected(each) and self._reads(now, each) for each in self.ahead
+        )
+
     def _reads(self, now: float, instance: str) -> bool:
         """Return whether a relay has lately read the store."""
         report = self.reports.get(instance)
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -34,6 +34,7 @@
     "RelayMessage",
     "StatedLimit",
     "Status",
+    "ViewRequest",
 ]
 
 LENGTH_PREFIX_BYTES = 4
@@ -245,6 +246,10 @@
     rate_limit: float | None = None
 
 
+class ViewRequest(msgspec.Struct, array_like=True, tag=10):
+    """Asks for the whole view of the fleet; the sender has no configuration."""
+
+
 class StatedLimit(NamedTuple):
     """Rate limit of one incarnation of a target, in calls per second."""
 
@@ -301,6 +306,7 @@
     | DrainNotice
     | FleetUpdate
     | Status
+    | ViewRequest
 )
 
 MESSAGE_ENCODER = msgspec.msgpack.Encoder()
--- a/buckthornshed/transport/relay/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet_updater.py
@@ -18,8 +18,9 @@
 class FleetUpdater:
     """Applies updates to the fleet view, logs them and forwards them to other relays.
 
-    New configurations are forwarded whatever their source. Changes of registrations are
-    forwarded only if they were read from the store.
+    Only what was read from the store is forwarded: by each reader to its own failure
+    domain, and by the first one of the domain to all others, which may have no reader
+    that the store answers.
 
     Parameters
     ----------
@@ -35,6 +36,8 @@
         Decides whether this relay reads the store.
     tell_domain : callable
         Sends an update to the relays of the own failure domain.
+    tell_other_domains : callable
+        Sends an update to the relays of the other failure domains.
 
     Attributes
     ----------
@@ -51,6 +54,7 @@
         broadcast: Callable[[FleetUpdate], None],
         readers: StoreReaders,
         tell_domain: Callable[[FleetUpdate], None],
+        tell_other_domains: Callable[[FleetUpdate], None],
     ) -> None:
         self.clock = clock
         self.on_catalog = on_catalog
@@ -58,6 +62,7 @@
         self.broadcast = broadcast
         self.readers = readers
         self.tell_domain = tell_domain
+        self.tell_other_domains = tell_other_domains
         self.reading = True
         self.fleet_view = FleetView()
 
@@ -79,7 +84,8 @@
 
     def handle_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration from the store."""
-        self._apply_catalog(catalog, "store")
+        if self._apply_catalog(catalog, "store"):
+            self._forward(FleetUpdate(catalog=catalog))
 
     def handle_targets(self, targets: list[Target]) -> None:
         """Replace all registrations by those in the store; tell all what differs."""
@@ -189,7 +195,13 @@
             tombstones = [
                 (target.name, *registration_version(target)) for target in removed
             ]
-            self.broadcast(FleetUpdate(targets=changed, tombstones=tombstones))
+            self._forward(FleetUpdate(targets=changed, tombstones=tombstones))
+
+    def _forward(self, update: FleetUpdate) -> None:
+        """Tell other relays what was read from the store."""
+        self.tell_domain(update)
+        if self.readers.is_first(self.clock()):
+            self.tell_other_domains(update)
 
     def _mark_leaving(self, name: str, started: int, source: str) -> bool:
         marked = self.fleet_view.mark_leaving(name, started)
@@ -197,13 +209,14 @@
             log_event("target_leaving", target=name, started=started, source=source)
         return marked
 
-    def _apply_catalog(self, catalog: Catalog, source: str) -> None:
-        if self.fleet_view.accept_catalog(catalog):
-            log_event(
-                "configuration_in_force", generation=catalog.generation, source=source
-            )
-            self.on_catalog()
-            self.broadcast(FleetUpdate(catalog=catalog))
+    def _apply_catalog(self, catalog: Catalog, source: str) -> bool:
+        if not self.fleet_view.accept_catalog(catalog):
+            return False
+        log_event(
+            "configuration_in_force", generation=catalog.generation, source=source
+        )
+        self.on_catalog()
+        return True
 
 
 def _log_registration(target: Target, source: str) -> None:
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -23,6 +23,7 @@
     calls_between_services,
     calls_of_run,
 )
+from ...coordination.relay.sponsors import sponsors
 from ...coordination.relay.store_readers import StoreReaders
 from ...protocol.http import Request
 from ...protocol.relay_messages import (
@@ -38,6 +39,7 @@
     RefusalMessage,
     RelayMessage,
     Status,
+    ViewRequest,
 )
 from ...state.catalog import Target
 from ...state.relay_settings import RelaySettings
@@ -104,6 +106,7 @@
         self.settings = settings
         self.names = names
         self.clock = clock
+        self.rng = rng
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.access_log = AccessLog(counts=self.counts)
@@ -119,6 +122,7 @@
             broadcast=lambda update: self.links.broadcast(update),
             readers=self.store_readers,
             tell_domain=self._tell_domain,
+            tell_other_domains=self._tell_other_domains,
         )
         self.fleet_view = self.fleet_updater.fleet_view
         self.load_balancer = LoadBalancer(
@@ -278,6 +282,7 @@
             self.local_target.pool.close_expired()
             self.fleet_updater.remove_expired()
             self._divide_retry_slack()
+            self._request_view()
 
     # Requests of clients and nested requests of the target.
 
@@ -339,6 +344,10 @@
         for instance in self.domain_peers:
             self.links.send(instance, update)
 
+    def _tell_other_domains(self, update: FleetUpdate) -> None:
+        for instance in self.links.links.keys() - set(self.domain_peers):
+            self.links.send(instance, update)
+
     def _apply_update(self, _: PeerSession, update: FleetUpdate) -> None:
         for instance in update.silent:
             self.links.check(instance, self.clock())
@@ -362,19 +371,49 @@
             self.links.mark_draining(instance)
         elif isinstance(message, Pong):
             self.target_reports.record_load(now, instance, message.load)
+        elif isinstance(message, ViewRequest):
+            self.links.send(instance, self._view())
 
     def handle_new_link(self, instance: str) -> None:
-        """Send the configuration and the known targets to a newly connected relay."""
+        """Tell a newly connected relay what it may not know.
+
+        It may have restarted and no longer know the limit of its target, the calls of
+        routes, and, if the store does not answer, the targets and the configuration.
+        """
         log_event("peer_found", peer=instance)
-        snapshot = self.fleet_updater.snapshot()
-        # The target's own relay may have restarted and no longer know its limit.
-        snapshot.limits = self.load_balancer.known_limits()
-        self.links.send(instance, snapshot)
-        # A relay that has just started does not know the downstream calls of routes.
+        if self._is_sponsor(instance):
+            update = self._view()
+        else:
+            names = self.target_reports.names_by_instance.get(instance, ())
+            limits = self.load_balancer.known_limits()
+            own = [limit for limit in limits if limit.target in names]
+            update = FleetUpdate(limits=own)
+        self.links.send(instance, update)
         status = self.statuses.status_for_new_peer()
         if status is not None:
             self.links.send(instance, status)
 
+    def _view(self) -> FleetUpdate:
+        view = self.fleet_updater.snapshot()
+        view.limits = self.load_balancer.known_limits()
+        return view
+
+    def _request_view(self) -> None:
+        """Ask another relay for its view if this one has no configuration.
+
+        The sponsors may have restarted as well, or be cut off.
+        """
+        sessions = list(self.links.sessions)
+        if self.fleet_view.catalog is None and sessions:
+            self.rng.choice(sessions).send(ViewRequest())
+
+    def _is_sponsor(self, instance: str) -> bool:
+        """Return whether this relay sends its whole view to a new one."""
+        domains: dict[str, str] = {self.instance: self.settings.failure_domain}
+        for target in self.fleet_view.targets.values():
+            domains[target.instance] = target.failure_domain
+        return self.instance in sponsors(instance, domains)
+
     def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
         """Handle the loss of a connection with calls in progress."""
         log_event("peer_lost", peer=instance, calls=len(exchanges))
