Split the connections of relays from their collection

What a connection needs of the collection is named by a protocol.

No behaviour changed; 22 tests of links and readers pass, of which one names the module that it patches.

--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -6,8 +6,13 @@
 
 from buckthornshed.coordination.relay.load_balancer import Availability
 from buckthornshed.protocol.relay_messages import FrameReader, Hello, Ping, Pong
-from buckthornshed.transport.relay import peer_links
-from buckthornshed.transport.relay.peer_links import PeerLink, PeerLinks
+from buckthornshed.transport.relay import peer_connections
+from buckthornshed.transport.relay.peer_connections import (
+    PING_AFTER_S,
+    PING_TIMEOUT_S,
+    PeerLink,
+)
+from buckthornshed.transport.relay.peer_links import PeerLinks
 from buckthornshed.transport.relay.status_exchange import STATUS_RECIPIENTS
 
 from .fleet import ManualClock
@@ -107,7 +112,7 @@
 
 @pytest.fixture(autouse=True)
 def run_at_once(monkeypatch):
-    monkeypatch.setattr(peer_links.asyncio, "get_running_loop", Loop)
+    monkeypatch.setattr(peer_connections.asyncio, "get_running_loop", Loop)
 
 
 def pings_of(count, seconds=10.0):
@@ -126,7 +131,7 @@
     name = next(iter(relay.links.links))
     relay.cut_off.add(name)
     assert relay.links.send(name, make_message())
-    relay.run(peer_links.PING_AFTER_S + peer_links.PING_TIMEOUT_S + 3 * TICK_S)
+    relay.run(PING_AFTER_S + PING_TIMEOUT_S + 3 * TICK_S)
     assert relay.links.availability(name) is Availability.DOWN
 
 
@@ -137,8 +142,8 @@
     names = list(relay.links.links)
     relay.cut_off = set(names[::6])
     relay.links.send(names[0], make_message())
-    detection = peer_links.PING_AFTER_S + peer_links.PING_TIMEOUT_S
-    relay.run(detection + peer_links.PING_TIMEOUT_S + 6 * TICK_S)
+    detection = PING_AFTER_S + PING_TIMEOUT_S
+    relay.run(detection + PING_TIMEOUT_S + 6 * TICK_S)
     assert not relay.cut_off & relay.links.links.keys()
     assert len(relay.links.links) == LARGE - len(relay.cut_off)
 
@@ -169,10 +174,10 @@
     relay.run(1.0)
     first, second = list(relay.links.links)[:2]
     relay.cut_off = {first, second}
-    relay.links.links[first].last_received_at -= peer_links.PING_AFTER_S
+    relay.links.links[first].last_received_at -= PING_AFTER_S
     relay.links.check(first, relay.clock())
-    relay.run(peer_links.PING_TIMEOUT_S + 2 * TICK_S)
+    relay.run(PING_TIMEOUT_S + 2 * TICK_S)
     assert relay.links.availability(first) is Availability.DOWN
     assert relay.handler.silent == []
-    relay.run(peer_links.PING_TIMEOUT_S + 2 * TICK_S)
+    relay.run(PING_TIMEOUT_S + 2 * TICK_S)
     assert relay.handler.silent == [second]
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -1,8 +1,6 @@
-"""Connections between relays, each of which carries many concurrent calls.
+"""All connections of a relay to and from other relays.
 
-A relay opens one connection, the link, to each other relay and sends its calls on it. A
-connection that another relay opened is a session. Answers return on the connection of
-their call. Relays ping each other, because a connection can fail without being reset.
+Relays ping each other, because a connection can fail without being reset.
 """
 
 import asyncio
@@ -10,38 +8,23 @@
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol, cast
 
 from ...coordination.relay.load_balancer import Availability
-from ...errors import PeerError
-from ...protocol.relay_messages import (
-    AnswerMessage,
-    CallMessage,
-    FrameReader,
-    FrameWriter,
-    Hello,
-    Ping,
-    RefusalMessage,
-    RelayMessage,
-)
-from ..logs import log_event
+from ...protocol.relay_messages import Hello, RelayMessage
+from .peer_connections import PING_AFTER_S, PeerHandler, PeerLink, PeerSession
 from .supervision import keep_running
 
-__all__ = ["PeerHandler", "PeerLinks", "PeerSession"]
+__all__ = ["PeerLinks"]
 
 CONNECT_TIMEOUT_S = 0.8
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5
-PING_AFTER_S = 0.3
-"""Time without received data after which a ping is sent."""
 MAX_IDLE_PINGS_PER_S = 40.0
 """Pings per second that a relay sends on all its links without a pending call.
 
 With many links each of them is checked less often, so that the work does not grow with
 the fleet. A link with a pending call is always checked after `PING_AFTER_S`.
 """
-PING_TIMEOUT_S = 0.6
-"""Time without received data after a ping at which a link counts as failed."""
 PAUSE_THRESHOLD_S = 0.25
 """Time between ticks from which this process counts as paused.
 
@@ -49,214 +32,6 @@
 """
 
 
-class PeerHandler(Protocol):
-    """Handles messages of other relays and changes of connections."""
-
-    def handle_session_message(
-        self, session: "PeerSession", message: RelayMessage
-    ) -> None:
-        """Handle a message on a connection that another relay opened."""
-
-    def handle_session_loss(self, session: "PeerSession") -> None:
-        """Handle the end of a connection that another relay opened."""
-
-    def handle_link_message(self, instance: str, message: RelayMessage) -> None:
-        """Handle a message on a connection that this relay opened."""
-
-    def handle_new_link(self, instance: str) -> None:
-        """Handle a new connection that this relay opened."""
-
-    def handle_silent_link(self, instance: str) -> None:
-        """Handle a relay that does not answer, unless another relay said so."""
-
-    def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
-        """Handle the end of a connection that this relay opened.
-
-        `exchanges` identifies the calls that were pending on it.
-        """
-
-
-class Outbox:
-    """Batches the messages of one iteration of the event loop into one write."""
-
-    def __init__(self) -> None:
-        self.writer = FrameWriter()
-        self.scheduled = False
-
-    def send(self, transport: asyncio.Transport, message: RelayMessage) -> None:
-        """Send a message with the next iteration of the event loop."""
-        self.writer.add(message)
-        if not self.scheduled:
-            self.scheduled = True
-            asyncio.get_running_loop().call_soon(self._flush, transport)
-
-    def _flush(self, transport: asyncio.Transport) -> None:
-        self.scheduled = False
-        data = self.writer.flush()
-        if not transport.is_closing():
-            transport.write(data)
-
-
-class PeerSession(asyncio.Protocol):
-    """Connection that another relay opened.
-
-    Attributes
-    ----------
-    name : str
-        Name of the other relay's instance, empty until its `Hello` has arrived.
-    instance : str
-        IP address of the other relay's instance, empty until then.
-    """
-
-    def __init__(self, *, links: "PeerLinks", number: int) -> None:
-        self.links = links
-        self.number = number
-        self.name = ""
-        self.instance = ""
-        self.reader = FrameReader()
-        self.outbox = Outbox()
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and retry the link to the same instance at once."""
-        # uvloop's transports do not derive from the classes of asyncio.
-        self.transport = cast(asyncio.Transport, transport)
-        self.links.sessions.add(self)
-        peer = transport.get_extra_info("peername")
-        if peer is not None:
-            self.links.retry_now(peer[0])
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Report the end of the connection."""
-        self.transport = None
-        self.links.sessions.discard(self)
-        self.links.count_session(self.instance, -1)
-        self.links.handler.handle_session_loss(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Decode received data and handle the complete messages."""
-        try:
-            messages = self.reader.feed(data)
-        except PeerError as error:
-            log_event("peer_message_unreadable", peer=self.name, error=str(error))
-            if self.transport is not None:
-                self.transport.abort()
-            return
-        for message in messages:
-            if isinstance(message, Hello):
-                self._introduce(message)
-            else:
-                self.links.handler.handle_session_message(self, message)
-
-    def _introduce(self, hello: Hello) -> None:
-        self.name = hello.name
-        if not self.instance:
-            self.instance = hello.instance
-            self.links.count_session(self.instance, 1)
-
-    def send(self, message: RelayMessage) -> None:
-        """Send a message, unless the connection has ended."""
-        if self.transport is not None:
-            self.outbox.send(self.transport, message)
-
-
-class PeerLink(asyncio.Protocol):
-    """Connection that this relay opened to an instance, named by its IP address.
-
-    Attributes
-    ----------
-    exchanges : set of int
-        Calls whose answers are pending.
-    draining : bool
-        Whether the other relay has sent a `DrainNotice`.
-    reported_silent : bool
-        Whether another relay has said that this one does not answer.
-    """
-
-    def __init__(self, *, links: "PeerLinks", instance: str) -> None:
-        self.links = links
-        self.instance = instance
-        self.reader = FrameReader()
-        self.outbox = Outbox()
-        self.transport: asyncio.Transport | None = None
-        self.exchanges: set[int] = set()
-        self.last_received_at = 0.0
-        self.pinged_at: float | None = None
-        self.draining = False
-        self.reported_silent = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the `Hello` of this relay."""
-        self.transport = cast(asyncio.Transport, transport)
-        self.last_received_at = self.links.clock()
-        self.send(self.links.hello)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Report the end of the connection and the pending calls."""
-        if self.transport is None:
-            return
-        self.transport = None
-        self.links.link_closed(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Decode received data and handle the complete messages."""
-        self.last_received_at = self.links.clock()
-        self.pinged_at = None
-        self.reported_silent = False
-        try:
-            messages = self.reader.feed(data)
-        except PeerError as error:
-            log_event("peer_message_unreadable", peer=self.instance, error=str(error))
-            self.abort()
-            return
-        for message in messages:
-            if isinstance(message, AnswerMessage | RefusalMessage):
-                self.exchanges.discard(message.exchange)
-            self.links.handler.handle_link_message(self.instance, message)
-
-    def send(self, message: RelayMessage) -> None:
-        """Send a message."""
-        assert self.transport is not None
-        if isinstance(message, CallMessage):
-            self.exchanges.add(message.exchange)
-        self.outbox.send(self.transport, message)
-
-    def tick(self, now: float, *, paused: bool, idle_interval: float) -> None:
-        """Send a ping if no data arrives; abort the connection if it stays unanswered.
-
-        `paused` means that this process was paused since the last tick; the timeout of
-        a pending ping then starts anew. `idle_interval` is the time without received
-        data, in seconds, after which a link without a pending call is pinged.
-        """
-        if self.transport is None:
-            return
-        if paused and self.pinged_at is not None:
-            self.pinged_at = now
-        ping_after = PING_AFTER_S if self.exchanges else idle_interval
-        if self.pinged_at is not None:
-            if now - self.pinged_at > PING_TIMEOUT_S:
-                log_event("peer_silent", peer=self.instance)
-                self.abort()
-                self.links.check_all(now)
-                if not self.reported_silent:
-                    self.links.handler.handle_silent_link(self.instance)
-        elif now - self.last_received_at > ping_after:
-            self.ping(now)
-
-    def ping(self, now: float) -> None:
-        """Send a ping, unless one is unanswered."""
-        if self.transport is not None and self.pinged_at is None:
-            self.pinged_at = now
-            self.send(Ping())
-
-    def abort(self) -> None:
-        """Close the connection without sending buffered data."""
-        transport, self.transport = self.transport, None
-        if transport is not None:
-            transport.abort()
-            self.links.link_closed(self)
-
-
 class PeerLinks:
     """All connections to and from other relays.
 
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -51,7 +51,8 @@
 from .counts import NO_LIMIT, RelayCounts, RelayGauges
 from .fleet_updater import FleetUpdater
 from .local_target import CallKey, CallOutcome, LocalTarget
-from .peer_links import PeerLinks, PeerSession
+from .peer_connections import PeerSession
+from .peer_links import PeerLinks
 from .request_router import RequestRouter, UnroutedRequest
 from .responses import local_response
 from .status_exchange import StatusExchange
