--- a/buckthornshed/tests/relay/test_sponsors.py
+++ b/buckthornshed/tests/relay/test_sponsors.py
@@ -6,7 +6,7 @@
 import pytest
 
 from buckthornshed.coordination.relay.sponsors import SPONSORS_PER_PART, sponsors
-from buckthornshed.transport.relay import relay as relay_module
+from buckthornshed.transport.relay import fleet_exchange
 
 from .fleet import fleet_of, until
 
@@ -55,7 +55,7 @@
 ):
     """Its sponsors may have no view to send, as they have restarted as well."""
     if not sponsored:
-        monkeypatch.setattr(relay_module, "sponsors", lambda *_: set())
+        monkeypatch.setattr(fleet_exchange, "sponsors", lambda *_: set())
 
     async def scenario():
         async with fleet_of(3) as fleet:
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -23,8 +23,6 @@
     calls_between_services,
     calls_of_run,
 )
-from ...coordination.relay.sponsors import sponsors
-from ...coordination.relay.store_readers import StoreReaders
 from ...protocol.http import Request
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -49,7 +47,7 @@
 from .client_listener import ClientListener, Exchange
 from .client_responses import ClientResponses
 from .counts import NO_LIMIT, RelayCounts, RelayGauges
-from .fleet_updater import FleetUpdater
+from .fleet_exchange import FleetExchange
 from .local_target import CallKey, CallOutcome, LocalTarget
 from .peer_connections import PeerSession
 from .peer_links import PeerLinks
@@ -107,28 +105,30 @@
         self.settings = settings
         self.names = names
         self.clock = clock
-        self.rng = rng
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.access_log = AccessLog(counts=self.counts)
-        self.store_readers = StoreReaders(
-            instance=self.instance,
-            is_connected=lambda each: self.links.is_connected(each),
-        )
-        self.domain_peers: list[str] = []
-        self.fleet_updater = FleetUpdater(
+        self.links = PeerLinks(
+            hello=Hello(settings.name, int(wall() * 1e3), self.instance),
+            port=settings.peer_port,
+            handler=self,
             clock=clock,
-            on_catalog=self._catalog_changed,
-            on_targets=self._targets_changed,
-            broadcast=lambda update: self.links.broadcast(update),
-            readers=self.store_readers,
-            tell_domain=self._tell_domain,
-            tell_other_domains=self._tell_other_domains,
         )
-        self.fleet_view = self.fleet_updater.fleet_view
         self.load_balancer = LoadBalancer(
             failure_domain=settings.failure_domain, rng=rng
         )
+        self.fleet_exchange = FleetExchange(
+            instance=self.instance,
+            failure_domain=settings.failure_domain,
+            links=self.links,
+            load_balancer=self.load_balancer,
+            on_catalog=self._catalog_changed,
+            on_targets=self._targets_changed,
+            clock=clock,
+            rng=rng,
+        )
+        self.fleet_updater = self.fleet_exchange.updater
+        self.fleet_view = self.fleet_updater.fleet_view
         self.budget = RetryBudget(limits=settings.retry_limits)
         buffers = BufferBudget(limit=int(settings.memory * BUFFER_FRACTION))
         self.local_target = LocalTarget(
@@ -146,8 +146,8 @@
             service=settings.target_service,
             limiter=self.local_target.limiter,
             graph=self.local_target.graph,
-            broadcast=lambda status: self.links.broadcast(status),
-            send_in_turn=lambda *turn: self.links.broadcast_in_turn(*turn),
+            broadcast=self.links.broadcast,
+            send_in_turn=self.links.broadcast_in_turn,
         )
         self.admission = self.statuses.admission
         self.responses = ClientResponses(
@@ -182,12 +182,6 @@
             clock=clock,
             buffers=buffers,
         )
-        self.links = PeerLinks(
-            hello=Hello(settings.name, int(wall() * 1e3), self.instance),
-            port=settings.peer_port,
-            handler=self,
-            clock=clock,
-        )
         self.sessions: dict[int, PeerSession] = {}
         self.session_handlers: dict[type, Callable[[PeerSession, Any], None]] = {
             CallMessage: self._submit_call,
@@ -283,7 +277,7 @@
             self.local_target.pool.close_expired()
             self.fleet_updater.remove_expired()
             self._divide_retry_slack()
-            self._request_view()
+            self.fleet_exchange.request_view()
 
     # Requests of clients and nested requests of the target.
 
@@ -338,21 +332,11 @@
         self.statuses.receive(now, session.name, status)
 
     def handle_silent_link(self, instance: str) -> None:
-        """Let the relays of the own failure domain check a relay that is silent."""
-        self._tell_domain(FleetUpdate(silent=[instance]))
-
-    def _tell_domain(self, update: FleetUpdate) -> None:
-        for instance in self.domain_peers:
-            self.links.send(instance, update)
-
-    def _tell_other_domains(self, update: FleetUpdate) -> None:
-        for instance in self.links.links.keys() - set(self.domain_peers):
-            self.links.send(instance, update)
+        """Tell others of a relay that does not answer."""
+        self.fleet_exchange.report_silent(instance)
 
     def _apply_update(self, _: PeerSession, update: FleetUpdate) -> None:
-        for instance in update.silent:
-            self.links.check(instance, self.clock())
-        self.fleet_updater.apply_update(update)
+        self.fleet_exchange.apply(update)
         self.target_reports.learn_limits(update.limits)
 
     def handle_session_loss(self, session: PeerSession) -> None:
@@ -373,48 +357,17 @@
         elif isinstance(message, Pong):
             self.target_reports.record_load(now, instance, message.load)
         elif isinstance(message, ViewRequest):
-            self.links.send(instance, self._view())
+            self.fleet_exchange.send_view(instance)
 
     def handle_new_link(self, instance: str) -> None:
-        """Tell a newly connected relay what it may not know.
-
-        It may have restarted and no longer know the limit of its target, the calls of
-        routes, and, if the store does not answer, the targets and the configuration.
-        """
+        """Tell a newly connected relay of the fleet and of the calls of routes."""
         log_event("peer_found", peer=instance)
-        if self._is_sponsor(instance):
-            update = self._view()
-        else:
-            names = self.target_reports.names_by_instance.get(instance, ())
-            limits = self.load_balancer.known_limits()
-            own = [limit for limit in limits if limit.target in names]
-            update = FleetUpdate(limits=own)
-        self.links.send(instance, update)
+        beside = self.target_reports.names_by_instance.get(instance, ())
+        self.fleet_exchange.greet(instance, beside)
         status = self.statuses.status_for_new_peer()
         if status is not None:
             self.links.send(instance, status)
 
-    def _view(self) -> FleetUpdate:
-        view = self.fleet_updater.snapshot()
-        view.limits = self.load_balancer.known_limits()
-        return view
-
-    def _request_view(self) -> None:
-        """Ask another relay for its view if this one has no configuration.
-
-        The sponsors may have restarted as well, or be cut off.
-        """
-        sessions = list(self.links.sessions)
-        if self.fleet_view.catalog is None and sessions:
-            self.rng.choice(sessions).send(ViewRequest())
-
-    def _is_sponsor(self, instance: str) -> bool:
-        """Return whether this relay sends its whole view to a new one."""
-        domains: dict[str, str] = {self.instance: self.settings.failure_domain}
-        for target in self.fleet_view.targets.values():
-            domains[target.instance] = target.failure_domain
-        return self.instance in sponsors(instance, domains)
-
     def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
         """Handle the loss of a connection with calls in progress."""
         log_event("peer_lost", peer=instance, calls=len(exchanges))
@@ -432,22 +385,10 @@
 
     def _targets_changed(self) -> None:
         targets = self.fleet_view.targets
-        self.links.set_instances(
-            {t.instance for t in targets.values() if t.instance != self.instance}
-        )
+        self.fleet_exchange.update_peers(targets.values())
         instances = sorted({t.instance for t in targets.values()})
         self.budget.relays = max(1, len(instances))
         self.budget.rank = bisect_left(instances, self.instance)
-        own_domain = self.settings.failure_domain
-        self.domain_peers = sorted(
-            {
-                target.instance
-                for target in targets.values()
-                if target.failure_domain == own_domain
-                and target.instance != self.instance
-            }
-        )
-        self.store_readers.set_instances(self.domain_peers)
         self.target_reports.update_local_target()
         self.target_reports.forget_removed_targets()
         self.target_reports.index_targets()
