Check the length of a frame before all of it is decompressed

What could happen: a peer that sends a compressed frame over the size limit made a relay hold all of it, 80 MiB from a few kilobytes, before the frame was refused. A relay may use 200 MB.

Change: data is decompressed in parts of 1 MiB, and the length of the frame is checked after each. A frame may have 32 instead of 80 MiB, twice the longest answer.

Evidence: the new test finds 83,886,084 bytes in the buffer before, and at most 1 MiB now.

--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -45,7 +45,9 @@
 
 The small window suffices, because the heads of calls repeat within a few calls.
 """
-MAX_FRAME_BYTES = 80 * 1024 * 1024
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+DECOMPRESSED_PART_BYTES = 1024 * 1024
+"""Bytes that are decompressed before the length of the frame is checked again."""
 FAILED_STATUS = 500
 """Lowest status of an answer that counts as a failure of the target."""
 
@@ -352,12 +354,25 @@
             If the data cannot be decompressed, or a frame is too long or cannot be
             decoded.
         """
+        messages: list[RelayMessage] = []
+        while True:
+            part = self._decompress(data)
+            self.buffer += part
+            messages += self._take_messages()
+            data = self.decompressor.unconsumed_tail
+            if not data and len(part) < DECOMPRESSED_PART_BYTES:
+                return messages
+
+    def _decompress(self, data: bytes) -> bytes:
         try:
-            self.buffer += self.decompressor.decompress(data)
+            return self.decompressor.decompress(data, DECOMPRESSED_PART_BYTES)
         except zlib.error as error:
             raise PeerError(
                 subject="frame", found=str(error), expected="compressed messages"
             ) from error
+
+    def _take_messages(self) -> list[RelayMessage]:
+        """Remove and return the messages that are complete."""
         messages: list[RelayMessage] = []
         begin = 0
         while len(self.buffer) - begin >= LENGTH_PREFIX_BYTES:
--- a/buckthornshed/tests/relay/test_relay_messages.py
+++ b/buckthornshed/tests/relay/test_relay_messages.py
@@ -1,11 +1,16 @@
 """Tests of the framing of relay messages: order, compression, invalid bytes."""
 
+import zlib
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from buckthornshed.errors import PeerError
 from buckthornshed.protocol.relay_messages import (
+    DECOMPRESSED_PART_BYTES,
+    MAX_FRAME_BYTES,
+    WINDOW_BITS,
     AnswerMessage,
     CancelMessage,
     FleetUpdate,
@@ -80,3 +85,25 @@
     writer.frames += [(2**31).to_bytes(4, "big")]
     with pytest.raises(PeerError):
         FrameReader().feed(writer.flush())
+
+
+def compressed(data):
+    compressor = zlib.compressobj(wbits=-WINDOW_BITS)
+    return compressor.compress(data) + compressor.flush(zlib.Z_SYNC_FLUSH)
+
+
+def test_a_frame_over_the_size_limit_is_refused_before_it_is_decompressed():
+    length = (MAX_FRAME_BYTES + 1).to_bytes(4, "big")
+    reader = FrameReader()
+    with pytest.raises(PeerError, match="at most"):
+        reader.feed(compressed(length + bytes(MAX_FRAME_BYTES)))
+    assert len(reader.buffer) <= DECOMPRESSED_PART_BYTES
+
+
+def test_a_frame_of_several_decompressed_parts_is_read():
+    body = b"a" * (3 * DECOMPRESSED_PART_BYTES)
+    answer = AnswerMessage(1, 200, b"", body, 0.5, 0.1)
+    writer = FrameWriter()
+    writer.add(answer)
+    writer.add(Ping())
+    assert FrameReader().feed(writer.flush()) == [answer, Ping()]
