--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -5,7 +5,8 @@
 import pytest
 
 from buckthornshed.coordination.relay.load_balancer import Availability
-from buckthornshed.protocol.relay_messages import FrameReader, Hello, Ping, Pong
+from buckthornshed.protocol.relay_frames import FrameReader
+from buckthornshed.protocol.relay_messages import Hello, Ping, Pong
 from buckthornshed.transport.relay import peer_connections
 from buckthornshed.transport.relay.peer_connections import (
     PING_AFTER_S,
--- a/buckthornshed/tests/relay/test_relay_messages.py
+++ b/buckthornshed/tests/relay/test_relay_messages.py
@@ -7,15 +7,17 @@
 from hypothesis import strategies as st
 
 from buckthornshed.errors import PeerError
-from buckthornshed.protocol.relay_messages import (
+from buckthornshed.protocol.relay_frames import (
     DECOMPRESSED_PART_BYTES,
     MAX_FRAME_BYTES,
     WINDOW_BITS,
+    FrameReader,
+    FrameWriter,
+)
+from buckthornshed.protocol.relay_messages import (
     AnswerMessage,
     CancelMessage,
     FleetUpdate,
-    FrameReader,
-    FrameWriter,
     Ping,
     RefusalMessage,
     RefusalReason,
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/local_target.py
@@ -11,7 +11,6 @@
     LimiterCall,
     StartCall,
 )
-from ...protocol.http import get_header
 from ...protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -23,22 +22,13 @@
 from ..buffer_budget import BufferBudget
 from ..logs import log_event
 from .access_log import AccessLog
+from .answer_checks import is_genuine, refusal_reason
 from .responses import response_head
 from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
 from .target_statement import TargetStatement, read_statement
 
 __all__ = ["CallKey", "LocalTarget"]
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a client that its request has not run.
-
-The relay does not pass on a target's answer with one of them, because the target may
-have run the request.
-"""
-
-WRONG_TARGET_STATUS = 421
-"""Status by which a target rejects a request that is meant for another one."""
-
 MAX_OVERRUN_S = 5.0
 """Time after its deadline at which a running call is given up.
 
@@ -289,18 +279,12 @@
         Returns None for what is not certainly an answer of this target: the headers of
         spoiled answers may be missing, which must not end a limit.
         """
-        if isinstance(result, TargetFault) or not self._is_genuine(result):
+        if isinstance(result, TargetFault) or not is_genuine(result, self.names):
             return None
         statement = read_statement(result.headers, self.names)
         self._record_statement(call, statement)
         return statement
 
-    def _is_genuine(self, answer: TargetAnswer) -> bool:
-        if answer.status == WRONG_TARGET_STATUS:
-            return False
-        marks = (self.names.signature, self.names.not_run)
-        return any(get_header(answer.headers, mark) is not None for mark in marks)
-
     def _record_statement(self, call: LimiterCall, statement: TargetStatement) -> None:
         assert call.started is not None
         if statement.rate_limit is None:
@@ -383,22 +367,6 @@
     return target.name, target.started
 
 
-def refusal_reason(answer: TargetAnswer, names: HeaderNames) -> RefusalReason | None:
-    """Return why a target's answer cannot be passed on; None if it can."""
-    if answer.status == WRONG_TARGET_STATUS:
-        return RefusalReason.WRONG_TARGET
-    if get_header(answer.headers, names.not_run) is not None:
-        return RefusalReason.TARGET_FULL
-    if get_header(answer.headers, b"content-encoding") is not None:
-        return RefusalReason.LOST
-    is_signed = get_header(answer.headers, names.signature) is not None
-    if answer.status < 400 and not is_signed:
-        return RefusalReason.LOST
-    if answer.status in NOT_RUN_STATUSES:
-        return RefusalReason.LOST
-    return None
-
-
 def _session(key: Hashable) -> int:
     assert isinstance(key, CallKey)
     return key.session
--- a/buckthornshed/transport/relay/peer_connections.py
+++ b/buckthornshed/transport/relay/peer_connections.py
@@ -10,11 +10,10 @@
 from typing import Protocol, cast
 
 from ...errors import PeerError
+from ...protocol.relay_frames import FrameReader, FrameWriter
 from ...protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
-    FrameReader,
-    FrameWriter,
     Hello,
     Ping,
     RefusalMessage,
