Count the messages between relays by kind, and their bytes

Why: what a relay costs in a large fleet could only be seen in a profile. buckthornshed_peer_messages_total has direction and kind, buckthornshed_peer_bytes_total the compressed bytes. The metric for lines of the log, which nothing ever counted, goes.

Evidence: a test with two relays compares what one has sent with what the other has received.

--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -8,6 +8,7 @@
 from buckthornshed.protocol.relay_frames import FrameReader
 from buckthornshed.protocol.relay_messages import Hello, Ping, Pong
 from buckthornshed.transport.relay import peer_connections
+from buckthornshed.transport.relay.counts import RelayCounts
 from buckthornshed.transport.relay.peer_connections import (
     PING_AFTER_S,
     PING_TIMEOUT_S,
@@ -84,7 +85,11 @@
         self.clock = ManualClock()
         self.handler = IdleHandler()
         self.links = PeerLinks(
-            hello=Hello("a", 1), port=1, handler=self.handler, clock=self.clock
+            hello=Hello("a", 1),
+            port=1,
+            handler=self.handler,
+            clock=self.clock,
+            counts=RelayCounts(),
         )
         self.transports = {}
         self.cut_off = set()
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -419,3 +419,20 @@
             assert (await fleet.ask(draining)).status == 503
 
     run(scenario())
+
+
+def test_messages_between_relays_are_counted_by_kind_and_in_bytes():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            sender, receiver = fleet.relays
+            fleet.targets[0].scripts = ["full"] * 20
+            await until(
+                lambda: receiver.counts.peer_messages["received", "CallMessage"],
+                ask=lambda: fleet.ask(sender),
+            )
+            sent = sender.counts.peer_messages["sent", "CallMessage"]
+            assert sent == receiver.counts.peer_messages["received", "CallMessage"]
+            assert receiver.counts.peer_messages["sent", "AnswerMessage"] == sent
+            assert sender.counts.peer_bytes["received",] > 0
+
+    asyncio.run(scenario())
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -90,8 +90,10 @@
         Answered requests, by route and outcome.
     calls : Counter
         Ended calls to the local target, by outcome.
-    events : Counter
-        Lines written to the log, by event. No code increments it at present.
+    peer_messages : Counter
+        Messages from and to other relays, by direction and kind.
+    peer_bytes : Counter
+        Bytes from and to other relays as sent on the wire, by direction.
     retries : int
         Sends after the first one of each request.
     latencies : dict
@@ -103,7 +105,8 @@
     def __init__(self) -> None:
         self.requests: Counter[tuple[str, ...]] = Counter()
         self.calls: Counter[tuple[str, ...]] = Counter()
-        self.events: Counter[tuple[str, ...]] = Counter()
+        self.peer_messages: Counter[tuple[str, ...]] = Counter()
+        self.peer_bytes: Counter[tuple[str, ...]] = Counter()
         self.retries = 0
         self.latencies: dict[str, LatencyHistogram] = {}
         self.store_calls: Callable[[], int] = int
--- a/buckthornshed/transport/relay/metrics.py
+++ b/buckthornshed/transport/relay/metrics.py
@@ -68,7 +68,18 @@
         self._add_counter(
             "calls", self.counts.calls, ("outcome",), "Calls at the target"
         )
-        self._add_counter("events", self.counts.events, ("event",), "Lines in the log")
+        self._add_counter(
+            "peer_messages",
+            self.counts.peer_messages,
+            ("direction", "kind"),
+            "Messages from and to other relays",
+        )
+        self._add_counter(
+            "peer_bytes",
+            self.counts.peer_bytes,
+            ("direction",),
+            "Compressed bytes from and to other relays",
+        )
         self.meter.create_observable_counter(
             "buckthornshed.sends_again",
             callbacks=[lambda _: [Observation(self.counts.retries)]],
--- a/buckthornshed/transport/relay/peer_connections.py
+++ b/buckthornshed/transport/relay/peer_connections.py
@@ -20,6 +20,7 @@
     RelayMessage,
 )
 from ..logs import log_event
+from .counts import RelayCounts
 
 __all__ = [
     "PING_AFTER_S",
@@ -68,6 +69,7 @@
     hello: Hello
     clock: Callable[[], float]
     handler: PeerHandler
+    counts: RelayCounts
     sessions: set["PeerSession"]
 
     def count_session(self, instance: str, change: int) -> None:
@@ -86,13 +88,15 @@
 class Outbox:
     """Batches the messages of one iteration of the event loop into one write."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, counts: RelayCounts) -> None:
+        self.counts = counts
         self.writer = FrameWriter()
         self.scheduled = False
 
     def send(self, transport: asyncio.Transport, message: RelayMessage) -> None:
         """Send a message with the next iteration of the event loop."""
         self.writer.add(message)
+        self.counts.peer_messages["sent", type(message).__name__] += 1
         if not self.scheduled:
             self.scheduled = True
             asyncio.get_running_loop().call_soon(self._flush, transport)
@@ -100,10 +104,28 @@
     def _flush(self, transport: asyncio.Transport) -> None:
         self.scheduled = False
         data = self.writer.flush()
+        self.counts.peer_bytes["sent",] += len(data)
         if not transport.is_closing():
             transport.write(data)
 
 
+def read_messages(
+    reader: FrameReader, data: bytes, counts: RelayCounts
+) -> list[RelayMessage]:
+    """Return and count the messages that received bytes complete.
+
+    Raises
+    ------
+    PeerError
+        If the bytes cannot be read.
+    """
+    counts.peer_bytes["received",] += len(data)
+    messages = reader.feed(data)
+    for message in messages:
+        counts.peer_messages["received", type(message).__name__] += 1
+    return messages
+
+
 class PeerSession(asyncio.Protocol):
     """Connection that another relay opened.
 
@@ -121,7 +143,7 @@
         self.name = ""
         self.instance = ""
         self.reader = FrameReader()
-        self.outbox = Outbox()
+        self.outbox = Outbox(counts=links.counts)
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -143,7 +165,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode received data and handle the complete messages."""
         try:
-            messages = self.reader.feed(data)
+            messages = read_messages(self.reader, data, self.links.counts)
         except PeerError as error:
             log_event("peer_message_unreadable", peer=self.name, error=str(error))
             if self.transport is not None:
@@ -184,7 +206,7 @@
         self.links = links
         self.instance = instance
         self.reader = FrameReader()
-        self.outbox = Outbox()
+        self.outbox = Outbox(counts=links.counts)
         self.transport: asyncio.Transport | None = None
         self.exchanges: set[int] = set()
         self.last_received_at = 0.0
@@ -211,7 +233,7 @@
         self.pinged_at = None
         self.reported_silent = False
         try:
-            messages = self.reader.feed(data)
+            messages = read_messages(self.reader, data, self.links.counts)
         except PeerError as error:
             log_event("peer_message_unreadable", peer=self.instance, error=str(error))
             self.abort()
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peer_links.py
@@ -11,6 +11,7 @@
 
 from ...coordination.relay.load_balancer import Availability
 from ...protocol.relay_messages import Hello, RelayMessage
+from .counts import RelayCounts
 from .peer_connections import PING_AFTER_S, PeerHandler, PeerLink, PeerSession
 from .supervision import keep_running
 
@@ -45,6 +46,8 @@
         Handles messages and changes of connections.
     clock : callable
         Returns seconds of the monotonic clock.
+    counts : RelayCounts
+        Counts the messages and their bytes.
     """
 
     def __init__(
@@ -54,11 +57,13 @@
         port: int,
         handler: PeerHandler,
         clock: Callable[[], float],
+        counts: RelayCounts,
     ) -> None:
         self.hello = hello
         self.port = port
         self.handler = handler
         self.clock = clock
+        self.counts = counts
         self.sessions: set[PeerSession] = set()
         self.sessions_by_instance: Counter[str] = Counter()
         self.links: dict[str, PeerLink] = {}
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -113,6 +113,7 @@
             port=settings.peer_port,
             handler=self,
             clock=clock,
+            counts=self.counts,
         )
         self.load_balancer = LoadBalancer(
             failure_domain=settings.failure_domain, rng=rng
