--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -17,12 +17,8 @@
 )
 from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.load_balancer import Availability, LoadBalancer
+from ...coordination.relay.retried_runs import RetriedRuns
 from ...coordination.relay.retry_budget import RetryBudget
-from ...coordination.relay.retry_slack import slack_parts
-from ...coordination.relay.route_demand import (
-    calls_between_services,
-    calls_of_run,
-)
 from ...protocol.http import Request
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -137,7 +133,7 @@
             names=names,
             deliver=self._handle_call_outcome,
             on_leaving=self.fleet_updater.handle_leaving,
-            covers_retried_run=self._covers_retried_run,
+            covers_retried_run=lambda route: self.retried_runs.covered(clock(), route),
             access_log=self.access_log,
             clock=clock,
             buffers=buffers,
@@ -151,6 +147,7 @@
             send_in_turn=self.links.broadcast_in_turn,
         )
         self.admission = self.statuses.admission
+        self.retried_runs = RetriedRuns(budget=self.budget, admission=self.admission)
         self.responses = ClientResponses(
             names=names,
             access_log=self.access_log,
@@ -277,7 +274,7 @@
             self.listener.close_expired()
             self.local_target.pool.close_expired()
             self.fleet_updater.remove_expired()
-            self._divide_retry_slack()
+            self.retried_runs.divide_slack()
             self.fleet_exchange.request_view()
 
     # Requests of clients and nested requests of the target.
@@ -394,18 +391,6 @@
         self.target_reports.forget_removed_targets()
         self.target_reports.index_targets()
 
-    def _divide_retry_slack(self) -> None:
-        calls = calls_between_services(
-            routes=self.admission.routes, graph=self.local_target.graph
-        )
-        self.budget.set_slack_parts(slack_parts(calls))
-
-    def _covers_retried_run(self, route: str) -> bool:
-        calls = calls_of_run(
-            route, routes=self.admission.routes, graph=self.local_target.graph
-        )
-        return self.budget.covers(self.clock(), calls)
-
     def _broadcast_status(self, now: float) -> None:
         target = self.local_target.registration
         unreachable = frozenset(
