Do not pass on an answer of which a part was dropped

What callers could see: a success with an empty body.

Cause: an answer that exceeds a limit, or is the largest one when the incomplete messages exceed theirs, loses its body and is marked. The mark was looked at after each read, but not when the answer became complete in the same read.

Change: a marked answer is a fault, like the ones that are cut off.

Evidence: the new test gets status 200 with an empty body before, and a fault now.

--- a/buckthornshed/tests/test_endless_bytes.py
+++ b/buckthornshed/tests/test_endless_bytes.py
@@ -89,6 +89,38 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("extra_headers", [0, 200])
+def test_a_complete_answer_of_which_a_part_was_dropped_is_not_passed_on(extra_headers):
+    """All of it arrives at once, so no further data shows that it was too large."""
+    body = b"h" * (2_000 if not extra_headers else 4)
+    answer = (
+        b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n%s"
+        b"response-seal: s\r\ncontent-length: %d\r\n\r\n%s"
+    ) % (b"x: y\r\n" * extra_headers, len(body), body)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        ended = asyncio.get_running_loop().create_future()
+        pool = TargetPool(
+            address=f"{host}:{port}",
+            names=HEADERS,
+            on_end=lambda _, result: ended.set_result(result),
+            clock=time.monotonic,
+            buffers=BufferBudget(limit=1_000),
+        )
+        request = b"GET / HTTP/1.1\r\nrequest-id: r-1\r\n\r\n"
+        pool.send(1, b"r-1", request, head_only=False)
+        assert isinstance(await ended, TargetFault)
+        server.close()
+
+    run(scenario)
+
+
 class RejectingHandler:
     """Handles requests of which none may become complete."""
 
--- a/buckthornshed/transport/relay/target_pool.py
+++ b/buckthornshed/transport/relay/target_pool.py
@@ -175,6 +175,9 @@
         self._finish_answer(reusable=self.parser.should_keep_alive())
 
     def _finish_answer(self, *, reusable: bool) -> None:
+        if self.collector.too_large:
+            self._fail(FaultKind.UNUSABLE, "answer exceeds the size limit")
+            return
         headers = self.collector.headers
         fault = framing_fault(headers)
         if fault is not None:
