Blame a request for crashes only after it ran apart from other suspects

Cause: the suspect of most crashes was blamed, even where it had never run apart from the others, so chance or a second deadly request put the blame on harmless ones. The evidence of a quarantine that a relay adopted began anew there, so a failed trial did not lengthen it; and several targets could run the same likely culprit before the news of the first crash had reached them.

Change: the culprit ran apart from other suspects at the latest crash; three crashes suffice if nothing else unanswered ran there, else one more, and one more where targets also crash without it. From the third crash on a suspect runs at one target at a time, told in the message of quarantines. The start of a quarantine is derived from what is told.

--- a/buckthornshed/coordination/relay/crash_suspects.py
+++ b/buckthornshed/coordination/relay/crash_suspects.py
@@ -3,9 +3,9 @@
 A crash does not show which of the running requests caused it. A request is suspected of
 each crash that it was present at, until a target answers it: an answer shows that the
 request does not crash this release. A suspect of two crashes runs without any other
-suspect at its target, so that the next crash tells them apart. The one that alone was
-present at three crashes is quarantined, and explains these crashes: nothing else is
-suspected of them.
+suspect at its target, so that the next crash tells them apart, and from the third crash
+on at one target at a time. One that ran apart at the latest of enough crashes is
+quarantined, and explains these crashes: nothing else is suspected of them.
 
 A quarantine ends when a target answers the request. It holds for the releases that the
 request has crashed; another release, or the same one after some time, gets the request
@@ -31,7 +31,7 @@
 
 CRASHES_TO_ISOLATE = 2
 CRASHES_TO_QUARANTINE = 3
-MANY_OTHER_CRASHES = 2
+MANY_OTHER_CRASHES = 1
 """Recent crashes without a request from which one more is needed to blame it."""
 RECENT_S = 60.0
 MAX_CRASHES = 256
@@ -39,6 +39,7 @@
 """Suspects of one crash; targets rarely run more requests."""
 MAX_QUARANTINES = 1_024
 MAX_CLEARED = 4_096
+MAX_TRIALS = 256
 MAX_RELEASES = 16
 """Releases that one quarantine remembers."""
 MAX_TOLD_CRASHES = 16
@@ -119,8 +120,7 @@
         if now - self.last_crash_at > TRIAL_S:
             self.failed_trials += 1
         self.last_crash_at = now
-        duration = FIRST_QUARANTINE_S * QUARANTINE_GROWTH**self.failed_trials
-        self.until = now + min(duration, MAX_QUARANTINE_S)
+        self.until = now + quarantine_seconds(self.failed_trials)
 
     def record_answer(self, release: Release) -> int | None:
         """Record an answer of a release; return the time of its latest crash.
@@ -156,6 +156,8 @@
         Number of crashes that each request is suspected of.
     quarantines : dict
         `Quarantine` by fingerprint.
+    trials : dict
+        Time until which a suspect that one target tries is refused, in seconds.
     cleared : dict
         By fingerprint and release, Unix milliseconds up to which crashes are void.
     """
@@ -164,6 +166,7 @@
         self.crashes: dict[CrashId, CrashRecord] = {}
         self.counts: Counter[bytes] = Counter()
         self.quarantines: dict[bytes, Quarantine] = {}
+        self.trials: dict[bytes, float] = {}
         self.cleared: dict[tuple[bytes, Release], int] = {}
 
     @property
@@ -188,6 +191,8 @@
         """Return how targets of a release handle a request."""
         quarantine = self.quarantines.get(fingerprint)
         if quarantine is None:
+            if now < self.trials.get(fingerprint, now):
+                return Handling.REFUSED
             isolated = self.counts[fingerprint] >= CRASHES_TO_ISOLATE
             return Handling.ISOLATED if isolated else Handling.NORMAL
         if release in quarantine.answered:
@@ -201,7 +206,9 @@
         """Return the seconds until a release may try a request that it refuses."""
         if self.handling(now, fingerprint, release) is not Handling.REFUSED:
             return 0.0
-        quarantine = self.quarantines[fingerprint]
+        quarantine = self.quarantines.get(fingerprint)
+        if quarantine is None:
+            return self.trials[fingerprint] - now
         until = quarantine.until if release in quarantine.crashed else 0.0
         return max(until, quarantine.trial_until) - now
 
@@ -217,6 +224,8 @@
         }
         record = CrashRecord(release=crash.release, suspects=suspects, at=now)
         self._add_crash(crash_id, record)
+        for suspect in suspects:
+            self.trials.pop(suspect, None)
         explained = suspects & self.quarantines.keys()
         for fingerprint in explained:
             quarantine = self.quarantines[fingerprint]
@@ -235,10 +244,16 @@
         return [culprit]
 
     def begin_trial(self, now: float, fingerprint: bytes) -> ToldQuarantine | None:
-        """Record that a target tries a request; None if it is not quarantined."""
+        """Record that a target tries a request, which the other ones then refuse.
+
+        Returns None if it is neither quarantined nor suspected of enough crashes.
+        """
         quarantine = self.quarantines.get(fingerprint)
         if quarantine is None:
-            return None
+            if self.counts[fingerprint] < CRASHES_TO_QUARANTINE:
+                return None
+            self._add_trial(now, fingerprint, TRIAL_S)
+            return ToldQuarantine(fingerprint, [], 0, 0.0, TRIAL_S)
         quarantine.trial_until = now + TRIAL_S
         return quarantine.told(now, fingerprint)
 
@@ -249,6 +264,7 @@
         """
         fingerprint, release, at_ms = clearance
         found = False
+        self.trials.pop(fingerprint, None)
         for crash_id, record in self.crashes.items():
             if fingerprint in record.suspects and record.release == release:
                 record.suspects.discard(fingerprint)
@@ -274,12 +290,14 @@
             for release, at_ms in told.crashes
             if self.cleared.get((told.fingerprint, release), -1) < at_ms
         }
+        if not told.crashes and told.fingerprint in self.counts:
+            self._add_trial(now, told.fingerprint, told.trial_seconds)
         if not crashed:
             return False
         quarantine = self.quarantines.get(told.fingerprint)
         is_new = quarantine is None
         if quarantine is None:
-            quarantine = Quarantine(last_crash_at=now)
+            quarantine = Quarantine(last_crash_at=told_crash_at(now, told))
             self._add_quarantine(told.fingerprint, quarantine)
         for release, at_ms in crashed.items():
             latest = max(at_ms, quarantine.crashed.get(release, 0))
@@ -305,12 +323,18 @@
         )
 
     def _culprit(self, now: float, suspects: Iterable[bytes]) -> bytes | None:
-        """Return the suspect of the most crashes, if it is clear and they suffice."""
+        """Return the suspect of enough crashes that ran apart from other suspects.
+
+        A request that was present together with another suspect may have been there
+        by chance, however often. Those that this crash is the first one of are no
+        suspects yet when they run.
+        """
         ranked = sorted(suspects, key=lambda each: self.counts[each], reverse=True)
-        counts = [self.counts[each] for each in ranked[:2]]
-        if not counts or counts[1:] == counts[:1]:
+        counts = [self.counts[each] for each in ranked]
+        ran_apart = all(count == 1 for count in counts[1:])
+        if not counts or not ran_apart:
             return None
-        needed = CRASHES_TO_QUARANTINE
+        needed = CRASHES_TO_QUARANTINE + (len(ranked) > 1)
         if self._crashes_without(now, ranked[0]) >= MANY_OTHER_CRASHES:
             needed += 1
         return ranked[0] if counts[0] >= needed else None
@@ -334,6 +358,9 @@
         self.crashes[crash_id] = record
         self.counts.update(record.suspects)
 
+    def _add_trial(self, now: float, fingerprint: bytes, seconds: float) -> None:
+        _insert(self.trials, fingerprint, now + seconds, limit=MAX_TRIALS)
+
     def _add_quarantine(self, fingerprint: bytes, quarantine: Quarantine) -> None:
         _insert(self.quarantines, fingerprint, quarantine, limit=MAX_QUARANTINES)
         for record in self.crashes.values():
@@ -356,6 +383,17 @@
             del self.counts[fingerprint]
 
 
+def quarantine_seconds(failed_trials: int) -> float:
+    """Return the seconds for which a request is kept from the releases it crashed."""
+    duration = FIRST_QUARANTINE_S * QUARANTINE_GROWTH**failed_trials
+    return min(duration, MAX_QUARANTINE_S)
+
+
+def told_crash_at(now: float, told: ToldQuarantine) -> float:
+    """Return the latest time at which a quarantine that is told can have begun."""
+    return now + told.seconds - quarantine_seconds(told.failed_trials)
+
+
 def _insert(table: dict[Key, Value], key: Key, value: Value, *, limit: int) -> None:
     """Insert into a table; the oldest entry leaves if it is full."""
     if key not in table and len(table) >= limit:
