Move the modules of the relay into packages by the question they answer

Change: moves and import lines only, and the test of the operations page searches the packages too. coordination/relay/admission/admission.py is now controller.py.

--- /dev/null
+++ b/buckthornshed/coordination/relay/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which client requests may come in when capacity runs short."""
--- a/buckthornshed/coordination/relay/admission.py
+++ b/buckthornshed/coordination/relay/admission/controller.py
@@ -19,8 +19,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ...protocol.relay_messages import RefusalReason, Status
-from ...state.catalog import Catalog, Route
+from ....protocol.relay_messages import RefusalReason, Status
+from ....state.catalog import Catalog, Route
 from .allocation import Precedence, allocate
 from .call_graph import CallGraph
 from .fleet_load import (
--- a/buckthornshed/coordination/relay/fleet_load.py
+++ b/buckthornshed/coordination/relay/admission/fleet_load.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from ...protocol.relay_messages import Status
-from .call_times import MIN_CALL_TIME_S
+from ....protocol.relay_messages import Status
+from ..limiter.call_times import MIN_CALL_TIME_S
 
 __all__ = [
     "Report",
--- a/buckthornshed/coordination/relay/route_demand.py
+++ b/buckthornshed/coordination/relay/admission/route_demand.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from ...state.catalog import Route
+from ....state.catalog import Route
+from ..limiter.call_times import DEFAULT_CALL_TIME_S
 from .call_graph import CallGraph
-from .call_times import DEFAULT_CALL_TIME_S
 
 __all__ = ["RouteDemand", "calls_between_services", "calls_of_run", "route_demand"]
 
--- /dev/null
+++ b/buckthornshed/coordination/relay/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests may have ended the targets that ran them."""
--- a/buckthornshed/coordination/relay/crash_suspects.py
+++ b/buckthornshed/coordination/relay/crashes/crash_suspects.py
@@ -18,14 +18,14 @@
 from enum import Enum
 from typing import NamedTuple, TypeVar
 
-from ...protocol.crash_messages import (
+from ....protocol.crash_messages import (
     Clearance,
     Crash,
     CrashNotice,
     ReleaseCrash,
     ToldQuarantine,
 )
-from ...state.catalog import Release
+from ....state.catalog import Release
 
 __all__ = ["CrashSuspects", "Handling"]
 
--- a/buckthornshed/coordination/relay/suspect_isolation.py
+++ b/buckthornshed/coordination/relay/crashes/suspect_isolation.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Hashable
 
-from ...protocol.relay_messages import RefusalReason
-from ...state.catalog import Release
+from ....protocol.relay_messages import RefusalReason
+from ....state.catalog import Release
 from .crash_suspects import CrashSuspects, Handling
 
 __all__ = ["SuspectIsolation"]
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -17,8 +17,8 @@
     RefusalReason,
 )
 from ...state.catalog import Route, Target
-from .admission import AdmissionController
-from .crash_suspects import CrashSuspects
+from .admission.controller import AdmissionController
+from .crashes.crash_suspects import CrashSuspects
 from .dispatch_messages import (
     Attempt,
     CancelCall,
@@ -28,18 +28,18 @@
     RoutedRequest,
     SendCall,
 )
-from .fleet_view import FleetView
-from .load_balancer import Availability, LoadBalancer, TargetRecord
+from .fleet.fleet_view import FleetView
 from .pending_request import PendingRequest
+from .placement.load_balancer import Availability, LoadBalancer, TargetRecord
+from .placement.target_choice import TargetChoice
+from .placement.weighted_round_robin import WeightedRoundRobin
 from .refusal_reasons import (
     EJECTION_REASONS,
     FINAL_REASONS,
     FREE_RETRY_REASONS,
     TARGET_FAILURE_REASONS,
 )
-from .retry_budget import RetryBudget
-from .target_choice import TargetChoice
-from .weighted_round_robin import WeightedRoundRobin
+from .retries.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
     from random import Random
--- /dev/null
+++ b/buckthornshed/coordination/relay/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a relay knows of the configuration and of the targets."""
--- a/buckthornshed/coordination/relay/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from ...state.catalog import Catalog, Target
+from ....state.catalog import Catalog, Target
 
 __all__ = ["FleetView", "RegistrationVersion"]
 
--- a/buckthornshed/coordination/relay/concurrency_limiter.py
+++ b/buckthornshed/coordination/relay/limiter/concurrency_limiter.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ...protocol.relay_messages import CallMessage, RefusalReason
+from ....protocol.relay_messages import CallMessage, RefusalReason
 from .call_times import MIN_CALL_TIME_S, CallTimes, RunningCall
 from .capacity import CapacityEstimate
 from .circuit_breaker import CircuitBreaker
--- a/buckthornshed/coordination/relay/pending_request.py
+++ b/buckthornshed/coordination/relay/pending_request.py
@@ -4,7 +4,7 @@
 
 from ...protocol.relay_messages import AnswerMessage
 from .dispatch_messages import Attempt, RoutedRequest
-from .load_balancer import TargetRecord
+from .placement.load_balancer import TargetRecord
 
 __all__ = ["PendingRequest"]
 
--- /dev/null
+++ b/buckthornshed/coordination/relay/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where a call runs: the choice of a target."""
--- a/buckthornshed/coordination/relay/load_balancer.py
+++ b/buckthornshed/coordination/relay/placement/load_balancer.py
@@ -12,10 +12,10 @@
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from ...protocol.relay_messages import StatedLimit
-from ...state.catalog import Route, Target
-from .call_times import DEFAULT_CALL_TIME_S
-from .rate_limiter import UNLIMITED
+from ....protocol.relay_messages import StatedLimit
+from ....state.catalog import Route, Target
+from ..limiter.call_times import DEFAULT_CALL_TIME_S
+from ..limiter.rate_limiter import UNLIMITED
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/coordination/relay/target_choice.py
+++ b/buckthornshed/coordination/relay/placement/target_choice.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from functools import partial
 
-from ...state.catalog import Target
-from .crash_suspects import CrashSuspects, Handling
-from .fleet_view import FleetView
+from ....state.catalog import Target
+from ..crashes.crash_suspects import CrashSuspects, Handling
+from ..fleet.fleet_view import FleetView
+from ..pending_request import PendingRequest
 from .load_balancer import Availability, LoadBalancer, TargetRecord
-from .pending_request import PendingRequest
 
 __all__ = ["TargetChoice"]
 
--- a/buckthornshed/coordination/relay/weighted_round_robin.py
+++ b/buckthornshed/coordination/relay/placement/weighted_round_robin.py
@@ -1,6 +1,6 @@
 """Traffic split of a route by weight, independent of the services' capacity."""
 
-from ...state.catalog import Route
+from ....state.catalog import Route
 
 __all__ = ["WeightedRoundRobin"]
 
--- /dev/null
+++ b/buckthornshed/coordination/relay/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls may be sent again."""
--- a/buckthornshed/coordination/relay/retried_runs.py
+++ b/buckthornshed/coordination/relay/retries/retried_runs.py
@@ -1,9 +1,9 @@
 """Which retried runs the retry limit allows at the target beside a relay."""
 
-from .admission import AdmissionController
+from ..admission.controller import AdmissionController
+from ..admission.route_demand import calls_between_services, calls_of_run
 from .retry_budget import RetryBudget
 from .retry_slack import slack_parts
-from .route_demand import calls_between_services, calls_of_run
 
 __all__ = ["RetriedRuns"]
 
--- a/buckthornshed/coordination/relay/retry_budget.py
+++ b/buckthornshed/coordination/relay/retries/retry_budget.py
@@ -21,7 +21,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ...state.relay_settings import RetryLimits
+from ....state.relay_settings import RetryLimits
 
 __all__ = ["RetryBudget"]
 
--- a/buckthornshed/platform/program.py
+++ b/buckthornshed/platform/program.py
@@ -8,7 +8,7 @@
 
 from ..errors import SettingsError
 from ..transport.logs import configure_logging, log_event
-from ..transport.relay.log_buffer import LogBuffer, LogBufferHandler
+from ..transport.relay.logs.log_buffer import LogBuffer, LogBufferHandler
 from ..transport.relay.process import run_relay
 from ..transport.relay.relay import Relay
 from .reader import StoreReader
--- a/buckthornshed/tests/properties/test_relay_machine.py
+++ b/buckthornshed/tests/properties/test_relay_machine.py
@@ -20,17 +20,17 @@
 )
 
 from buckthornshed.coordination.relay import dispatcher as dispatcher_module
-from buckthornshed.coordination.relay.concurrency_limiter import (
-    ConcurrencyLimiter,
-    LimiterCall,
-    StartCall,
-)
 from buckthornshed.coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
     FailRequest,
     SendCall,
 )
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import (
+    ConcurrencyLimiter,
+    LimiterCall,
+    StartCall,
+)
 from buckthornshed.protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
--- a/buckthornshed/tests/relay/crash_simulation.py
+++ b/buckthornshed/tests/relay/crash_simulation.py
@@ -8,9 +8,12 @@
 from itertools import count
 from typing import NamedTuple
 
-from buckthornshed.coordination.relay.crash_suspects import CrashSuspects, Handling
-from buckthornshed.coordination.relay.recent_answers import RecentAnswers
-from buckthornshed.coordination.relay.suspect_isolation import SuspectIsolation
+from buckthornshed.coordination.relay.crashes.crash_suspects import (
+    CrashSuspects,
+    Handling,
+)
+from buckthornshed.coordination.relay.crashes.recent_answers import RecentAnswers
+from buckthornshed.coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from buckthornshed.protocol.crash_messages import Clearance, Crash, CrashNotice
 from buckthornshed.state.catalog import Release
 
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -3,16 +3,19 @@
 from functools import partial
 from random import Random
 
-from buckthornshed.coordination.relay.admission import AdmissionController
-from buckthornshed.coordination.relay.call_graph import CallGraph
-from buckthornshed.coordination.relay.concurrency_limiter import LimiterCall
-from buckthornshed.coordination.relay.crash_suspects import CrashSuspects
+from buckthornshed.coordination.relay.admission.call_graph import CallGraph
+from buckthornshed.coordination.relay.admission.controller import AdmissionController
+from buckthornshed.coordination.relay.crashes.crash_suspects import CrashSuspects
+from buckthornshed.coordination.relay.crashes.fingerprints import request_fingerprint
 from buckthornshed.coordination.relay.dispatch_messages import RoutedRequest
 from buckthornshed.coordination.relay.dispatcher import Dispatcher
-from buckthornshed.coordination.relay.fingerprints import request_fingerprint
-from buckthornshed.coordination.relay.fleet_view import FleetView
-from buckthornshed.coordination.relay.load_balancer import Availability, LoadBalancer
-from buckthornshed.coordination.relay.retry_budget import RetryBudget
+from buckthornshed.coordination.relay.fleet.fleet_view import FleetView
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import LimiterCall
+from buckthornshed.coordination.relay.placement.load_balancer import (
+    Availability,
+    LoadBalancer,
+)
+from buckthornshed.coordination.relay.retries.retry_budget import RetryBudget
 from buckthornshed.protocol.relay_messages import CallMessage
 from buckthornshed.state.catalog import Catalog, Limits, Route, RouteDestination, Target
 from buckthornshed.state.relay_settings import RetryLimits
--- a/buckthornshed/tests/relay/test_admission_shares.py
+++ b/buckthornshed/tests/relay/test_admission_shares.py
@@ -2,12 +2,14 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.admission import AdmissionController
-from buckthornshed.coordination.relay.allocation import Precedence, allocate
-from buckthornshed.coordination.relay.call_graph import CallGraph
-from buckthornshed.coordination.relay.capacity import CapacityEstimate
-from buckthornshed.coordination.relay.concurrency_limiter import ConcurrencyLimiter
-from buckthornshed.coordination.relay.offered_rates import OfferedRates
+from buckthornshed.coordination.relay.admission.allocation import Precedence, allocate
+from buckthornshed.coordination.relay.admission.call_graph import CallGraph
+from buckthornshed.coordination.relay.admission.controller import AdmissionController
+from buckthornshed.coordination.relay.admission.offered_rates import OfferedRates
+from buckthornshed.coordination.relay.limiter.capacity import CapacityEstimate
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import (
+    ConcurrencyLimiter,
+)
 from buckthornshed.protocol.relay_messages import Status
 from buckthornshed.state.catalog import RouteDestination
 
--- a/buckthornshed/tests/relay/test_call_times.py
+++ b/buckthornshed/tests/relay/test_call_times.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.call_times import CallTimes, RunningCall
-from buckthornshed.coordination.relay.concurrency_limiter import (
+from buckthornshed.coordination.relay.limiter.call_times import CallTimes, RunningCall
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import (
     MAX_PROBES,
     ConcurrencyLimiter,
     RefuseCall,
 )
-from buckthornshed.coordination.relay.load_balancer import LoadBalancer
+from buckthornshed.coordination.relay.placement.load_balancer import LoadBalancer
 
 from .makers import make_call, make_dispatcher, make_request, make_route, make_target
 
--- a/buckthornshed/tests/relay/test_concurrency_limiter.py
+++ b/buckthornshed/tests/relay/test_concurrency_limiter.py
@@ -1,4 +1,4 @@
-from buckthornshed.coordination.relay.concurrency_limiter import (
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import (
     ConcurrencyLimiter,
     RefuseCall,
     StartCall,
--- a/buckthornshed/tests/relay/test_crash_detection.py
+++ b/buckthornshed/tests/relay/test_crash_detection.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.fingerprints import request_fingerprint
+from buckthornshed.coordination.relay.crashes.fingerprints import request_fingerprint
 
 from .fleet import fleet_of, until
 
--- a/buckthornshed/tests/relay/test_crash_suspects.py
+++ b/buckthornshed/tests/relay/test_crash_suspects.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.crash_suspects import (
+from buckthornshed.coordination.relay.crashes.crash_suspects import (
     FIRST_QUARANTINE_S,
     MAX_CLEARED,
     MAX_CRASHES,
@@ -13,8 +13,8 @@
     CrashSuspects,
     Handling,
 )
-from buckthornshed.coordination.relay.fingerprints import request_fingerprint
-from buckthornshed.coordination.relay.suspect_isolation import SuspectIsolation
+from buckthornshed.coordination.relay.crashes.fingerprints import request_fingerprint
+from buckthornshed.coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from buckthornshed.protocol.crash_messages import Clearance, Crash
 from buckthornshed.protocol.relay_messages import RefusalReason
 from buckthornshed.state.catalog import Release
--- a/buckthornshed/tests/relay/test_fleet_retry_bound.py
+++ b/buckthornshed/tests/relay/test_fleet_retry_bound.py
@@ -7,9 +7,9 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from buckthornshed.coordination.relay import retry_budget
-from buckthornshed.coordination.relay.retry_budget import RetryBudget
-from buckthornshed.coordination.relay.retry_slack import slack_parts
+from buckthornshed.coordination.relay.retries import retry_budget
+from buckthornshed.coordination.relay.retries.retry_budget import RetryBudget
+from buckthornshed.coordination.relay.retries.retry_slack import slack_parts
 from buckthornshed.state.relay_settings import RetryLimits
 
 LIMITS = RetryLimits(ratio=0.2, window=10.0, slack=48)
--- a/buckthornshed/tests/relay/test_fleet_view.py
+++ b/buckthornshed/tests/relay/test_fleet_view.py
@@ -1,6 +1,9 @@
 import pytest
 
-from buckthornshed.coordination.relay.fleet_view import FleetView, RegistrationVersion
+from buckthornshed.coordination.relay.fleet.fleet_view import (
+    FleetView,
+    RegistrationVersion,
+)
 
 from .makers import make_catalog, make_target
 
--- a/buckthornshed/tests/relay/test_log_buffer.py
+++ b/buckthornshed/tests/relay/test_log_buffer.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from buckthornshed.transport.relay.log_buffer import (
+from buckthornshed.transport.relay.logs.log_buffer import (
     BURST_BYTES,
     MAX_BUFFER_BYTES,
     LogBuffer,
--- a/buckthornshed/tests/relay/test_operations_page.py
+++ b/buckthornshed/tests/relay/test_operations_page.py
@@ -13,7 +13,7 @@
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 EVENT = re.compile(r'log_event\(\s*"(\w+)"')
 SOURCES = [
-    *(ROOT / "buckthornshed" / "transport" / "relay").glob("*.py"),
+    *(ROOT / "buckthornshed" / "transport" / "relay").rglob("*.py"),
     *(ROOT / "buckthornshed" / "platform").glob("*.py"),
 ]
 
--- a/buckthornshed/tests/relay/test_outages.py
+++ b/buckthornshed/tests/relay/test_outages.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.admission import AdmissionController
-from buckthornshed.coordination.relay.call_graph import CallGraph
-from buckthornshed.coordination.relay.outages import Outages
+from buckthornshed.coordination.relay.admission.call_graph import CallGraph
+from buckthornshed.coordination.relay.admission.controller import AdmissionController
+from buckthornshed.coordination.relay.admission.outages import Outages
 from buckthornshed.protocol.relay_messages import RefusalReason, Status
 from buckthornshed.state.catalog import RouteDestination
 
--- a/buckthornshed/tests/relay/test_overdue_calls.py
+++ b/buckthornshed/tests/relay/test_overdue_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from buckthornshed.transport.relay.local_target import MAX_OVERRUN_S
+from buckthornshed.transport.relay.target.local_target import MAX_OVERRUN_S
 
 from .fleet import ManualClock, fleet_of, until
 
--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -4,18 +4,18 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.load_balancer import Availability
+from buckthornshed.coordination.relay.placement.load_balancer import Availability
 from buckthornshed.protocol.relay_frames import FrameReader
 from buckthornshed.protocol.relay_messages import Hello, Ping, Pong
-from buckthornshed.transport.relay import peer_connections
 from buckthornshed.transport.relay.counts import RelayCounts
-from buckthornshed.transport.relay.peer_connections import (
+from buckthornshed.transport.relay.fleet.status_exchange import STATUS_RECIPIENTS
+from buckthornshed.transport.relay.peers import peer_connections
+from buckthornshed.transport.relay.peers.peer_connections import (
     PING_AFTER_S,
     PING_TIMEOUT_S,
     PeerLink,
 )
-from buckthornshed.transport.relay.peer_links import PeerLinks
-from buckthornshed.transport.relay.status_exchange import STATUS_RECIPIENTS
+from buckthornshed.transport.relay.peers.peer_links import PeerLinks
 
 from .fleet import ManualClock
 from .makers import make_message
--- a/buckthornshed/tests/relay/test_placement.py
+++ b/buckthornshed/tests/relay/test_placement.py
@@ -1,6 +1,6 @@
 from random import Random
 
-from buckthornshed.coordination.relay.load_balancer import LoadBalancer
+from buckthornshed.coordination.relay.placement.load_balancer import LoadBalancer
 
 from .makers import make_dispatcher, make_request, make_route, make_target
 
--- a/buckthornshed/tests/relay/test_rate_limiter.py
+++ b/buckthornshed/tests/relay/test_rate_limiter.py
@@ -6,15 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornshed.coordination.relay.admission import AdmissionController
-from buckthornshed.coordination.relay.call_graph import CallGraph
-from buckthornshed.coordination.relay.concurrency_limiter import (
+from buckthornshed.coordination.relay.admission.call_graph import CallGraph
+from buckthornshed.coordination.relay.admission.controller import AdmissionController
+from buckthornshed.coordination.relay.limiter.concurrency_limiter import (
     MAX_RATE_DELAY_S,
     ConcurrencyLimiter,
     RefuseCall,
     StartCall,
 )
-from buckthornshed.coordination.relay.rate_limiter import UNLIMITED, RateLimiter
+from buckthornshed.coordination.relay.limiter.rate_limiter import UNLIMITED, RateLimiter
 from buckthornshed.protocol.relay_messages import RefusalReason, Status
 
 from .makers import make_call, make_catalog, make_route
--- a/buckthornshed/tests/relay/test_retry_budget.py
+++ b/buckthornshed/tests/relay/test_retry_budget.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.call_graph import CallGraph
-from buckthornshed.coordination.relay.retry_budget import RetryBudget
-from buckthornshed.coordination.relay.retry_slack import slack_parts
-from buckthornshed.coordination.relay.route_demand import (
+from buckthornshed.coordination.relay.admission.call_graph import CallGraph
+from buckthornshed.coordination.relay.admission.route_demand import (
     calls_between_services,
     calls_of_run,
 )
+from buckthornshed.coordination.relay.retries.retry_budget import RetryBudget
+from buckthornshed.coordination.relay.retries.retry_slack import slack_parts
 from buckthornshed.state.catalog import RouteDestination
 from buckthornshed.state.relay_settings import RetryLimits
 
--- a/buckthornshed/tests/relay/test_sampled_statuses.py
+++ b/buckthornshed/tests/relay/test_sampled_statuses.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.admission import AdmissionController
-from buckthornshed.coordination.relay.fleet_load import serving_targets
-from buckthornshed.transport.relay.status_exchange import (
+from buckthornshed.coordination.relay.admission.controller import AdmissionController
+from buckthornshed.coordination.relay.admission.fleet_load import serving_targets
+from buckthornshed.transport.relay.fleet.status_exchange import (
     STATUS_RECIPIENTS,
     STATUS_RECIPIENTS_IN_CALM,
     UNLOADED_BROADCAST_INTERVAL,
--- a/buckthornshed/tests/relay/test_sponsors.py
+++ b/buckthornshed/tests/relay/test_sponsors.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.sponsors import SPONSORS_PER_PART, sponsors
-from buckthornshed.transport.relay import fleet_exchange
+from buckthornshed.coordination.relay.fleet.sponsors import SPONSORS_PER_PART, sponsors
+from buckthornshed.transport.relay.fleet import fleet_exchange
 
 from .fleet import fleet_of, until
 
--- a/buckthornshed/tests/relay/test_store_readers.py
+++ b/buckthornshed/tests/relay/test_store_readers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornshed.coordination.relay.store_readers import (
+from buckthornshed.coordination.relay.fleet.store_readers import (
     READERS_PER_DOMAIN,
     REPORT_LIFETIME_S,
     RETRY_INTERVAL_S,
--- a/buckthornshed/tests/relay/test_target_statement.py
+++ b/buckthornshed/tests/relay/test_target_statement.py
@@ -6,7 +6,7 @@
 import pytest
 
 from buckthornshed.platform.wire import HEADERS
-from buckthornshed.transport.relay.target_statement import (
+from buckthornshed.transport.relay.target.target_statement import (
     TargetStatement,
     read_statement,
 )
--- a/buckthornshed/tests/test_endless_bytes.py
+++ b/buckthornshed/tests/test_endless_bytes.py
@@ -13,9 +13,9 @@
 from buckthornshed.transport.http_client import ConnectionPool, ExchangeHandlers
 from buckthornshed.transport.http_parsing import MAX_HEAD_BYTES
 from buckthornshed.transport.platform_reader import PlatformReader
-from buckthornshed.transport.relay.client_listener import ClientListener
-from buckthornshed.transport.relay.responses import local_response
-from buckthornshed.transport.relay.target_pool import TargetFault, TargetPool
+from buckthornshed.transport.relay.clients.client_listener import ClientListener
+from buckthornshed.transport.relay.clients.responses import local_response
+from buckthornshed.transport.relay.target.target_pool import TargetFault, TargetPool
 
 from .endless_bytes import ANSWERS, REQUESTS, Stream, endless_server, send_endless
 from .relay.fleet import free_port
--- /dev/null
+++ b/buckthornshed/transport/relay/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, requests and responses of clients."""
--- a/buckthornshed/transport/relay/client_listener.py
+++ b/buckthornshed/transport/relay/clients/client_listener.py
@@ -11,10 +11,10 @@
 
 import httptools
 
-from ...protocol.http import Request
-from ...state.catalog import Limits
-from ..buffer_budget import BufferBudget
-from ..http_parsing import (
+from ....protocol.http import Request
+from ....state.catalog import Limits
+from ...buffer_budget import BufferBudget
+from ...http_parsing import (
     MessageCollector,
     MessageParser,
     ParserError,
--- a/buckthornshed/transport/relay/client_responses.py
+++ b/buckthornshed/transport/relay/clients/client_responses.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from ...coordination.relay.admission import AdmissionController
-from ...coordination.relay.dispatch_messages import (
+from ....coordination.relay.admission.controller import AdmissionController
+from ....coordination.relay.dispatch_messages import (
     DeliverAnswer,
     FailRequest,
     RoutedRequest,
 )
-from ...protocol.relay_messages import HeaderNames, RefusalReason
-from .access_log import AccessLog
+from ....protocol.relay_messages import HeaderNames, RefusalReason
+from ..logs.access_log import AccessLog
 from .client_listener import Exchange
 from .responses import local_response, refusal_status
 
--- a/buckthornshed/transport/relay/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -2,14 +2,14 @@
 
 from typing import NamedTuple
 
-from ...coordination.relay.dispatch_messages import RoutedRequest
-from ...coordination.relay.fleet_view import FleetView
-from ...coordination.relay.offered_rates import OfferedRates
-from ...protocol.http import Request, get_header
-from ...protocol.relay_messages import HeaderNames
-from ...state.catalog import Route
-from ..logs import log_event
-from .local_target import LocalTarget
+from ....coordination.relay.admission.offered_rates import OfferedRates
+from ....coordination.relay.dispatch_messages import RoutedRequest
+from ....coordination.relay.fleet.fleet_view import FleetView
+from ....protocol.http import Request, get_header
+from ....protocol.relay_messages import HeaderNames
+from ....state.catalog import Route
+from ...logs import log_event
+from ..target.local_target import LocalTarget
 from .responses import request_head
 
 __all__ = ["RequestRouter", "UnroutedRequest"]
--- a/buckthornshed/transport/relay/responses.py
+++ b/buckthornshed/transport/relay/clients/responses.py
@@ -1,8 +1,8 @@
 """Heads of forwarded requests and responses, and responses of the relay itself."""
 
-from ...protocol.http import STATUS_LINES, Request, forwardable_headers
-from ...protocol.messages import Headers
-from ...protocol.relay_messages import HeaderNames, RefusalReason
+from ....protocol.http import STATUS_LINES, Request, forwardable_headers
+from ....protocol.messages import Headers
+from ....protocol.relay_messages import HeaderNames, RefusalReason
 
 __all__ = ["local_response", "refusal_status", "request_head", "response_head"]
 
--- a/buckthornshed/transport/relay/crash_detector.py
+++ b/buckthornshed/transport/relay/crashes/crash_detector.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ...coordination.relay.concurrency_limiter import LimiterCall
-from ...protocol.relay_messages import CallMessage, RefusalMessage, RefusalReason
-from .target_pool import TargetPool
+from ....coordination.relay.limiter.concurrency_limiter import LimiterCall
+from ....protocol.relay_messages import CallMessage, RefusalMessage, RefusalReason
+from ..target.target_pool import TargetPool
 
 __all__ = ["CrashDetector"]
 
--- a/buckthornshed/transport/relay/crash_reports.py
+++ b/buckthornshed/transport/relay/crashes/crash_reports.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from ...coordination.relay.crash_suspects import CrashSuspects
-from ...coordination.relay.fingerprints import request_fingerprint
-from ...coordination.relay.recent_answers import RecentAnswers
-from ...protocol.crash_messages import Clearance, Crash, CrashNotice
-from ...protocol.relay_messages import CallMessage, HeaderNames
-from ...state.catalog import Release, Target
-from ..logs import log_event
-from .counts import RelayCounts
+from ....coordination.relay.crashes.crash_suspects import CrashSuspects
+from ....coordination.relay.crashes.fingerprints import request_fingerprint
+from ....coordination.relay.crashes.recent_answers import RecentAnswers
+from ....protocol.crash_messages import Clearance, Crash, CrashNotice
+from ....protocol.relay_messages import CallMessage, HeaderNames
+from ....state.catalog import Release, Target
+from ...logs import log_event
+from ..counts import RelayCounts
 
 __all__ = ["CrashReports"]
 
--- a/buckthornshed/transport/relay/fleet_exchange.py
+++ b/buckthornshed/transport/relay/fleet/fleet_exchange.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
-from ...coordination.relay.load_balancer import LoadBalancer
-from ...coordination.relay.sponsors import sponsors
-from ...coordination.relay.store_readers import StoreReaders
-from ...protocol.relay_messages import FleetUpdate, ViewRequest
-from ...state.catalog import Target
+from ....coordination.relay.fleet.sponsors import sponsors
+from ....coordination.relay.fleet.store_readers import StoreReaders
+from ....coordination.relay.placement.load_balancer import LoadBalancer
+from ....protocol.relay_messages import FleetUpdate, ViewRequest
+from ....state.catalog import Target
+from ..peers.peer_links import PeerLinks
 from .fleet_updater import FleetUpdater
-from .peer_links import PeerLinks
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/transport/relay/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from ...coordination.relay.fleet_view import (
+from ....coordination.relay.fleet.fleet_view import (
     FleetView,
     RegistrationVersion,
     registration_version,
 )
-from ...coordination.relay.store_readers import StoreReaders
-from ...protocol.relay_messages import FleetUpdate, ReaderReport
-from ...state.catalog import Catalog, Target
-from ..logs import log_event
+from ....coordination.relay.fleet.store_readers import StoreReaders
+from ....protocol.relay_messages import FleetUpdate, ReaderReport
+from ....state.catalog import Catalog, Target
+from ...logs import log_event
 
 __all__ = ["FleetUpdater"]
 
--- a/buckthornshed/transport/relay/status_exchange.py
+++ b/buckthornshed/transport/relay/fleet/status_exchange.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
-from ...coordination.relay.admission import AdmissionController
-from ...coordination.relay.call_graph import CallGraph
-from ...coordination.relay.concurrency_limiter import ConcurrencyLimiter
-from ...coordination.relay.offered_rates import OfferedRates
-from ...protocol.relay_messages import Status
-from ..logs import log_event
+from ....coordination.relay.admission.call_graph import CallGraph
+from ....coordination.relay.admission.controller import AdmissionController
+from ....coordination.relay.admission.offered_rates import OfferedRates
+from ....coordination.relay.limiter.concurrency_limiter import ConcurrencyLimiter
+from ....protocol.relay_messages import Status
+from ...logs import log_event
 
 __all__ = ["StatusExchange"]
 
--- /dev/null
+++ b/buckthornshed/transport/relay/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines of requests, and their buffer."""
--- a/buckthornshed/transport/relay/access_log.py
+++ b/buckthornshed/transport/relay/logs/access_log.py
@@ -9,15 +9,15 @@
 import zlib
 from typing import Any
 
-from ...coordination.relay.dispatch_messages import (
+from ....coordination.relay.dispatch_messages import (
     Attempt,
     DeliverAnswer,
     FailRequest,
     RoutedRequest,
 )
-from ...protocol.relay_messages import AnswerMessage, CallMessage, RefusalMessage
-from ..logs import log_event
-from .counts import RelayCounts
+from ....protocol.relay_messages import AnswerMessage, CallMessage, RefusalMessage
+from ...logs import log_event
+from ..counts import RelayCounts
 
 __all__ = ["AccessLog"]
 
--- a/buckthornshed/transport/relay/metrics_handler.py
+++ b/buckthornshed/transport/relay/metrics_handler.py
@@ -6,7 +6,7 @@
 import anyio.to_thread
 
 from ...protocol.http import Request
-from .client_listener import Exchange
+from .clients.client_listener import Exchange
 
 if TYPE_CHECKING:
     from .metrics import RelayMetrics
--- /dev/null
+++ b/buckthornshed/transport/relay/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between relays."""
--- a/buckthornshed/transport/relay/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from ...errors import PeerError
-from ...protocol.relay_frames import FrameReader, FrameWriter
-from ...protocol.relay_messages import (
+from ....errors import PeerError
+from ....protocol.relay_frames import FrameReader, FrameWriter
+from ....protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
     Hello,
@@ -19,8 +19,8 @@
     RefusalMessage,
     RelayMessage,
 )
-from ..logs import log_event
-from .counts import RelayCounts
+from ...logs import log_event
+from ..counts import RelayCounts
 
 __all__ = [
     "PING_AFTER_S",
--- a/buckthornshed/transport/relay/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from functools import partial
 
-from ...coordination.relay.load_balancer import Availability
-from ...protocol.relay_messages import Hello, RelayMessage
-from .counts import RelayCounts
+from ....coordination.relay.placement.load_balancer import Availability
+from ....protocol.relay_messages import Hello, RelayMessage
+from ..counts import RelayCounts
+from ..supervision import keep_running
 from .peer_connections import PING_AFTER_S, PeerHandler, PeerLink, PeerSession
-from .supervision import keep_running
 
 __all__ = ["PeerLinks"]
 
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -15,11 +15,11 @@
 from ...protocol.relay_messages import HeaderNames
 from ...state.relay_settings import RelaySettings
 from ..logs import log_event
-from .client_listener import ClientListener, Exchange
-from .log_buffer import LogBuffer
+from .clients.client_listener import ClientListener, Exchange
+from .clients.responses import local_response
+from .logs.log_buffer import LogBuffer
 from .metrics_handler import MetricsHandler
 from .relay import Relay
-from .responses import local_response
 from .supervision import keep_running
 
 __all__ = ["FleetReader", "run_relay"]
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -16,9 +16,9 @@
     SendCall,
 )
 from ...coordination.relay.dispatcher import Dispatcher
-from ...coordination.relay.load_balancer import Availability, LoadBalancer
-from ...coordination.relay.retried_runs import RetriedRuns
-from ...coordination.relay.retry_budget import RetryBudget
+from ...coordination.relay.placement.load_balancer import Availability, LoadBalancer
+from ...coordination.relay.retries.retried_runs import RetriedRuns
+from ...coordination.relay.retries.retry_budget import RetryBudget
 from ...protocol.crash_messages import CrashNotice
 from ...protocol.http import Request
 from ...protocol.relay_messages import (
@@ -40,20 +40,20 @@
 from ...state.relay_settings import RelaySettings
 from ..buffer_budget import BufferBudget
 from ..logs import log_event
-from .access_log import AccessLog
-from .call_outcomes import CallKey, CallOutcome
-from .client_listener import ClientListener, Exchange
-from .client_responses import ClientResponses
+from .clients.client_listener import ClientListener, Exchange
+from .clients.client_responses import ClientResponses
+from .clients.request_router import RequestRouter, UnroutedRequest
+from .clients.responses import local_response
 from .counts import NO_LIMIT, RelayCounts, RelayGauges
-from .crash_reports import CrashReports
-from .fleet_exchange import FleetExchange
-from .local_target import LocalTarget
-from .peer_connections import PeerSession
-from .peer_links import PeerLinks
-from .request_router import RequestRouter, UnroutedRequest
-from .responses import local_response
-from .status_exchange import StatusExchange
-from .target_reports import TargetReports
+from .crashes.crash_reports import CrashReports
+from .fleet.fleet_exchange import FleetExchange
+from .fleet.status_exchange import StatusExchange
+from .logs.access_log import AccessLog
+from .peers.peer_connections import PeerSession
+from .peers.peer_links import PeerLinks
+from .target.call_outcomes import CallKey, CallOutcome
+from .target.local_target import LocalTarget
+from .target.target_reports import TargetReports
 
 if TYPE_CHECKING:
     from random import Random
--- a/buckthornshed/transport/relay/answer_checks.py
+++ b/buckthornshed/transport/relay/target/answer_checks.py
@@ -1,7 +1,7 @@
 """What may be concluded from an answer of the target beside a relay."""
 
-from ...protocol.http import get_header
-from ...protocol.relay_messages import HeaderNames, RefusalReason
+from ....protocol.http import get_header
+from ....protocol.relay_messages import HeaderNames, RefusalReason
 from .target_pool import TargetAnswer
 
 __all__ = ["is_genuine", "refusal_reason"]
--- a/buckthornshed/transport/relay/call_outcomes.py
+++ b/buckthornshed/transport/relay/target/call_outcomes.py
@@ -2,16 +2,16 @@
 
 from typing import NamedTuple
 
-from ...protocol.relay_messages import (
+from ....protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
     HeaderNames,
     RefusalMessage,
     RefusalReason,
 )
-from ..logs import log_event
+from ...logs import log_event
 from .answer_checks import refusal_reason
-from .responses import response_head
+from ..clients.responses import response_head
 from .target_pool import FaultKind, TargetAnswer, TargetFault
 
 __all__ = ["CallKey", "CallOutcome", "create_outcome"]
--- a/buckthornshed/transport/relay/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -3,29 +3,29 @@
 import asyncio
 from collections.abc import Callable, Hashable
 
-from ...coordination.relay.call_graph import CallGraph
-from ...coordination.relay.concurrency_limiter import (
+from ....coordination.relay.admission.call_graph import CallGraph
+from ....coordination.relay.limiter.concurrency_limiter import (
     ConcurrencyLimiter,
     LimiterAction,
     LimiterCall,
     StartCall,
 )
-from ...coordination.relay.suspect_isolation import SuspectIsolation
-from ...protocol.relay_messages import (
+from ....coordination.relay.crashes.suspect_isolation import SuspectIsolation
+from ....protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
     HeaderNames,
     RefusalMessage,
     RefusalReason,
 )
-from ...state.catalog import Target
-from ..buffer_budget import BufferBudget
-from ..logs import log_event
-from .access_log import AccessLog
+from ....state.catalog import Target
+from ...buffer_budget import BufferBudget
+from ...logs import log_event
+from ..logs.access_log import AccessLog
 from .answer_checks import is_genuine
 from .call_outcomes import CallKey, CallOutcome, create_outcome
-from .crash_detector import CrashDetector
-from .crash_reports import CrashReports
+from ..crashes.crash_detector import CrashDetector
+from ..crashes.crash_reports import CrashReports
 from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
 from .target_statement import TargetStatement, read_statement
 
--- a/buckthornshed/transport/relay/target_pool.py
+++ b/buckthornshed/transport/relay/target/target_pool.py
@@ -14,11 +14,11 @@
 
 import httptools
 
-from ...protocol.http import get_header
-from ...protocol.messages import Headers
-from ...protocol.relay_messages import HeaderNames
-from ..buffer_budget import BufferBudget
-from ..http_parsing import (
+from ....protocol.http import get_header
+from ....protocol.messages import Headers
+from ....protocol.relay_messages import HeaderNames
+from ...buffer_budget import BufferBudget
+from ...http_parsing import (
     MAX_SKIPPED_ANSWERS,
     MessageCollector,
     MessageParser,
--- a/buckthornshed/transport/relay/target_reports.py
+++ b/buckthornshed/transport/relay/target/target_reports.py
@@ -2,10 +2,10 @@
 
 from collections import defaultdict
 
-from ...coordination.relay.fleet_view import FleetView
-from ...coordination.relay.load_balancer import LoadBalancer
-from ...protocol.relay_messages import StatedLimit, Status
-from ...state.catalog import Target
+from ....coordination.relay.fleet.fleet_view import FleetView
+from ....coordination.relay.placement.load_balancer import LoadBalancer
+from ....protocol.relay_messages import StatedLimit, Status
+from ....state.catalog import Target
 from .local_target import LocalTarget
 
 __all__ = ["TargetReports"]
--- a/buckthornshed/transport/relay/target_statement.py
+++ b/buckthornshed/transport/relay/target/target_statement.py
@@ -3,11 +3,11 @@
 import math
 from typing import NamedTuple
 
-from ...coordination.relay.rate_limiter import UNLIMITED
-from ...protocol.http import get_header
-from ...protocol.messages import Headers
-from ...protocol.relay_messages import HeaderNames
-from ..logs import log_event
+from ....coordination.relay.limiter.rate_limiter import UNLIMITED
+from ....protocol.http import get_header
+from ....protocol.messages import Headers
+from ....protocol.relay_messages import HeaderNames
+from ...logs import log_event
 
 __all__ = ["TargetStatement", "read_statement"]
 
