Know workspaces: their keys, names, priorities and quotas

Cause: the relay knew no workspaces.

Change: the catalog has workspaces, and digests of their keys; a key ends at the relay that reads it. A request without exactly one known key gets 401 unless its route is public; the name is set whatever the client sent; calls of targets keep the workspace of their request; a call whose request has ended gets 503. The quota is accounted for by a relay that all compute for the workspace: use is reported within 0.5 s, and once the account is low each request asks first. Relays that cannot reach each other have different owners, each with the part of the relays that it reaches. Without an answer in 0.2 s a relay admits its own part. What was not run is given back.

--- a/buckthornshed/coordination/relay/crashes/fingerprints.py
+++ b/buckthornshed/coordination/relay/crashes/fingerprints.py
@@ -11,7 +11,9 @@
 FINGERPRINT_BYTES = 8
 
 
-def request_fingerprint(head: bytes, body: bytes, credential: bytes) -> bytes:
+def request_fingerprint(
+    head: bytes, body: bytes, credential: bytes, workspace: bytes = b""
+) -> bytes:
     """Return the fingerprint of a request, 8 bytes.
 
     Parameters
@@ -22,12 +24,16 @@
         The whole body.
     credential : bytes
         Name of the header by which a client identifies itself, in lower case.
+    workspace : bytes
+        Name of the header that replaces it where the key is known, in lower case.
     """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     request_line, _, headers = head.partition(b"\r\n")
     digest.update(request_line)
     digest.update(b"\n" + _header_value(headers, b"host").lower())
     digest.update(b"\n" + _header_value(headers, credential))
+    if workspace:
+        digest.update(b"\n" + _header_value(headers, workspace))
     digest.update(b"\n" + body)
     return digest.digest()
 
--- a/buckthornshed/coordination/relay/dispatch_messages.py
+++ b/buckthornshed/coordination/relay/dispatch_messages.py
@@ -37,6 +37,7 @@
     nested: bool = False
     is_retry: bool = False
     calls_left: float = 1.0
+    workspace: str = ""
 
 
 class SendCall(NamedTuple):
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -342,6 +342,7 @@
             request_id=request.request_id,
             head=request.head,
             body=request.body,
+            workspace=request.workspace,
         )
         return [SendCall(record.target, message)]
 
--- /dev/null
+++ b/buckthornshed/coordination/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Who sends a request, and whether the quota of its workspace admits it."""
--- /dev/null
+++ b/buckthornshed/coordination/workspaces/quota_gate.py
@@ -0,0 +1,171 @@
+"""Admission of the requests of one relay's clients within the quotas.
+
+While a quota is far from used up, requests are admitted at once and reported to its
+owner shortly afterwards. Once the owner has said that it is low, each request waits
+for the owner's verdict. If the owner does not answer, the relay admits its own part.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from ...state.workspaces import Quota
+from .quota_ledger import QuotaVerdict
+from .token_bucket import LATE_USE_S, TokenBucket
+
+__all__ = ["ASK_TIMEOUT_S", "QuotaGate", "Step"]
+
+EARLY_REPORT_S = 0.25
+"""Seconds of an equal part of a quota whose use is reported at once."""
+LOW_S = 1.5
+"""Time for which a relay asks after the owner has said that a quota is low."""
+ASK_TIMEOUT_S = 0.2
+"""Time after which a relay decides without the owner."""
+PHASE_STEP = (5.0**0.5 - 1.0) / 2.0
+"""Difference of the first levels of consecutive relays.
+
+The multiples of the golden ratio's fraction spread evenly over an interval, so that
+as many relays hold a whole token as the parts of all relays allow.
+"""
+
+
+class Step(Enum):
+    """What happens to a request next."""
+
+    ADMIT = "admitted"
+    ASK = "the owner of the quota has to be asked"
+
+
+@dataclass(slots=True, kw_only=True)
+class Allowance:
+    """What one relay knows of one quota.
+
+    Attributes
+    ----------
+    unreported : int
+        Requests that were admitted without asking and not yet reported.
+    reported_at : float
+        Time of the latest report, in seconds.
+    low_until : float
+        Time until which the owner is asked, in seconds.
+    own_part : TokenBucket
+        Part of the quota that the relay admits if no owner answers.
+    """
+
+    unreported: int
+    reported_at: float
+    low_until: float
+    own_part: TokenBucket
+
+
+class QuotaGate:
+    """Decides which requests are admitted at once.
+
+    Parameters
+    ----------
+    quota_of : callable
+        Returns the quota of a workspace in the configuration in force, or None.
+
+    Attributes
+    ----------
+    relays : int
+        Number of relays in the fleet.
+    rank : int
+        Position of this relay among them.
+    """
+
+    def __init__(self, *, quota_of: Callable[[str], Quota | None]) -> None:
+        self.quota_of = quota_of
+        self.relays = 1
+        self.rank = 0
+        self.allowances: dict[str, Allowance] = {}
+
+    def submit(self, now: float, workspace: str) -> Step:
+        """Return whether a request is admitted at once, and record it if so."""
+        quota = self.quota_of(workspace)
+        if quota is None:
+            return Step.ADMIT
+        allowance = self._allowance(now, workspace, quota)
+        if now < allowance.low_until:
+            return Step.ASK
+        allowance.unreported += 1
+        return Step.ADMIT
+
+    def refund(self, now: float, workspace: str) -> None:
+        """Record that an admitted request has not run and will not."""
+        quota = self.quota_of(workspace)
+        if quota is not None:
+            self._allowance(now, workspace, quota).unreported -= 1
+
+    def mark_low(self, now: float, workspace: str) -> None:
+        """Record that the owner of a quota wants to be asked."""
+        quota = self.quota_of(workspace)
+        if quota is not None:
+            self._allowance(now, workspace, quota).low_until = now + LOW_S
+
+    def decide_alone(self, now: float, workspace: str) -> QuotaVerdict:
+        """Return whether this relay's own part of the quota admits a request."""
+        quota = self.quota_of(workspace)
+        if quota is None:
+            return QuotaVerdict(granted=True)
+        allowance = self._allowance(now, workspace, quota)
+        if allowance.own_part.take(now):
+            allowance.unreported += 1
+            return QuotaVerdict(granted=True)
+        wait = allowance.own_part.wait(now)
+        return QuotaVerdict(granted=False, retry_after=wait)
+
+    def take_due(self, now: float) -> dict[str, int]:
+        """Return the requests by workspace that are to be reported now.
+
+        A workspace that uses an equal part of its quota or more here is reported
+        sooner than the others.
+        """
+        due: dict[str, int] = {}
+        for workspace, allowance in self.allowances.items():
+            waited = now - allowance.reported_at
+            late = allowance.unreported != 0 and waited >= LATE_USE_S
+            if late or self._is_early(workspace, allowance):
+                due[workspace] = allowance.unreported
+                allowance.unreported = 0
+                allowance.reported_at = now
+        return due
+
+    def has_early(self, workspace: str) -> bool:
+        """Return whether the use of a workspace is to be reported at once."""
+        allowance = self.allowances.get(workspace)
+        return allowance is not None and self._is_early(workspace, allowance)
+
+    def give_back(self, reports: dict[str, int]) -> None:
+        """Keep reports that could not be sent for the next time."""
+        for workspace, requests in reports.items():
+            allowance = self.allowances.get(workspace)
+            if allowance is not None:
+                allowance.unreported += requests
+
+    def retain(self, workspaces: set[str]) -> None:
+        """Forget all other workspaces."""
+        for workspace in self.allowances.keys() - workspaces:
+            del self.allowances[workspace]
+
+    def _is_early(self, workspace: str, allowance: Allowance) -> bool:
+        quota = self.quota_of(workspace)
+        rate = 0.0 if quota is None else quota.rate
+        return allowance.unreported > max(1.0, rate * EARLY_REPORT_S / self.relays)
+
+    def _allowance(self, now: float, workspace: str, quota: Quota) -> Allowance:
+        allowance = self.allowances.get(workspace)
+        rate, capacity = quota.rate / self.relays, quota.burst / self.relays
+        if allowance is None:
+            own_part = TokenBucket(
+                rate=rate,
+                capacity=capacity,
+                level=self.rank * PHASE_STEP % 1.0,
+                now=now,
+            )
+            allowance = self.allowances[workspace] = Allowance(
+                unreported=0, reported_at=now, low_until=0.0, own_part=own_part
+            )
+        elif allowance.own_part.rate != rate:
+            allowance.own_part.set_rate(now, rate=rate, capacity=capacity)
+        return allowance
--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -9,6 +9,7 @@
 
 from ..errors import PlatformError
 from ..state.catalog import Catalog, Limits, Route, RouteDestination, Target
+from ..state.workspaces import Quota, Workspace, key_digest
 
 __all__ = ["decode_catalog", "decode_target"]
 
@@ -16,12 +17,15 @@
 """Greatest integer that can be sent to other relays."""
 MAX_PORT = 65_535
 MAX_SLOTS = 1_000_000
+WORKSPACE_NAME = re.compile(r"[!-~]{1,200}")
+"""Names are sent in a header."""
 VERSION = re.compile(r"r([0-9]{1,18})")
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Weight = Annotated[float, msgspec.Meta(ge=0.0)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
+Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
 # Fields keep the platform's names. A field with `name=` has another name in JSON.
 
@@ -59,6 +63,7 @@
     action: Action
     objective: Seconds = msgspec.field(name="sloS", default=1.0)  # Latency.
     priority: NonNegativeInteger = 0  # 0 is the highest.
+    public: bool = False  # Whether requests need no key.
 
 
 class HostRules(msgspec.Struct):
@@ -74,6 +79,16 @@
     name: str
 
 
+class Tenant(msgspec.Struct):
+    """A workspace; the platform calls it a tenant."""
+
+    name: str
+    keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
+    priority: NonNegativeInteger | None = None  # Precedes that of the route.
+    rate: Rate = msgspec.field(name="ratePerS", default=0.0)  # 0 for no limit.
+    burst: Rate = 0.0
+
+
 class ClientLimits(msgspec.Struct):
     """Limits on client requests and connections, in bytes and seconds."""
 
@@ -90,6 +105,7 @@
     listeners: list[HostRules]
     clusters: list[Cluster]
     limits: ClientLimits = msgspec.field(default_factory=ClientLimits)
+    tenants: list[Tenant] = msgspec.field(default_factory=list)
 
 
 class Registration(msgspec.Struct):
@@ -142,6 +158,8 @@
             head_timeout=document.limits.head_timeout,
             idle_timeout=document.limits.idle_timeout,
         ),
+        workspaces=_workspaces(document.tenants),
+        keys=_keys(document.tenants),
     )
 
 
@@ -207,9 +225,37 @@
         objective=rule.objective,
         attempts=action.attempts,
         rank=rule.priority,
+        public=rule.public,
     )
 
 
+def _workspaces(tenants: list[Tenant]) -> dict[str, Workspace]:
+    workspaces: dict[str, Workspace] = {}
+    for tenant in tenants:
+        if not WORKSPACE_NAME.fullmatch(tenant.name):
+            _reject("workspace", f"name {tenant.name!r}", "a printable ASCII name")
+        if tenant.name in workspaces:
+            _reject(f"workspace {tenant.name}", "a second entry", "one entry")
+        quota = Quota(tenant.rate, tenant.burst) if tenant.rate > 0.0 else None
+        workspaces[tenant.name] = Workspace(tenant.name, tenant.priority, quota)
+    return workspaces
+
+
+def _keys(tenants: list[Tenant]) -> dict[bytes, str]:
+    """Return the workspaces by digests of keys; errors do not contain a key."""
+    keys: dict[bytes, str] = {}
+    for tenant in tenants:
+        for key in tenant.keys:
+            if not key:
+                _reject(f"workspace {tenant.name}", "an empty key", "a key")
+            holder = keys.setdefault(key_digest(key.encode()), tenant.name)
+            if holder != tenant.name:
+                _reject(
+                    f"workspace {tenant.name}", f"a key of {holder}", "its own keys"
+                )
+    return keys
+
+
 def _generation(version: str) -> int:
     match = VERSION.fullmatch(version)
     if match is None:
--- a/buckthornshed/platform/wire.py
+++ b/buckthornshed/platform/wire.py
@@ -27,6 +27,8 @@
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
     credential=b"credential",
+    # The platform's tenant is a workspace.
+    workspace=b"tenant",
 )
 
 READY_PATH = b"/ready"
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -8,6 +8,7 @@
 
 from ..state.catalog import Catalog, Target
 from .crash_messages import CrashNotice
+from .quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 
 __all__ = [
     "AnswerMessage",
@@ -56,7 +57,9 @@
     leaving : bytes
         Present with the value 1 if the target is about to stop.
     credential : bytes
-        What a client identifies itself by; absent where clients need not.
+        Key of the client's workspace; absent where clients need none.
+    workspace : bytes
+        Name of the workspace that a request belongs to.
     """
 
     request_id: bytes
@@ -69,6 +72,7 @@
     rate_limit: bytes
     leaving: bytes
     credential: bytes
+    workspace: bytes
 
 
 class RefusalReason(IntEnum):
@@ -133,7 +137,8 @@
     head without its final empty line; the receiver adds the deadline and the expected
     target. `rank` is the rank of the client request that started the call chain.
     `is_retry` is true if the call or an upstream run is a retry. `time_left` is the
-    time to the deadline in seconds.
+    time to the deadline in seconds. `workspace` is the name of the workspace of that
+    client request, empty if it has none.
     """
 
     exchange: int
@@ -146,6 +151,7 @@
     request_id: bytes
     head: bytes
     body: bytes
+    workspace: str = ""
 
 
 class AnswerMessage(msgspec.Struct, array_like=True, tag=2):
@@ -304,4 +310,8 @@
     | Status
     | ViewRequest
     | CrashNotice
+    | QuotaUse
+    | QuotaQuestion
+    | QuotaGrant
+    | QuotaLow
 )
--- a/buckthornshed/state/catalog.py
+++ b/buckthornshed/state/catalog.py
@@ -4,6 +4,8 @@
 from functools import lru_cache
 from typing import NamedTuple
 
+from .workspaces import Workspace
+
 __all__ = ["Catalog", "Limits", "Release", "Route", "RouteDestination", "Target"]
 
 
@@ -40,6 +42,8 @@
         Maximum number of targets that one request may be sent to.
     rank : int
         Priority; 0 is the highest.
+    public : bool
+        Whether its requests need no key even where workspaces are configured.
     """
 
     name: str
@@ -51,6 +55,7 @@
     objective: float
     attempts: int
     rank: int
+    public: bool = False
 
 
 class Limits(NamedTuple):
@@ -75,12 +80,18 @@
         Names of the services.
     limits : Limits
         Limits on client requests.
+    workspaces : mapping
+        Workspaces by name; requests need no key if there are none.
+    keys : mapping
+        Name of the workspace by the digest of each of its keys.
     """
 
     generation: int
     routes: Mapping[str, tuple[Route, ...]]
     services: tuple[str, ...]
     limits: Limits
+    workspaces: Mapping[str, Workspace] = {}
+    keys: Mapping[bytes, str] = {}
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of `path`, or None."""
--- /dev/null
+++ b/buckthornshed/state/workspaces.py
@@ -0,0 +1,41 @@
+"""Workspaces: who sends requests, with which priority and quota."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+__all__ = ["KEY_DIGEST_BYTES", "Quota", "Workspace", "key_digest"]
+
+KEY_DIGEST_BYTES = 16
+
+
+class Quota(NamedTuple):
+    """Bound on the requests of a workspace over all relays together.
+
+    In any span of time, at most `rate` requests per second and `burst` more.
+    """
+
+    rate: float
+    burst: float
+
+
+class Workspace(NamedTuple):
+    """A workspace of a configuration.
+
+    Parameters
+    ----------
+    name : str
+        Name of the workspace.
+    rank : int or None
+        Priority of its requests; None if that of the route holds.
+    quota : Quota or None
+        Bound on its requests; None if there is none.
+    """
+
+    name: str
+    rank: int | None = None
+    quota: Quota | None = None
+
+
+def key_digest(key: bytes) -> bytes:
+    """Return the digest by which a key is known; the key itself is not kept."""
+    return blake2b(key, digest_size=KEY_DIGEST_BYTES).digest()
--- a/buckthornshed/tests/test_docs.py
+++ b/buckthornshed/tests/test_docs.py
@@ -245,7 +245,12 @@
     missing += [f"coordination.{method}", f"coordination.node.{new}", new, method]
     missing += [f"KeyTable.{method}", f"buckthornshed.{method}", method.upper()]
     missing += ["such" + "not"]
-    existing = ["coordination/relay/dispatcher.py", "relay/", "test_docs.py", "KeyTable"]
+    existing = [
+        "coordination/relay/dispatcher.py",
+        "relay/",
+        "test_docs.py",
+        "KeyTable",
+    ]
     existing += ["coordination.node.NodeCore", "./scripts/test", "KeyTable.finish"]
     existing += ["test_docs.py::test_links_resolve", "a word", "benchmarks/"]
     page = "\n".join(f"- `{name}`" for name in missing + existing)
--- a/buckthornshed/transport/relay/clients/client_responses.py
+++ b/buckthornshed/transport/relay/clients/client_responses.py
@@ -15,6 +15,8 @@
 
 __all__ = ["ClientResponses"]
 
+OVER_QUOTA_STATUS = 429
+
 
 class ClientResponses:
     """Writes and logs one response for each exchange.
@@ -27,6 +29,8 @@
         Logs the ends of requests.
     admission : AdmissionController
         Records whether requests of clients succeeded.
+    refund : callable
+        Called with the workspace of a request that was not run.
     clock : callable
         Returns seconds of the monotonic clock.
 
@@ -44,11 +48,13 @@
         names: HeaderNames,
         access_log: AccessLog,
         admission: AdmissionController,
+        refund: Callable[[str], None],
         clock: Callable[[], float],
     ) -> None:
         self.names = names
         self.access_log = access_log
         self.admission = admission
+        self.refund = refund
         self.clock = clock
         self.exchanges: dict[int, Exchange] = {}
         self.draining = False
@@ -69,6 +75,9 @@
 
     def fail(self, action: FailRequest) -> None:
         """Respond in place of a target."""
+        request = action.request
+        if request.workspace and not request.nested and not action.may_have_run:
+            self.refund(request.workspace)
         exchange = self.exchanges.pop(action.token, None)
         if exchange is None:
             return
@@ -81,6 +90,15 @@
         share = self.admission.shares.get(action.request.route.name, 1.0)
         self.access_log.log_failure(self.clock(), action, status=status, share=share)
 
+    def refuse_over_quota(
+        self, exchange: Exchange, request: RoutedRequest, retry_after: float
+    ) -> None:
+        """Refuse a request beyond the quota; `retry_after` is in seconds."""
+        del self.exchanges[exchange.token]
+        status = OVER_QUOTA_STATUS
+        self.respond_locally(exchange, status, request.request_id, retry_after)
+        self.access_log.log_over_quota(self.clock(), request, retry_after=retry_after)
+
     def respond_locally(
         self,
         exchange: Exchange,
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -2,20 +2,22 @@
 
 from typing import NamedTuple
 
-from ....coordination.relay.admission.offered_rates import OfferedRates
 from ....coordination.relay.dispatch_messages import RoutedRequest
 from ....coordination.relay.fleet.fleet_view import FleetView
+from ....coordination.workspaces.identity import identify
 from ....protocol.http import Request, get_header
-from ....protocol.relay_messages import HeaderNames
+from ....protocol.relay_messages import CallMessage, HeaderNames
 from ....state.catalog import Route
 from ...logs import log_event
-from ..target.local_target import LocalTarget
+from ..counts import RelayCounts
+from ..target.local_target import LocalTarget, is_nested_id
 from .responses import request_head
 
 __all__ = ["RequestRouter", "UnroutedRequest"]
 
 NO_CATALOG_RETRY_AFTER_S = 0.5
 DRAINING_RETRY_AFTER_S = 0.2
+ENDED_PARENT_RETRY_AFTER_S = 0.5
 CLIENT_TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a client's own timeout at which it gets its final answer."""
 
@@ -38,8 +40,8 @@
         Configuration in force.
     local_target : LocalTarget
         Knows the running calls that nested requests belong to.
-    offered : OfferedRates
-        Counts the requests of clients.
+    counts : RelayCounts
+        Counters of the relay.
     service : str
         Service of the local target.
 
@@ -55,13 +57,13 @@
         names: HeaderNames,
         fleet_view: FleetView,
         local_target: LocalTarget,
-        offered: OfferedRates,
+        counts: RelayCounts,
         service: str,
     ) -> None:
         self.names = names
         self.fleet_view = fleet_view
         self.local_target = local_target
-        self.offered = offered
+        self.counts = counts
         self.calling_service = service.encode()
         self.refusing = False
 
@@ -85,32 +87,82 @@
                 generation=catalog.generation,
             )
             return UnroutedRequest(404, None)
-        parent = self.local_target.find_parent(request_id)
+        keys = [v for n, v in request.headers if n == self.names.credential]
+        parent = None if keys else self.local_target.find_parent(request_id)
         if parent is None and self.refusing:
             # The request might not complete before the process ends.
             log_event("request_refused_stopping", request=request_id.decode("latin-1"))
             return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
-        routed = RoutedRequest(
-            route=route,
-            request_id=request_id,
-            head=request_head(request, self.names, self.calling_service),
-            body=request.body,
-            arrived=now,
-            deadline=now + self._timeout(request, route),
-            rank=route.rank,
+        if parent is not None:
+            return self._nested(now, request, route, parent)
+        identity = identify(catalog, route, keys)
+        if not identity.authorized:
+            return self._reject_unidentified(request_id, route, keys)
+        workspace = identity.workspace
+        rank = None if workspace is None else workspace.rank
+        return self._routed(
+            now,
+            request,
+            route,
+            rank=route.rank if rank is None else rank,
+            workspace="" if workspace is None else workspace.name,
         )
-        if parent is None:
-            self.offered.count(route.name)
-            return routed
+
+    def _nested(
+        self, now: float, request: Request, route: Route, parent: CallMessage
+    ) -> RoutedRequest:
+        """Return a call of the local target, for the workspace of its parent."""
         graph = self.local_target.graph
         graph.record_call(parent.request_id, route.name)
+        routed = self._routed(
+            now, request, route, rank=parent.rank, workspace=parent.workspace
+        )
         return routed._replace(
-            rank=parent.rank,
             nested=True,
             is_retry=parent.is_retry,
             calls_left=graph.calls_left(parent.request_id, parent.route, route.name),
         )
 
+    def _routed(
+        self, now: float, request: Request, route: Route, *, rank: int, workspace: str
+    ) -> RoutedRequest:
+        catalog = self.fleet_view.catalog
+        has_keys = bool(workspace) or bool(catalog and catalog.workspaces)
+        return RoutedRequest(
+            route=route,
+            request_id=self.request_id(request),
+            head=request_head(
+                request,
+                self.names,
+                self.calling_service,
+                workspace if has_keys else None,
+            ),
+            body=request.body,
+            arrived=now,
+            deadline=now + self._timeout(request, route),
+            rank=rank,
+            workspace=workspace,
+        )
+
+    def _reject_unidentified(
+        self, request_id: bytes, route: Route, keys: list[bytes]
+    ) -> UnroutedRequest:
+        """Return the response to a request without a key that a workspace holds.
+
+        A call of the local target whose parent has ended has no key either. Nobody
+        waits for it any more, but it is not to be told that it was not allowed.
+        """
+        if not keys and is_nested_id(request_id):
+            return UnroutedRequest(503, ENDED_PARENT_RETRY_AFTER_S)
+        self.counts.requests[(route.name, "unauthorized")] += 1
+        log_event(
+            "request_unauthorized",
+            request=request_id.decode("latin-1"),
+            route=route.name,
+            keys=len(keys),
+        )
+        return UnroutedRequest(401, None)
+
     def _timeout(self, request: Request, route: Route) -> float:
         """Return the time that a request has, in seconds."""
         client_timeout = _parse_milliseconds(
--- a/buckthornshed/transport/relay/clients/responses.py
+++ b/buckthornshed/transport/relay/clients/responses.py
@@ -22,18 +22,28 @@
     return MAY_HAVE_RUN_STATUSES.get(reason, 502) if may_have_run else NOT_RUN_STATUS
 
 
-def request_head(request: Request, names: HeaderNames, calling_service: bytes) -> bytes:
+def request_head(
+    request: Request,
+    names: HeaderNames,
+    calling_service: bytes,
+    workspace: str | None = None,
+) -> bytes:
     """Return the head of a request for a target, without its final empty line.
 
     The relay beside the target adds the deadline and the expected target when it sends
-    the request.
+    the request. `workspace` is the name of the workspace that the request belongs to,
+    empty if it has none; None if there are no workspaces, and thus no keys to remove.
     """
-    set_by_relay = (names.deadline, names.expected_target, names.calling_service)
+    set_by_relay = [names.deadline, names.expected_target, names.calling_service]
+    if workspace is not None:
+        set_by_relay += (names.credential, names.workspace)
     lines = [request.method, b" ", request.path, b" HTTP/1.1\r\n"]
     for name, value in forwardable_headers(request.headers):
         if name not in set_by_relay:
             lines += (name, b": ", value, b"\r\n")
     lines += (names.calling_service, b": ", calling_service, b"\r\n")
+    if workspace:
+        lines += (names.workspace, b": ", workspace.encode(), b"\r\n")
     if request.body or request.method in BODY_METHODS:
         lines.append(b"content-length: %d\r\n" % len(request.body))
     return b"".join(lines)
--- a/buckthornshed/transport/relay/crashes/crash_reports.py
+++ b/buckthornshed/transport/relay/crashes/crash_reports.py
@@ -68,7 +68,8 @@
 
     def fingerprint(self, head: bytes, body: bytes) -> bytes:
         """Return the fingerprint of a request."""
-        return request_fingerprint(head, body, self.names.credential)
+        names = self.names
+        return request_fingerprint(head, body, names.credential, names.workspace)
 
     def release(self, target: Target | None) -> Release:
         """Return what the local target runs; the version is empty if not known."""
--- a/buckthornshed/transport/relay/logs/access_log.py
+++ b/buckthornshed/transport/relay/logs/access_log.py
@@ -74,6 +74,19 @@
             attempts=_format_attempts(request, action.attempts),
         )
 
+    def log_over_quota(
+        self, now: float, request: RoutedRequest, *, retry_after: float
+    ) -> None:
+        """Log and count a request beyond the quota of its workspace."""
+        self.counts.record_request(
+            request.route.name, "over_quota", now - request.arrived, 0
+        )
+        log_event(
+            "request_over_quota",
+            **_request_fields(now, request),
+            retry_after=round(retry_after, 3),
+        )
+
     def log_call(
         self,
         now: float,
@@ -120,6 +133,7 @@
         "parent": request_id.rpartition(".")[0] if request.nested else "-",
         "route": request.route.name,
         "rank": request.rank,
+        "workspace": request.workspace or "-",
         "ms": round((now - request.arrived) * 1e3, 1),
         "left_ms": round((request.deadline - now) * 1e3, 1),
     }
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -13,14 +13,17 @@
     DeliverAnswer,
     DispatchAction,
     FailRequest,
+    RoutedRequest,
     SendCall,
 )
 from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.placement.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retries.retried_runs import RetriedRuns
 from ...coordination.relay.retries.retry_budget import RetryBudget
+from ...coordination.workspaces.quota_ledger import QuotaVerdict
 from ...protocol.crash_messages import CrashNotice
 from ...protocol.http import Request
+from ...protocol.quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 from ...protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -54,6 +57,7 @@
 from .target.call_outcomes import CallKey, CallOutcome
 from .target.local_target import LocalTarget
 from .target.target_reports import TargetReports
+from .workspaces.quota_exchange import QuotaExchange
 
 if TYPE_CHECKING:
     from random import Random
@@ -161,10 +165,17 @@
         )
         self.admission = self.statuses.admission
         self.retried_runs = RetriedRuns(budget=self.budget, admission=self.admission)
+        self.quotas = QuotaExchange(
+            instance=self.instance,
+            links=self.links,
+            is_reachable=lambda each: self.links.availability(each) is Availability.UP,
+            clock=clock,
+        )
         self.responses = ClientResponses(
             names=names,
             access_log=self.access_log,
             admission=self.admission,
+            refund=self.quotas.refund,
             clock=clock,
         )
         self.target_reports = TargetReports(
@@ -176,7 +187,7 @@
             names=names,
             fleet_view=self.fleet_view,
             local_target=self.local_target,
-            offered=self.statuses.offered,
+            counts=self.counts,
             service=settings.target_service,
         )
         self.dispatcher = Dispatcher(
@@ -203,6 +214,9 @@
             Status: self._record_status,
             FleetUpdate: self._apply_update,
             CrashNotice: self._apply_crash_notice,
+            QuotaUse: self.quotas.record_use,
+            QuotaQuestion: self.quotas.answer,
+            QuotaLow: lambda _, notice: self.quotas.record_low(notice),
         }
         self.leaving = False
         self.tick_count = 0
@@ -220,7 +234,9 @@
     @property
     def serves_clients(self) -> bool:
         """Whether a request of a client is in progress."""
-        return any(not p.request.nested for p in self.dispatcher.pending.values())
+        return bool(self.quotas.questions) or any(
+            not p.request.nested for p in self.dispatcher.pending.values()
+        )
 
     def gauges(self) -> RelayGauges:
         """Return the current values of the gauges."""
@@ -276,6 +292,7 @@
 
     def end_requests(self) -> None:
         """Answer all requests that are still in progress, as the process ends."""
+        self.quotas.decide_all()
         self._execute(self.dispatcher.end_all())
 
     def tick(self) -> None:
@@ -285,10 +302,12 @@
         self.local_target.tick(now)
         self._execute(self.dispatcher.tick(now))
         self.crash_reports.flush()
+        self.quotas.tick(now)
         if self.tick_count % TICKS_PER_LINK_CHECK == 0:
             self.links.tick(now)
         if self.tick_count % TICKS_PER_STATUS == 0:
             self._broadcast_status(now)
+            self.quotas.refresh(now)
         if self.tick_count % TICKS_PER_SWEEP == 0:
             self.listener.close_expired()
             self.local_target.pool.close_expired()
@@ -309,6 +328,30 @@
             )
             return
         self.responses.exchanges[exchange.token] = exchange
+        if routed.nested or not routed.workspace:
+            self._dispatch(exchange, routed)
+            return
+        self.quotas.submit(
+            routed.workspace,
+            lambda verdict: self._apply_quota(exchange, routed, verdict),
+        )
+
+    def _apply_quota(
+        self, exchange: Exchange, routed: RoutedRequest, verdict: QuotaVerdict
+    ) -> None:
+        """Dispatch or refuse a request; its client may have left meanwhile."""
+        if exchange.token not in self.responses.exchanges:
+            if verdict.granted:
+                self.quotas.refund(routed.workspace)
+        elif verdict.granted:
+            self._dispatch(exchange, routed)
+        else:
+            self.responses.refuse_over_quota(exchange, routed, verdict.retry_after)
+
+    def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
+        now = self.clock()
+        if not routed.nested:
+            self.statuses.offered.count(routed.route.name)
         self._execute(self.dispatcher.submit(now, exchange.token, routed))
 
     def handle_disconnect(self, exchange: Exchange) -> None:
@@ -371,6 +414,10 @@
             self._execute(self.dispatcher.handle_answer(now, message))
         elif isinstance(message, RefusalMessage):
             self._execute(self.dispatcher.handle_refusal(now, message))
+        elif isinstance(message, QuotaGrant):
+            self.quotas.record_grant(message)
+        elif isinstance(message, QuotaLow):
+            self.quotas.record_low(message)
         elif isinstance(message, DrainNotice):
             log_event("peer_leaving", peer=instance)
             self.links.mark_draining(instance)
@@ -406,6 +453,7 @@
         names = {route.name for routes in catalog.routes.values() for route in routes}
         self.dispatcher.weighted_split.retain(names)
         self.admission.configure(catalog)
+        self.quotas.configure(catalog)
 
     def _targets_changed(self) -> None:
         targets = self.fleet_view.targets
@@ -413,6 +461,7 @@
         instances = sorted({t.instance for t in targets.values()})
         self.budget.relays = max(1, len(instances))
         self.budget.rank = bisect_left(instances, self.instance)
+        self.quotas.set_instances(instances, self.budget.rank)
         self.target_reports.update_local_target()
         self.target_reports.forget_removed_targets()
         self.target_reports.index_targets()
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -29,7 +29,7 @@
 from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
 from .target_statement import TargetStatement, read_statement
 
-__all__ = ["LocalTarget"]
+__all__ = ["LocalTarget", "is_nested_id"]
 
 MAX_OVERRUN_S = 5.0
 """Time after its deadline at which a running call is given up.
@@ -396,3 +396,8 @@
 def _session(key: Hashable) -> int:
     assert isinstance(key, CallKey)
     return key.session
+
+
+def is_nested_id(request_id: bytes) -> bool:
+    """Return whether an identifier is that of a call that a target makes."""
+    return PARENT_SEPARATOR in request_id
--- /dev/null
+++ b/buckthornshed/transport/relay/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""What relays tell each other about the quotas of workspaces."""
