Order requests by the priority of their workspace, then of their route

Cause: the priority of a workspace goes before that of the route. It took the place of the route's rank at the targets, so that bookings and browsing of one workspace ranked alike, and admission at the first hop, which knew routes only, ignored it.

Change: a combined rank orders by both in turn, at the first hop and in the queue of each target. Each priority of a route has an admission share of its own, told as 'route@priority' in the reports that relays send anyway. The reserve of retry tokens goes by the rank of the route as before. Without workspaces nothing changes.

Ruled out: the priority alone, as the shares of routes would be lost.

--- a/buckthornshed/coordination/relay/admission/controller.py
+++ b/buckthornshed/coordination/relay/admission/controller.py
@@ -21,8 +21,10 @@
 
 from ....protocol.relay_messages import RefusalReason, Status
 from ....state.catalog import Catalog, Route
+from ....state.workspaces import combined_rank
 from .allocation import Precedence, allocate
 from .call_graph import CallGraph
+from .demand_class import DemandClass, class_name, parse_class
 from .fleet_load import (
     Report,
     call_times,
@@ -75,7 +77,11 @@
     Attributes
     ----------
     shares : dict
-        Fraction of each route's requests that is admitted; 1 for missing routes.
+        Fraction of the requests that is admitted, by class; 1 for missing ones.
+    classes : dict
+        The classes that are offered, by name.
+    shed_routes : set of str
+        Routes with a class of which not all requests are admitted.
     saturated : frozenset of str
         Services whose capacity the admitted requests use up.
     outages : Outages
@@ -92,6 +98,8 @@
         self.call_times: dict[tuple[str, str], float] = {}
         self.routes: dict[str, Route] = {}
         self.shares: dict[str, float] = {}
+        self.classes: dict[str, DemandClass] = {}
+        self.shed_routes: set[str] = set()
         self.saturated: frozenset[str] = frozenset()
         self.outages = Outages()
         self.missing_services: dict[str, str | None] = {}
@@ -107,25 +115,32 @@
         """Store the latest status of the relay on an instance."""
         self.reports[instance] = Report(status, now)
 
-    def reject(self, now: float, route: Route, request_id: bytes) -> Rejection | None:
-        """Return why a new client request is not admitted, or None if it is."""
+    def reject(
+        self, now: float, route: Route, request_id: bytes, priority: int | None = None
+    ) -> Rejection | None:
+        """Return why a new client request is not admitted, or None if it is.
+
+        `priority` is that of its workspace, None where there are none.
+        """
         missing = self._missing_service(route.name)
         if missing is not None:
             retry_after = self.outages.retry_after(now, missing, route.objective)
             return Rejection(RefusalReason.UNREACHABLE, retry_after)
-        if self.admits(route, request_id):
+        if self.admits(route, request_id, priority):
             return None
         retry_after = route.objective * NOT_ADMITTED_RETRY_FRACTION
         return Rejection(RefusalReason.NOT_ADMITTED, retry_after)
 
-    def admits(self, route: Route, request_id: bytes) -> bool:
-        """Return whether the admission share of a route admits a request."""
-        share = self.shares.get(route.name, 1.0)
+    def admits(
+        self, route: Route, request_id: bytes, priority: int | None = None
+    ) -> bool:
+        """Return whether the admission share of a class admits a request."""
+        share = self.shares.get(class_name(route.name, priority), 1.0)
         return share >= 1.0 or _hash(request_id) < share * HASH_RANGE
 
     def sheds(self, route: str, service: str) -> bool:
         """Return whether requests of a route, or others for a service, are shed."""
-        return service in self.saturated or self.shares.get(route, 1.0) < 1.0
+        return service in self.saturated or route in self.shed_routes
 
     def update_shares(
         self,
@@ -146,23 +161,26 @@
         self.call_times |= call_times(statuses)
         self.outages.update(now, (s for s in self.mean_slots if not usable.get(s)))
         self.missing_services.clear()
+        self.classes = {name: parse_class(name, self.routes) for name in offered}
         demands = {
-            route: self._route_demand(route)
-            for route in offered
-            if route in self.routes and self._missing_service(route) is None
+            name: self._route_demand(each.route)
+            for name, each in self.classes.items()
+            if each.route in self.routes and self._missing_service(each.route) is None
         }
         self.success_rates.decay(now)
         allocation = allocate(
-            {route: offered[route] for route in demands},
+            {name: offered[name] for name in demands},
             self._precedence(demands, rejection_rates(statuses)),
-            {route: demand.slot_seconds for route, demand in demands.items()},
+            {name: demand.slot_seconds for name, demand in demands.items()},
             self._capacities(serving_targets(statuses, usable)),
-            {
-                route: _min_fair_share_fraction(self.success_rates.relative_rate(route))
-                for route in demands
-            },
+            {name: self._min_fraction(self.classes[name].route) for name in demands},
         )
         self.shares = allocation.shares
+        self.shed_routes = {
+            self.classes[name].route
+            for name, share in self.shares.items()
+            if share < 1.0
+        }
         self.saturated = allocation.saturated
 
     def _recent_statuses(self, now: float, unreachable: frozenset[str]) -> list[Status]:
@@ -189,16 +207,25 @@
     def _precedence(
         self, demands: Mapping[str, RouteDemand], rejections: Mapping[str, float]
     ) -> dict[str, Precedence]:
-        """Return the order in which routes receive capacity."""
+        """Return the order in which classes receive capacity."""
         return {
-            route: Precedence(
+            name: Precedence(
                 unlikely_to_succeed=_success_probability(demand.calls, rejections)
                 < MIN_SUCCESS_PROBABILITY,
-                rank=self.routes[route].rank,
+                rank=self._rank(self.classes[name]),
             )
-            for route, demand in demands.items()
+            for name, demand in demands.items()
         }
 
+    def _rank(self, demand_class: DemandClass) -> int:
+        route_rank = self.routes[demand_class.route].rank
+        if demand_class.priority is None:
+            return route_rank
+        return combined_rank(demand_class.priority, route_rank)
+
+    def _min_fraction(self, route: str) -> float:
+        return _min_fair_share_fraction(self.success_rates.relative_rate(route))
+
     def _missing_service(self, route: str) -> str | None:
         """Return a service that all requests of a route need and that is unreachable.
 
--- a/buckthornshed/coordination/relay/dispatch_messages.py
+++ b/buckthornshed/coordination/relay/dispatch_messages.py
@@ -24,7 +24,9 @@
     of the client request that started the call chain. `nested` is true if a target made
     the request while it ran another one, `is_retry` if an upstream run is a retry.
     `calls_left` is the number of calls to the same route, with this one, that the
-    upstream run still has to make.
+    upstream run still has to make. `workspace` is the name of the workspace that the
+    chain belongs to, empty if it has none; `priority` is that of its workspace for a
+    client's request where workspaces are configured, else None.
     """
 
     route: Route
@@ -38,6 +40,7 @@
     is_retry: bool = False
     calls_left: float = 1.0
     workspace: str = ""
+    priority: int | None = None
 
 
 class SendCall(NamedTuple):
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -17,6 +17,7 @@
     RefusalReason,
 )
 from ...state.catalog import Route, Target
+from ...state.workspaces import route_part
 from .admission.controller import AdmissionController
 from .crashes.crash_suspects import CrashSuspects
 from .dispatch_messages import (
@@ -124,7 +125,9 @@
         if request.deadline <= now:
             return [self._fail(pending, RefusalReason.EXPIRED)]
         if not request.nested:
-            rejection = self.admission.reject(now, request.route, request.request_id)
+            rejection = self.admission.reject(
+                now, request.route, request.request_id, request.priority
+            )
             if rejection is not None:
                 return [self._fail(pending, rejection.reason, rejection.retry_after)]
         self.pending[token] = pending
@@ -302,7 +305,7 @@
         """
         request, reserve = pending.request, 0.0
         if reason is RefusalReason.TARGET_FULL:
-            reserve = 1.0 - 1.0 / (request.calls_left + request.rank)
+            reserve = 1.0 - 1.0 / (request.calls_left + route_part(request.rank))
         return self.budget.spend(now, pending.service, reserve=reserve)
 
     def _max_attempts(self, route: Route, reason: RefusalReason) -> float:
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -228,7 +228,7 @@
     call_times : dict
         By route, the time that a call holds a slot of the target, in seconds.
     offered : dict
-        By route, new requests per second of the sender's clients.
+        By class of requests, new ones per second of the sender's clients.
     calls : dict or None
         By route, the mean calls of a run by called route; None if unchanged.
     rejection_rate : float
--- a/buckthornshed/state/workspaces.py
+++ b/buckthornshed/state/workspaces.py
@@ -3,7 +3,17 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-__all__ = ["KEY_DIGEST_BYTES", "Quota", "Workspace", "key_digest"]
+__all__ = [
+    "KEY_DIGEST_BYTES",
+    "Quota",
+    "Workspace",
+    "combined_rank",
+    "key_digest",
+    "route_part",
+]
+
+RANKS_PER_PRIORITY = 16
+"""Ranks of routes that are told apart within one priority of workspaces."""
 
 KEY_DIGEST_BYTES = 16
 
@@ -36,6 +46,19 @@
     quota: Quota | None = None
 
 
+def combined_rank(priority: int, route_rank: int) -> int:
+    """Return a rank that orders by the priority of workspaces, then by that of routes.
+
+    0 is the highest of each.
+    """
+    return priority * RANKS_PER_PRIORITY + min(route_rank, RANKS_PER_PRIORITY - 1)
+
+
+def route_part(rank: int) -> int:
+    """Return the rank of the route in a combined rank."""
+    return rank % RANKS_PER_PRIORITY
+
+
 def key_digest(key: bytes) -> bytes:
     """Return the digest by which a key is known; the key itself is not kept."""
     return blake2b(key, digest_size=KEY_DIGEST_BYTES).digest()
--- a/buckthornshed/transport/relay/clients/client_responses.py
+++ b/buckthornshed/transport/relay/clients/client_responses.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from ....coordination.relay.admission.controller import AdmissionController
+from ....coordination.relay.admission.demand_class import class_name
 from ....coordination.relay.dispatch_messages import (
     DeliverAnswer,
     FailRequest,
@@ -87,7 +88,8 @@
         if action.reason is not RefusalReason.QUARANTINED:
             # Other requests of the route are not to lose their share because of it.
             self._record_attempt(action.request, succeeded=False)
-        share = self.admission.shares.get(action.request.route.name, 1.0)
+        demand_class = class_name(request.route.name, request.priority)
+        share = self.admission.shares.get(demand_class, 1.0)
         self.access_log.log_failure(self.clock(), action, status=status, share=share)
 
     def refuse_over_quota(
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -8,6 +8,7 @@
 from ....protocol.http import Request, get_header
 from ....protocol.relay_messages import CallMessage, HeaderNames
 from ....state.catalog import Route
+from ....state.workspaces import combined_rank
 from ...logs import log_event
 from ..counts import RelayCounts
 from ..target.local_target import LocalTarget, is_nested_id
@@ -98,15 +99,20 @@
         identity = identify(catalog, route, keys)
         if not identity.authorized:
             return self._reject_unidentified(request_id, route, keys)
+        if not catalog.workspaces:
+            return self._routed(now, request, route, rank=route.rank, workspace="")
         workspace = identity.workspace
-        rank = None if workspace is None else workspace.rank
-        return self._routed(
+        priority = None if workspace is None else workspace.rank
+        if priority is None:
+            priority = route.rank
+        routed = self._routed(
             now,
             request,
             route,
-            rank=route.rank if rank is None else rank,
+            rank=combined_rank(priority, route.rank),
             workspace="" if workspace is None else workspace.name,
         )
+        return routed._replace(priority=priority)
 
     def _nested(
         self, now: float, request: Request, route: Route, parent: CallMessage
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from ...coordination.relay.admission.demand_class import class_name
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
@@ -351,7 +352,7 @@
     def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
         now = self.clock()
         if not routed.nested:
-            self.statuses.offered.count(routed.route.name)
+            self.statuses.offered.count(class_name(routed.route.name, routed.priority))
         self._execute(self.dispatcher.submit(now, exchange.token, routed))
 
     def handle_disconnect(self, exchange: Exchange) -> None:
