Send keys, beyond quotas and with keys that were taken away in the soak

Cause: the soak's clients had no keys, so nothing of workspaces was tested with processes that stop, freeze and restart.

Change: three workspaces; keys that come and go, unknown keys, a quota that is exceeded at one relay or at all. Targets check the name, that the key did not come, and the quota.

--- a/buckthornshed/tests/soak/disturbances.py
+++ b/buckthornshed/tests/soak/disturbances.py
@@ -7,12 +7,16 @@
 from random import Random
 from typing import Any
 
-from ..relay.fleet import configuration
+from .history import STABLE_S
 from .system import System
+from .workspaces import UNKNOWN_KEY
 
 Disturbance = Callable[[System, Random], Coroutine[Any, Any, None]]
 
 DEADLY_REQUESTS = 10
+IN_FORCE_S = 3.0
+"""Time after which a configuration is in force at relays without disturbance."""
+LOUD_REQUESTS = 200
 
 DISTURBANCES: list[Disturbance] = []
 
@@ -57,9 +61,7 @@
 @disturbance
 async def change_configuration(system, rng):
     system.version += rng.randint(1, 3)
-    await system.store.put(
-        "op/config", configuration(system.version, extra_paths=[f"p{system.version}"])
-    )
+    await system.publish([f"p{system.version}"])
 
 
 @disturbance
@@ -104,22 +106,77 @@
         await asyncio.sleep(rng.uniform(0.0, 1.0))
 
 
+@disturbance
+async def rotate_key(system, rng):
+    """Add a key, use it, and take the older one away; try that one at all relays."""
+    workspaces = system.workspaces
+    if len(workspaces.keys) > 1:
+        return
+    old, new = workspaces.keys[0], workspaces.add_key()
+    system.version += 1
+    await system.publish()
+    await expect_status(system, rng, new, lambda status: status != 401)
+    workspaces.drop_key(old)
+    system.version += 1
+    await system.publish()
+    await expect_status(system, rng, old, lambda status: status != 200)
+
+
+async def expect_status(system, rng, key, allowed):
+    """Check how relays without disturbance answer a key once it is in force."""
+    history, begin = system.history, time.monotonic()
+    await asyncio.sleep(IN_FORCE_S)
+    for instance in rng.sample(system.instances, min(4, len(system.instances))):
+        status = await system.ask(instance, key)
+        disturbed = max(
+            history.store_disturbed_at, history.disturbed_at.get(instance.number, 0.0)
+        )
+        calm = disturbed < begin - STABLE_S and not instance.restarting
+        if calm and system.store.mode == "up" and not allowed(status):
+            history.faults.append(f"relay {instance.number} answered {key}: {status}")
+
+
+@disturbance
+async def ask_with_unknown_key(system, rng):
+    for instance in system.instances:
+        status = await system.ask(instance, UNKNOWN_KEY)
+        if status not in (None, 401, 503):
+            system.history.faults.append(f"an unknown key was answered with {status}")
+
+
+@disturbance
+async def exceed_quota(system, rng):
+    """Send far more than a quota allows, at one relay or at all of them."""
+    instances = system.instances
+    if rng.random() < 0.3:
+        instances = [rng.choice(instances)]
+    for _ in range(LOUD_REQUESTS // 10):
+        await asyncio.gather(
+            *(system.ask(rng.choice(instances), "key-of-ranch") for _ in range(10))
+        )
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
 @disturbance
 async def restore_store(system, rng):
     copy = system.store.copy()
     await asyncio.sleep(rng.uniform(0.5, 3.0))
+    system.history.store_disturbed_at = time.monotonic()
     system.store.mode = "reset"
     await system.store.restore(copy)
     await asyncio.sleep(rng.uniform(0.0, 1.0))
     await rewrite(system)
     system.store.mode = "up"
+    system.history.store_disturbed_at = time.monotonic()
 
 
 @disturbance
 async def lose_store(system, rng):
+    system.history.store_disturbed_at = time.monotonic()
     system.store.mode = rng.choice(["busy", "many", "reset", "silent"])
     await asyncio.sleep(rng.uniform(0.5, 2.0))
     system.store.mode = "up"
+    system.history.store_disturbed_at = time.monotonic()
 
 
 @disturbance
@@ -134,6 +191,6 @@
     for key in [key for key in system.store.items if key.startswith("servers/")]:
         if key not in names:
             await system.store.delete(key)
-    await system.store.put("op/config", configuration(system.version))
+    await system.publish()
     for instance in system.instances:
         await instance.register()
--- a/buckthornshed/tests/soak/history.py
+++ b/buckthornshed/tests/soak/history.py
@@ -90,6 +90,7 @@
         self.senders: dict[str, tuple[int, float]] = {}
         self.faults: list[str] = []
         self.disturbed_at: dict[int, float] = {}
+        self.store_disturbed_at = 0.0
         self.deadly_runs: list[float] = []
         self.late_deadly_runs = 0
 
--- a/buckthornshed/tests/soak/run.py
+++ b/buckthornshed/tests/soak/run.py
@@ -59,7 +59,7 @@
         requests=len(exchanges),
         answered=sum(each.status == 200 for each in exchanges),
         disturbances=len(running),
-        violations=system.history.violations(),
+        violations=system.history.violations() + system.workspaces.faults,
     )
 
 
--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -7,11 +7,12 @@
 from pathlib import Path
 from typing import Any
 
-from ..relay.fleet import HOST, configuration, free_port, read_response
+from ..relay.fleet import HOST, free_port, read_response
 from ..relay.relay_processes import settings_text, start_process
 from ..relay.standin_store import StandinStore
 from ..relay.standin_target import StandinTarget
 from .history import Exchange, History
+from .workspaces import STEADY_KEY, Workspaces
 
 DEADLY = "/avail/deadly"
 """Path of a request that ends each target that runs it."""
@@ -47,6 +48,9 @@
         finally:
             if len(self.ran) > before:
                 self.history.runs[request_id] += 1
+                self.instance.system.workspaces.record_run(
+                    time.monotonic(), request_id, headers
+                )
 
 
 async def end_if_deadly(target, path):
@@ -194,6 +198,7 @@
     def __init__(self, folder: Path):
         self.folder = folder
         self.history = History()
+        self.workspaces = Workspaces()
         self.store = StandinStore()
         self.client_port, self.ready_port, *internal_ports = allocate_ports()
         self.internal_ports = sorted(internal_ports)
@@ -203,7 +208,7 @@
 
     async def open(self, count):
         await self.store.open()
-        await self.store.put("op/config", configuration(self.version))
+        await self.publish()
         self.instances = [Instance(self, number) for number in range(count)]
         await asyncio.gather(*(each.open() for each in self.instances))
         await asyncio.gather(*(each.until_ready() for each in self.instances))
@@ -212,6 +217,29 @@
         await asyncio.gather(*(each.close() for each in self.instances))
         self.store.close()
 
+    async def publish(self, extra_paths=()):
+        """Write the configuration to the store."""
+        document = self.workspaces.document(self.version, extra_paths)
+        await self.store.put("op/config", document)
+
+    async def ask(self, instance, key):
+        """Send one request with a key; return its status, None without an answer."""
+        self.sent += 1
+        request_id = f"k-{self.sent}"
+        self.history.senders[request_id] = (instance.number, time.monotonic())
+        self.workspaces.expect(request_id, key)
+        try:
+            async with asyncio.timeout(CLIENT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    instance.address, self.client_port
+                )
+                writer.write(make_request(request_id, "GET /avail/1", key))
+                response = await read_response(reader)
+                writer.close()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return None
+        return response.status
+
     async def run_client(self, instance, rng, stop):
         """Send requests on one connection for as long as it stays open."""
         while not stop.is_set():
@@ -238,6 +266,7 @@
                 reader, writer = await asyncio.open_connection(
                     instance.address, self.client_port
                 )
+                self.workspaces.expect(request_id, STEADY_KEY)
                 writer.write(make_request(request_id, f"GET {DEADLY}"))
                 await read_response(reader)
                 writer.close()
@@ -253,6 +282,7 @@
         stops, killed = instance.stops, instance.killed
         try:
             line = "GET /avail/1" if idempotent else "POST /book/1"
+            self.workspaces.expect(request_id, STEADY_KEY)
             writer.write(make_request(request_id, line))
             async with asyncio.timeout(CLIENT_TIMEOUT_S):
                 response = await read_response(reader)
@@ -279,9 +309,10 @@
         return response is not None and response.headers.get("connection") != "close"
 
 
-def make_request(request_id, line):
-    """Return the bytes of a request with a method and path."""
+def make_request(request_id, line, key=STEADY_KEY):
+    """Return the bytes of a request with a method, a path and a key."""
     return (
         f"{line} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n"
+        f"Deadline-Ms: {DEADLINE_MS}\r\nCredential: {key}\r\nTenant: forged\r\n"
+        "Content-Length: 0\r\n\r\n"
     ).encode()
