Split requests of clients and gauges from the relay

Change: moves only, but for three new gauges of workspaces; the handler of the client listener is now ClientRequests.

--- a/buckthornshed/tests/relay/test_target_statement.py
+++ b/buckthornshed/tests/relay/test_target_statement.py
@@ -6,6 +6,7 @@
 import pytest
 
 from buckthornshed.platform.wire import HEADERS
+from buckthornshed.transport.relay.gauges import read_gauges
 from buckthornshed.transport.relay.target.target_statement import (
     TargetStatement,
     read_statement,
@@ -69,13 +70,13 @@
             (relay,), (target,) = fleet.relays, fleet.targets
             target.extra_headers = "server-limit: 2.5\r\n"
             await fleet.ask(relay)
-            assert relay.gauges().stated_limit == 2.5
+            assert read_gauges(relay).stated_limit == 2.5
             target.extra_headers = ""
             await until(
-                lambda: relay.gauges().stated_limit == -1.0,
+                lambda: read_gauges(relay).stated_limit == -1.0,
                 ask=lambda: fleet.ask(relay),
             )
-            assert relay.gauges().target_requests == len(target.received)
+            assert read_gauges(relay).target_requests == len(target.received)
 
     with caplog.at_level("INFO"):
         asyncio.run(scenario())
--- /dev/null
+++ b/buckthornshed/transport/relay/clients/client_requests.py
@@ -0,0 +1,111 @@
+"""Requests of clients and nested requests of the target, up to their dispatch."""
+
+from collections.abc import Callable
+
+from ....coordination.relay.admission.demand_class import class_name
+from ....coordination.relay.admission.offered_rates import OfferedRates
+from ....coordination.relay.dispatch_messages import DispatchAction, RoutedRequest
+from ....coordination.relay.dispatcher import Dispatcher
+from ....coordination.workspaces.quota_ledger import QuotaVerdict
+from ....protocol.http import Request
+from ....protocol.relay_messages import HeaderNames
+from ...logs import log_event
+from ..workspaces.quota_exchange import QuotaExchange
+from .client_listener import Exchange
+from .client_responses import ClientResponses
+from .request_router import RequestRouter, UnroutedRequest
+from .responses import local_response
+
+__all__ = ["ClientRequests"]
+
+
+class ClientRequests:
+    """Matches requests to routes, applies quotas and dispatches them.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Header names of the deployment.
+    router : RequestRouter
+        Matches requests to routes and workspaces.
+    quotas : QuotaExchange
+        Admits requests within the quotas of their workspaces.
+    dispatcher : Dispatcher
+        Sends requests to targets.
+    responses : ClientResponses
+        Knows the exchanges that wait for a response.
+    offered : OfferedRates
+        Counts the requests of clients that are within their quotas.
+    execute : callable
+        Carries out what the dispatcher decides.
+    clock : callable
+        Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        router: RequestRouter,
+        quotas: QuotaExchange,
+        dispatcher: Dispatcher,
+        responses: ClientResponses,
+        offered: OfferedRates,
+        execute: Callable[[list[DispatchAction]], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.names = names
+        self.router = router
+        self.quotas = quotas
+        self.dispatcher = dispatcher
+        self.responses = responses
+        self.offered = offered
+        self.execute = execute
+        self.clock = clock
+
+    def handle_request(self, exchange: Exchange, request: Request) -> None:
+        """Match a complete request to a route and dispatch it."""
+        routed = self.router.route(self.clock(), request)
+        if isinstance(routed, UnroutedRequest):
+            request_id = self.router.request_id(request)
+            self.responses.respond_locally(
+                exchange, routed.status, request_id, routed.retry_after
+            )
+            return
+        self.responses.exchanges[exchange.token] = exchange
+        if routed.nested or not routed.workspace:
+            self._dispatch(exchange, routed)
+            return
+        self.quotas.submit(
+            routed.workspace,
+            lambda verdict: self._apply_quota(exchange, routed, verdict),
+        )
+
+    def handle_disconnect(self, exchange: Exchange) -> None:
+        """Cancel the call of a request whose client has disconnected."""
+        if self.responses.exchanges.pop(exchange.token, None) is not None:
+            now = self.clock()
+            self.execute(self.dispatcher.client_disconnected(now, exchange.token))
+
+    def handle_rejection(self, status: int, detail: str) -> bytes:
+        """Return the response to an invalid request."""
+        log_event("request_rejected", status=status, detail=detail)
+        return local_response(status, self.names, close=True)
+
+    def _apply_quota(
+        self, exchange: Exchange, routed: RoutedRequest, verdict: QuotaVerdict
+    ) -> None:
+        """Dispatch or refuse a request; its client may have left meanwhile."""
+        if exchange.token not in self.responses.exchanges:
+            if verdict.granted:
+                self.quotas.refund(routed.workspace)
+        elif verdict.granted:
+            self._dispatch(exchange, routed)
+        else:
+            self.responses.refuse_over_quota(exchange, routed, verdict.retry_after)
+
+    def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
+        if not routed.nested:
+            self.offered.count(class_name(routed.route.name, routed.priority))
+        actions = self.dispatcher.submit(self.clock(), exchange.token, routed)
+        self.execute(actions)
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -49,6 +49,12 @@
         Requests that are suspected of crashes of targets.
     quarantined : int
         Requests that are not sent because they have crashed targets.
+    workspaces : int
+        Workspaces of the configuration in force.
+    quota_questions : int
+        Requests that wait for the owner of their quota.
+    quotas_owned : int
+        Quotas that this relay keeps an account of.
     """
 
     generation: int
@@ -63,6 +69,9 @@
     target_requests: int
     suspects: int
     quarantined: int
+    workspaces: int = 0
+    quota_questions: int = 0
+    quotas_owned: int = 0
 
 
 class LatencyHistogram:
--- a/buckthornshed/transport/relay/metrics_handler.py
+++ b/buckthornshed/transport/relay/metrics_handler.py
@@ -1,12 +1,14 @@
 """HTTP endpoint for the metrics of a relay."""
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio.to_thread
 
 from ...protocol.http import Request
 from .clients.client_listener import Exchange
+from .gauges import read_gauges
 
 if TYPE_CHECKING:
     from .metrics import RelayMetrics
@@ -61,7 +63,9 @@
 
         relay = self.relay
         return RelayMetrics(
-            name=relay.settings.name, counts=relay.counts, gauges=relay.gauges
+            name=relay.settings.name,
+            counts=relay.counts,
+            gauges=partial(read_gauges, relay),
         )
 
 
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -8,22 +8,18 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from ...coordination.relay.admission.demand_class import class_name
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
     DispatchAction,
     FailRequest,
-    RoutedRequest,
     SendCall,
 )
 from ...coordination.relay.dispatcher import Dispatcher
 from ...coordination.relay.placement.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retries.retried_runs import RetriedRuns
 from ...coordination.relay.retries.retry_budget import RetryBudget
-from ...coordination.workspaces.quota_ledger import QuotaVerdict
 from ...protocol.crash_messages import CrashNotice
-from ...protocol.http import Request
 from ...protocol.quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 from ...protocol.relay_messages import (
     AnswerMessage,
@@ -44,11 +40,11 @@
 from ...state.relay_settings import RelaySettings
 from ..buffer_budget import BufferBudget
 from ..logs import log_event
-from .clients.client_listener import ClientListener, Exchange
+from .clients.client_listener import ClientListener
+from .clients.client_requests import ClientRequests
 from .clients.client_responses import ClientResponses
-from .clients.request_router import RequestRouter, UnroutedRequest
-from .clients.responses import local_response
-from .counts import NO_LIMIT, RelayCounts, RelayGauges
+from .clients.request_router import RequestRouter
+from .counts import RelayCounts
 from .crashes.crash_reports import CrashReports
 from .fleet.fleet_exchange import FleetExchange
 from .fleet.status_exchange import StatusExchange
@@ -201,8 +197,18 @@
             fingerprint=self.crash_reports.fingerprint,
             rng=rng,
         )
+        self.requests = ClientRequests(
+            names=names,
+            router=self.router,
+            quotas=self.quotas,
+            dispatcher=self.dispatcher,
+            responses=self.responses,
+            offered=self.statuses.offered,
+            execute=self._execute,
+            clock=clock,
+        )
         self.listener = ClientListener(
-            handler=self,
+            handler=self.requests,
             max_connections=settings.descriptors - RESERVED_DESCRIPTORS,
             clock=clock,
             buffers=buffers,
@@ -239,28 +245,6 @@
             not p.request.nested for p in self.dispatcher.pending.values()
         )
 
-    def gauges(self) -> RelayGauges:
-        """Return the current values of the gauges."""
-        limiter = self.local_target.limiter
-        catalog = self.fleet_view.catalog
-        rate_limiter = limiter.rate_limiter
-        return RelayGauges(
-            generation=0 if catalog is None else catalog.generation,
-            targets=sum(map(len, self.fleet_view.usable.values())),
-            peers=len(self.links.links),
-            requests=len(self.responses.exchanges),
-            running=limiter.running,
-            waiting=limiter.queue_length,
-            room=limiter.calls_per_second,
-            least_share=min(self.admission.shares.values(), default=1.0),
-            stated_limit=(
-                rate_limiter.effective_rate if rate_limiter.limited else NO_LIMIT
-            ),
-            target_requests=self.local_target.pool.requests_sent,
-            suspects=len(self.crash_reports.suspects.counts),
-            quarantined=len(self.crash_reports.suspects.quarantines),
-        )
-
     async def open(self) -> None:
         """Open the listening sockets."""
         await self.listener.open(self.settings.client_address)
@@ -316,56 +300,6 @@
             self.retried_runs.divide_slack()
             self.fleet_exchange.request_view()
 
-    # Requests of clients and nested requests of the target.
-
-    def handle_request(self, exchange: Exchange, request: Request) -> None:
-        """Match a complete request to a route and dispatch it."""
-        now = self.clock()
-        routed = self.router.route(now, request)
-        if isinstance(routed, UnroutedRequest):
-            request_id = self.router.request_id(request)
-            self.responses.respond_locally(
-                exchange, routed.status, request_id, routed.retry_after
-            )
-            return
-        self.responses.exchanges[exchange.token] = exchange
-        if routed.nested or not routed.workspace:
-            self._dispatch(exchange, routed)
-            return
-        self.quotas.submit(
-            routed.workspace,
-            lambda verdict: self._apply_quota(exchange, routed, verdict),
-        )
-
-    def _apply_quota(
-        self, exchange: Exchange, routed: RoutedRequest, verdict: QuotaVerdict
-    ) -> None:
-        """Dispatch or refuse a request; its client may have left meanwhile."""
-        if exchange.token not in self.responses.exchanges:
-            if verdict.granted:
-                self.quotas.refund(routed.workspace)
-        elif verdict.granted:
-            self._dispatch(exchange, routed)
-        else:
-            self.responses.refuse_over_quota(exchange, routed, verdict.retry_after)
-
-    def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
-        now = self.clock()
-        if not routed.nested:
-            self.statuses.offered.count(class_name(routed.route.name, routed.priority))
-        self._execute(self.dispatcher.submit(now, exchange.token, routed))
-
-    def handle_disconnect(self, exchange: Exchange) -> None:
-        """Cancel the call of a request whose client has disconnected."""
-        if self.responses.exchanges.pop(exchange.token, None) is not None:
-            now = self.clock()
-            self._execute(self.dispatcher.client_disconnected(now, exchange.token))
-
-    def handle_rejection(self, status: int, detail: str) -> bytes:
-        """Return the response to an invalid request."""
-        log_event("request_rejected", status=status, detail=detail)
-        return local_response(status, self.names, close=True)
-
     # Other relays.
 
     def handle_session_message(
