Visit only the workspaces whose use is not yet reported

Cause: each tick of a relay visited all quotas that it had seen, 18.6 ms with 10,000 workspaces, and each refresh computed the owners of all of them.

Change: a set of the workspaces with unreported use; owners are computed for 100 workspaces at each refresh after a change.

--- a/buckthornshed/coordination/workspaces/quota_gate.py
+++ b/buckthornshed/coordination/workspaces/quota_gate.py
@@ -72,6 +72,8 @@
         Number of relays in the fleet.
     rank : int
         Position of this relay among them.
+    unreported : set of str
+        Workspaces whose use may not have been reported.
     """
 
     def __init__(self, *, quota_of: Callable[[str], Quota | None]) -> None:
@@ -79,6 +81,7 @@
         self.relays = 1
         self.rank = 0
         self.allowances: dict[str, Allowance] = {}
+        self.unreported: set[str] = set()
 
     def submit(self, now: float, workspace: str) -> Step:
         """Return whether a request is admitted at once, and record it if so."""
@@ -88,14 +91,15 @@
         allowance = self._allowance(now, workspace, quota)
         if now < allowance.low_until:
             return Step.ASK
-        allowance.unreported += 1
+        self._add_unreported(workspace, allowance, 1)
         return Step.ADMIT
 
     def refund(self, now: float, workspace: str) -> None:
         """Record that an admitted request has not run and will not."""
         quota = self.quota_of(workspace)
         if quota is not None:
-            self._allowance(now, workspace, quota).unreported -= 1
+            allowance = self._allowance(now, workspace, quota)
+            self._add_unreported(workspace, allowance, -1)
 
     def mark_low(self, now: float, workspace: str) -> None:
         """Record that the owner of a quota wants to be asked."""
@@ -110,7 +114,7 @@
             return QuotaVerdict(granted=True)
         allowance = self._allowance(now, workspace, quota)
         if allowance.own_part.take(now):
-            allowance.unreported += 1
+            self._add_unreported(workspace, allowance, 1)
             return QuotaVerdict(granted=True)
         wait = allowance.own_part.wait(now)
         return QuotaVerdict(granted=False, retry_after=wait)
@@ -122,14 +126,15 @@
         sooner than the others.
         """
         due: dict[str, int] = {}
-        for workspace, allowance in self.allowances.items():
-            waited = now - allowance.reported_at
-            late = allowance.unreported != 0 and waited >= LATE_USE_S
+        for workspace in self.unreported:
+            allowance = self.allowances[workspace]
+            late = now - allowance.reported_at >= LATE_USE_S
             if late or self._is_early(workspace, allowance):
                 due[workspace] = allowance.unreported
                 allowance.unreported = 0
                 allowance.reported_at = now
-        return due
+        self.unreported -= due.keys()
+        return {name: requests for name, requests in due.items() if requests}
 
     def has_early(self, workspace: str) -> bool:
         """Return whether the use of a workspace is to be reported at once."""
@@ -141,12 +146,19 @@
         for workspace, requests in reports.items():
             allowance = self.allowances.get(workspace)
             if allowance is not None:
-                allowance.unreported += requests
+                self._add_unreported(workspace, allowance, requests)
 
     def retain(self, workspaces: set[str]) -> None:
         """Forget all other workspaces."""
         for workspace in self.allowances.keys() - workspaces:
             del self.allowances[workspace]
+        self.unreported &= workspaces
+
+    def _add_unreported(
+        self, workspace: str, allowance: Allowance, requests: int
+    ) -> None:
+        allowance.unreported += requests
+        self.unreported.add(workspace)
 
     def _is_early(self, workspace: str, allowance: Allowance) -> bool:
         quota = self.quota_of(workspace)
--- a/buckthornshed/coordination/workspaces/quota_ledger.py
+++ b/buckthornshed/coordination/workspaces/quota_ledger.py
@@ -5,7 +5,7 @@
 low. Use that was not expected leaves a debt, so that the quota holds again after it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from ...state.workspaces import Quota
@@ -99,8 +99,11 @@
         bucket = account.bucket
         return bucket.refill(now) < LOW_PART * bucket.capacity
 
-    def open_owned(self, now: float, workspaces: list[str]) -> None:
-        """Open the accounts of the owned workspaces, so that they fill before use."""
+    def open_owned(self, now: float, workspaces: Iterable[str]) -> None:
+        """Open the accounts of those workspaces that this relay owns.
+
+        An account fills before it is used, if it is opened before.
+        """
         for workspace in workspaces:
             if self.owners.owner(workspace) == self.owners.instance:
                 self._account(now, workspace)
--- a/buckthornshed/transport/relay/workspaces/quota_exchange.py
+++ b/buckthornshed/transport/relay/workspaces/quota_exchange.py
@@ -17,6 +17,8 @@
 
 SUSPECT_S = 1.0
 """Time for which an owner that did not answer in time is not asked."""
+OPENED_AT_ONCE = 100
+"""Workspaces whose owner is computed at each refresh, as each takes some time."""
 LOW_NOTICE_INTERVAL_S = 1.0
 """Time between two notices to all relays that a quota is low."""
 
@@ -69,6 +71,8 @@
     ----------
     questions : dict
         Requests that wait for an owner, by number.
+    unopened : list of str
+        Workspaces whose accounts, if they are owned, are yet to be opened.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         self.questions: dict[int, Question] = {}
         self.last_number = 0
         self.low_told_at: dict[str, float] = {}
+        self.unopened: list[str] = []
 
     def configure(self, catalog: Catalog) -> None:
         """Apply the quotas of a configuration."""
@@ -100,6 +105,7 @@
         for workspace in catalog.workspaces.values():
             if workspace.quota is not None:
                 self.quotas[workspace.name] = workspace.quota
+        self.unopened = list(self.quotas)
         names = set(self.quotas)
         self.gate.retain(names)
         self.ledger.retain(names)
@@ -110,6 +116,7 @@
     def set_instances(self, instances: Iterable[str], rank: int) -> None:
         """Set the instances of the fleet, and the position of this one in it."""
         self.owners.set_instances(instances)
+        self.unopened = list(self.quotas)
         self.gate.relays = len(self.owners.instances)
         self.gate.rank = rank
 
@@ -167,7 +174,9 @@
         """Count the relays that can be reached and open the owned accounts."""
         if self.quotas:
             self.owners.refresh()
-            self.ledger.open_owned(now, list(self.quotas))
+            unopened = self.unopened[:OPENED_AT_ONCE]
+            del self.unopened[:OPENED_AT_ONCE]
+            self.ledger.open_owned(now, unopened)
 
     def decide_all(self) -> None:
         """Decide all waiting requests, as the process is about to end."""
