Explain refusals of workspaces in trace

Cause: trace knew none of the lines of requests beyond a quota or without a known key, so it said that no relay had logged their end.

Change: both log their status and reason as other refusals do, and a table names the events of requests that a relay answered.

--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -19,10 +19,16 @@
 SEPARATOR = "."
 LOST_REASONS = frozenset({"lost", "crashed"})
 """Reasons logged for a request that was sent and got no usable answer."""
-END_EVENTS = frozenset({"request_given_up", "request_answered"})
+REFUSED_EVENTS = frozenset(
+    {"request_given_up", "request_over_quota", "request_unauthorized"}
+)
+"""Events of requests that a relay answered itself."""
+END_EVENTS = REFUSED_EVENTS | {"request_answered"}
 FAILED_STATUS = 500
 
 CAUSES = {
+    "over_quota": "the quota of its workspace was used up",
+    "unauthorized": "it had no key that a workspace holds",
     "not_admitted": "a service that it depends on was saturated",
     "overload": "the target was overloaded and could not start it in time",
     "rate_limited": "the limit that its target states was used up",
@@ -60,7 +66,7 @@
     @property
     def failed(self) -> bool:
         """Whether the line reports a failure or a refusal."""
-        if self.event == "request_given_up" or self.event == "target_fault":
+        if self.event in REFUSED_EVENTS or self.event == "target_fault":
             return True
         result = self.fields.get("status", self.fields.get("result", "200"))
         return not result.isdigit() or int(result) >= FAILED_STATUS
@@ -148,7 +154,7 @@
             f"{request}: answered with status {status} by a target, "
             f"logged by {end.source}"
         )
-    if end.event == "request_given_up":
+    if end.event in REFUSED_EVENTS:
         reason = end.fields.get("reason", "")
         cause = CAUSES.get(reason, reason) + _locate_fault(reason, request, lines)
         return (
--- a/buckthornshed/tests/test_cli_trace.py
+++ b/buckthornshed/tests/test_cli_trace.py
@@ -101,3 +101,21 @@
     )
     extract = read_lines("other", [path])
     assert extract.lines[0].source == "relay-a"
+
+
+@pytest.mark.parametrize(
+    ("event", "status", "reason", "cause"),
+    [
+        ("request_over_quota", 429, "over_quota", "the quota of its workspace was"),
+        ("request_unauthorized", 401, "unauthorized", "it had no key that a workspace"),
+    ],
+)
+def test_refusals_of_workspaces_are_explained(tmp_path, event, status, reason, cause):
+    log = tmp_path / "a.log"
+    log.write_text(
+        f'time="2026-12-04 00:00:01,000" level=INFO event={event} request=one '
+        f"route=book status={status} reason={reason}\n"
+    )
+    sentence = explain_end("one", read_lines("one", [log]).lines)
+    assert sentence.startswith(f"one: answered with status {status} by relay a.log: ")
+    assert cause in sentence
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -18,6 +18,7 @@
 
 NO_CATALOG_RETRY_AFTER_S = 0.5
 DRAINING_RETRY_AFTER_S = 0.2
+UNAUTHORIZED_STATUS = 401
 ENDED_PARENT_RETRY_AFTER_S = 0.5
 CLIENT_TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a client's own timeout at which it gets its final answer."""
@@ -165,9 +166,11 @@
             "request_unauthorized",
             request=request_id.decode("latin-1"),
             route=route.name,
+            status=UNAUTHORIZED_STATUS,
+            reason="unauthorized",
             keys=len(keys),
         )
-        return UnroutedRequest(401, None)
+        return UnroutedRequest(UNAUTHORIZED_STATUS, None)
 
     def _timeout(self, request: Request, route: Route) -> float:
         """Return the time that a request has, in seconds."""
--- a/buckthornshed/transport/relay/logs/access_log.py
+++ b/buckthornshed/transport/relay/logs/access_log.py
@@ -84,6 +84,8 @@
         log_event(
             "request_over_quota",
             **_request_fields(now, request),
+            status=429,
+            reason="over_quota",
             retry_after=round(retry_after, 3),
         )
 
