Bound what a relay admits without asking while its reports are lost

Cause: a relay that is cut off and has not noticed it yet reports into the void, hears no notice and admits everything for up to a second: 171 requests of 170 allowed in 5 s (two relays, five times the quota). Found by the new state machine of loads, cuts, restarts and freezes.

Change: what a relay admits without asking is taken from a bucket of the whole quota, which holds little at the start; beyond it the owner is asked, and after 0.2 s without an answer the relay's own part decides.

--- a/buckthornshed/coordination/workspaces/quota_gate.py
+++ b/buckthornshed/coordination/workspaces/quota_gate.py
@@ -50,12 +50,16 @@
         Time until which the owner is asked, in seconds.
     own_part : TokenBucket
         Part of the quota that the relay admits if no owner answers.
+    whole : TokenBucket
+        Bounds what the relay admits without asking, as the reports on it may be lost:
+        the whole quota, of which it holds little at the start.
     """
 
     unreported: int
     reported_at: float
     low_until: float
     own_part: TokenBucket
+    whole: TokenBucket
 
 
 class QuotaGate:
@@ -89,7 +93,7 @@
         if quota is None:
             return Step.ADMIT
         allowance = self._allowance(now, workspace, quota)
-        if now < allowance.low_until:
+        if now < allowance.low_until or not allowance.whole.take(now):
             return Step.ASK
         self._add_unreported(workspace, allowance, 1)
         return Step.ADMIT
@@ -167,17 +171,32 @@
 
     def _allowance(self, now: float, workspace: str, quota: Quota) -> Allowance:
         allowance = self.allowances.get(workspace)
-        rate, capacity = quota.rate / self.relays, quota.burst / self.relays
         if allowance is None:
-            own_part = TokenBucket(
-                rate=rate,
-                capacity=capacity,
-                level=self.rank * PHASE_STEP % 1.0,
-                now=now,
-            )
-            allowance = self.allowances[workspace] = Allowance(
-                unreported=0, reported_at=now, low_until=0.0, own_part=own_part
-            )
-        elif allowance.own_part.rate != rate:
+            allowance = self._new_allowance(now, quota)
+            self.allowances[workspace] = allowance
+        rate, capacity = quota.rate / self.relays, quota.burst / self.relays
+        if allowance.own_part.rate != rate or allowance.whole.rate != quota.rate:
             allowance.own_part.set_rate(now, rate=rate, capacity=capacity)
+            allowance.whole.set_rate(now, rate=quota.rate, capacity=quota.burst)
         return allowance
+
+    def _new_allowance(self, now: float, quota: Quota) -> Allowance:
+        own_part = TokenBucket(
+            rate=quota.rate / self.relays,
+            capacity=quota.burst / self.relays,
+            level=self.rank * PHASE_STEP % 1.0,
+            now=now,
+        )
+        whole = TokenBucket(
+            rate=quota.rate,
+            capacity=quota.burst,
+            level=max(1.0, quota.rate * EARLY_REPORT_S),
+            now=now,
+        )
+        return Allowance(
+            unreported=0,
+            reported_at=now,
+            low_until=0.0,
+            own_part=own_part,
+            whole=whole,
+        )
--- a/buckthornshed/tests/relay/test_quota_bound.py
+++ b/buckthornshed/tests/relay/test_quota_bound.py
@@ -143,3 +143,12 @@
             fleet.after(after, lambda name=name: fleet.restart(name, 0.5))
     else:
         fleet.after(delay, lambda: fleet.freeze(fleet.owner(), 1.5))
+
+
+def test_a_cut_that_is_not_noticed_yet_does_not_admit_without_bound():
+    fleet = make_fleet(2, 20, seed=19)
+    fleet.load_at_one(0.6 * 20, 10.0, 12.0)
+    fleet.after(2.0, lambda: fleet.cut(0.2))
+    fleet.even_load(5.0 * 20, 12.0, 15.0)
+    fleet.run(15.0)
+    assert fleet.most_in_a_window() <= bound(fleet.quota)
