Know calls of targets by their identifier where no key is needed

Cause: a call of a target with a Credential header was taken for a client's request also where no workspace is configured, so it lost its rank, its place in the call graph and its mark as a call of a retried run.

Change: a key makes a request a client's only where workspaces are configured. The lookup of a client's identity is a function of its own. Found by reading the change; its test fails without it.

--- a/buckthornshed/tests/relay/test_workspaces.py
+++ b/buckthornshed/tests/relay/test_workspaces.py
@@ -300,3 +300,17 @@
         assert response.status == 200
 
     run(scenario)
+
+
+def test_a_call_of_a_target_may_have_a_credential_where_no_workspace_is_configured():
+    async def scenario(fleet):
+        relay, target = fleet.relays[0], fleet.targets[0]
+        target.scripts = ["slow"]
+        parent = asyncio.create_task(ask(fleet, relay, "/book/1", request_id="run"))
+        await until(lambda: target.ran)
+        await ask(fleet, relay, headers=[("Credential", "x")], request_id="run.1")
+        target.release.set()
+        assert (await parent).status == 200
+        assert relay.local_target.graph.calls["book"] == {"avail": 1.0}
+
+    run(scenario, relays=1)
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -7,7 +7,7 @@
 from ....coordination.workspaces.identity import identify
 from ....protocol.http import Request, get_header
 from ....protocol.relay_messages import CallMessage, HeaderNames
-from ....state.catalog import Route
+from ....state.catalog import Catalog, Route
 from ....state.workspaces import combined_rank
 from ...logs import log_event
 from ..counts import RelayCounts
@@ -90,16 +90,29 @@
             )
             return UnroutedRequest(404, None)
         keys = [v for n, v in request.headers if n == self.names.credential]
-        parent = None if keys else self.local_target.find_parent(request_id)
+        # A request with a key is a client's, whatever its identifier looks like.
+        is_client = bool(keys and catalog.workspaces)
+        parent = None if is_client else self.local_target.find_parent(request_id)
         if parent is None and self.refusing:
             # The request might not complete before the process ends.
             log_event("request_refused_stopping", request=request_id.decode("latin-1"))
             return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
         if parent is not None:
             return self._nested(now, request, route, parent)
+        return self._of_client(now, request, route, catalog, keys)
+
+    def _of_client(
+        self,
+        now: float,
+        request: Request,
+        route: Route,
+        catalog: Catalog,
+        keys: list[bytes],
+    ) -> RoutedRequest | UnroutedRequest:
+        """Return a client's request, for the workspace that holds its key."""
         identity = identify(catalog, route, keys)
         if not identity.authorized:
-            return self._reject_unidentified(request_id, route, keys)
+            return self._reject_unidentified(request, route, keys)
         if not catalog.workspaces:
             return self._routed(now, request, route, rank=route.rank, workspace="")
         workspace = identity.workspace
@@ -152,13 +165,14 @@
         )
 
     def _reject_unidentified(
-        self, request_id: bytes, route: Route, keys: list[bytes]
+        self, request: Request, route: Route, keys: list[bytes]
     ) -> UnroutedRequest:
         """Return the response to a request without a key that a workspace holds.
 
         A call of the local target whose parent has ended has no key either. Nobody
         waits for it any more, but it is not to be told that it was not allowed.
         """
+        request_id = self.request_id(request)
         if not keys and is_nested_id(request_id):
             return UnroutedRequest(503, ENDED_PARENT_RETRY_AFTER_S)
         self.counts.requests[(route.name, "unauthorized")] += 1
