Bound the time that refused requests of a quota are told

Cause: each refusal named a later time, without end, so after a long overload requests were told 5 s for as long as it had lasted, though there was room at once. Found by reading.

Change: the time that is named is at most 5 s from now, also for the next.

--- a/buckthornshed/coordination/workspaces/quota_ledger.py
+++ b/buckthornshed/coordination/workspaces/quota_ledger.py
@@ -56,8 +56,9 @@
         if rate <= 0.0:
             return MAX_RETRY_AFTER_S
         first = now + self.bucket.wait(now)
-        self.promised_until = max(first, self.promised_until + 1.0 / rate)
-        return min(self.promised_until - now, MAX_RETRY_AFTER_S)
+        next_free = max(first, self.promised_until + 1.0 / rate)
+        self.promised_until = min(next_free, now + MAX_RETRY_AFTER_S)
+        return self.promised_until - now
 
 
 class QuotaLedger:
--- a/buckthornshed/tests/relay/test_quota_bound.py
+++ b/buckthornshed/tests/relay/test_quota_bound.py
@@ -152,3 +152,13 @@
     fleet.even_load(5.0 * 20, 12.0, 15.0)
     fleet.run(15.0)
     assert fleet.most_in_a_window() <= bound(fleet.quota)
+
+
+def test_the_time_until_there_is_room_is_short_again_after_a_long_overload():
+    fleet = make_fleet(4, 40)
+    fleet.even_load(5.0 * 40, 10.0, 30.0)
+    fleet.even_load(2.0 * 40, 36.0, 38.0)
+    fleet.run(41.0)
+    late = [retry_after for at, retry_after in fleet.refused if at > 36.0]
+    assert late
+    assert max(late) < 2.0
