Stop asking for a quota once its owner says that it is not low

Cause: each answer of an owner renewed the time for which a relay asks, so after a burst a relay with a request every 1.5 s asked for ever. Found by reading.

Change: the answer says whether the quota is low.

Figures: four relays, 3 s at 2.8 times the quota, then 17 s at 0.3 of it: questions in the last 10 s of it went on before, none after (test).

--- a/buckthornshed/protocol/quota_messages.py
+++ b/buckthornshed/protocol/quota_messages.py
@@ -22,11 +22,15 @@
 
 
 class QuotaGrant(msgspec.Struct, array_like=True, tag=14):
-    """Answers a question; `retry_after` is in seconds, if it is not granted."""
+    """Answers a question; `retry_after` is in seconds, if it is not granted.
+
+    `low` tells whether the receiver is to go on asking.
+    """
 
     number: int
     granted: bool
     retry_after: float
+    low: bool
 
 
 class QuotaLow(msgspec.Struct, array_like=True, tag=15):
--- a/buckthornshed/tests/relay/test_quota_bound.py
+++ b/buckthornshed/tests/relay/test_quota_bound.py
@@ -162,3 +162,13 @@
     late = [retry_after for at, retry_after in fleet.refused if at > 36.0]
     assert late
     assert max(late) < 2.0
+
+
+def test_relays_stop_asking_once_a_quota_is_no_longer_low():
+    fleet = make_fleet(4, 40)
+    fleet.even_load(2.8 * 40, 10.0, 13.0)
+    fleet.even_load(0.3 * 40, 13.0, 30.0)
+    fleet.run(20.0)
+    asked = [node.quotas.last_number for node in fleet.nodes.values()]
+    fleet.run(30.0)
+    assert [node.quotas.last_number for node in fleet.nodes.values()] == asked
--- a/buckthornshed/transport/relay/workspaces/quota_exchange.py
+++ b/buckthornshed/transport/relay/workspaces/quota_exchange.py
@@ -148,7 +148,8 @@
         question = self.questions.pop(grant.number, None)
         if question is None:
             return
-        self.gate.mark_low(self.clock(), question.workspace)
+        if grant.low:
+            self.gate.mark_low(self.clock(), question.workspace)
         question.decide(QuotaVerdict(grant.granted, grant.retry_after))
 
     def record_low(self, notice: QuotaLow) -> None:
@@ -210,8 +211,12 @@
 
     def answer(self, session: Session, question: QuotaQuestion) -> None:
         """Answer another relay's question."""
-        verdict = self._ask_here(self.clock(), question.workspace)
-        session.send(QuotaGrant(question.number, verdict.granted, verdict.retry_after))
+        now = self.clock()
+        verdict = self._ask_here(now, question.workspace)
+        low = self.ledger.is_low(now, question.workspace)
+        session.send(
+            QuotaGrant(question.number, verdict.granted, verdict.retry_after, low)
+        )
 
     def record_use(self, session: Session, use: QuotaUse) -> None:
         """Account for the requests that another relay has admitted."""
