List a quota that is exceeded while a large fleet has no links yet

The simulation gave a restarted relay its links at once. Without them each relay owns each quota, and its least token and the first request that is not asked for add up: 420 of 320 requests in 5 s, 300 relays restarted at once, links 1.5 s later, rate 40.

--- a/buckthornshed/tests/relay/quota_simulation.py
+++ b/buckthornshed/tests/relay/quota_simulation.py
@@ -63,6 +63,7 @@
         self.instance = instance
         self.up = True
         self.frozen = False
+        self.started_at = float("-inf")
         self.forget()
 
     def forget(self):
@@ -131,6 +132,7 @@
         self.group_of: dict[str, int] = {}
         self.cut_at = 0.0
         self.nodes: dict[str, Node] = {}
+        self.link_delay = 0.0  # Seconds until a restarted relay has its links.
         instances = [f"10.0.0.{number}" for number in range(size)]
         for instance in instances:
             self.nodes[instance] = Node(self, instance)
@@ -152,12 +154,17 @@
 
     def connected(self, one, other):
         same = self.group_of.get(one, 0) == self.group_of.get(other, 0)
-        return same and self.nodes[other].up
+        return same and self.nodes[other].up and self.linked(one, other)
+
+    def linked(self, one, other):
+        nodes = filter(None, map(self.nodes.get, (one, other)))
+        return all(self.now >= node.started_at + self.link_delay for node in nodes)
 
     def notices_reachable(self, one, other):
         same = self.group_of.get(one, 0) == self.group_of.get(other, 0)
         noticed = self.now - self.cut_at > DETECTION_S
-        return self.nodes[other].up and (same or not noticed)
+        up = self.nodes[other].up and self.linked(one, other)
+        return up and (same or not noticed)
 
     def deliver(self, sender, receiver, message):
         node = self.nodes[receiver]
@@ -213,6 +220,7 @@
         node.up = False
 
         def start():
+            node.started_at = self.now
             node.forget()
             node.up = True
 
--- a/buckthornshed/tests/relay/test_quota_bound.py
+++ b/buckthornshed/tests/relay/test_quota_bound.py
@@ -172,3 +172,13 @@
     asked = [node.quotas.last_number for node in fleet.nodes.values()]
     fleet.run(30.0)
     assert [node.quotas.last_number for node in fleet.nodes.values()] == asked
+
+
+@pytest.mark.parametrize(("size", "rate"), [(64, 8), (64, 174), (300, 40)])
+def test_a_quota_is_kept_before_relays_that_restarted_have_their_links(size, rate):
+    fleet = make_fleet(size, rate)
+    fleet.link_delay = 1.5
+    fleet.even_load(5.0 * rate, 10.0, 18.0)
+    fleet.after(2.0, lambda: fleet.restart_all(0.5))
+    fleet.run(18.5)
+    assert fleet.most_in_a_window() <= bound(fleet.quota)
