Admit without asking only where a relay reaches most of the others

Cause: a relay that has restarted and has no links yet owns each quota for itself. Its account held a token at least, and what it admitted without asking came on top, at each of the relays.

Change: a relay that reaches less than half of the others asks before each request, itself if there is no other. A new account that holds less than one token gets the relay's phase in addition, as retry tokens do, so that the tokens of all relays add up to the quota. The rank comes from the owners.

Ruled out: 503 in place of 429 until there are links: without links a relay can only serve its own target.

--- a/benchmarks/workspace_cost.py
+++ b/benchmarks/workspace_cost.py
@@ -52,7 +52,7 @@
         is_reachable=lambda _: True,
         clock=time.monotonic,
     )
-    quotas.set_instances([f"10.0.0.{number}" for number in range(64)], 0)
+    quotas.set_instances([f"10.0.0.{number}" for number in range(64)])
     quotas.configure(catalog)
     quotas.refresh(time.monotonic())
     for name in catalog.workspaces:
--- a/buckthornshed/coordination/workspaces/quota_gate.py
+++ b/buckthornshed/coordination/workspaces/quota_gate.py
@@ -21,12 +21,6 @@
 """Time for which a relay asks after the owner has said that a quota is low."""
 ASK_TIMEOUT_S = 0.2
 """Time after which a relay decides without the owner."""
-PHASE_STEP = (5.0**0.5 - 1.0) / 2.0
-"""Difference of the first levels of consecutive relays.
-
-The multiples of the golden ratio's fraction spread evenly over an interval, so that
-as many relays hold a whole token as the parts of all relays allow.
-"""
 
 
 class Step(Enum):
@@ -74,8 +68,8 @@
     ----------
     relays : int
         Number of relays in the fleet.
-    rank : int
-        Position of this relay among them.
+    phase : float
+        Part of a token that this relay holds at first; see `QuotaOwners`.
     unreported : set of str
         Workspaces whose use may not have been reported.
     """
@@ -83,17 +77,22 @@
     def __init__(self, *, quota_of: Callable[[str], Quota | None]) -> None:
         self.quota_of = quota_of
         self.relays = 1
-        self.rank = 0
+        self.phase = 0.0
         self.allowances: dict[str, Allowance] = {}
         self.unreported: set[str] = set()
 
-    def submit(self, now: float, workspace: str) -> Step:
-        """Return whether a request is admitted at once, and record it if so."""
+    def submit(self, now: float, workspace: str, *, in_touch: bool) -> Step:
+        """Return whether a request is admitted at once, and record it if so.
+
+        `in_touch` tells whether this relay reaches most of the others, so that the
+        owner of the quota is most likely theirs as well.
+        """
         quota = self.quota_of(workspace)
         if quota is None:
             return Step.ADMIT
         allowance = self._allowance(now, workspace, quota)
-        if now < allowance.low_until or not allowance.whole.take(now):
+        is_low = not in_touch or now < allowance.low_until
+        if is_low or not allowance.whole.take(now):
             return Step.ASK
         self._add_unreported(workspace, allowance, 1)
         return Step.ADMIT
@@ -184,7 +183,7 @@
         own_part = TokenBucket(
             rate=quota.rate / self.relays,
             capacity=quota.burst / self.relays,
-            level=self.rank * PHASE_STEP % 1.0,
+            level=self.phase,
             now=now,
         )
         whole = TokenBucket(
--- a/buckthornshed/coordination/workspaces/quota_ledger.py
+++ b/buckthornshed/coordination/workspaces/quota_ledger.py
@@ -131,12 +131,11 @@
         rate, capacity = quota.rate * part, quota.burst * part
         account = self.accounts.get(workspace)
         if account is None:
-            bucket = TokenBucket(
-                rate=rate,
-                capacity=capacity,
-                level=max(1.0, rate * START_S),
-                now=now,
-            )
+            level = rate * START_S
+            if level < 1.0:
+                # Less than a token at each relay is a token at some of them.
+                level += self.owners.phase
+            bucket = TokenBucket(rate=rate, capacity=capacity, level=level, now=now)
             account = Account(bucket=bucket, owned=owned, now=now)
             self.accounts[workspace] = account
         account.bucket.set_rate(now, rate=rate, capacity=capacity)
--- a/buckthornshed/coordination/workspaces/quota_owners.py
+++ b/buckthornshed/coordination/workspaces/quota_owners.py
@@ -12,6 +12,8 @@
 
 __all__ = ["QuotaOwners"]
 
+PHASE_STEP = (5.0**0.5 - 1.0) / 2.0
+"""Difference of the phases of consecutive relays, the golden ratio's fraction."""
 CANDIDATES = 8
 """Owners that are ordered at once; the others only if none of these can be reached."""
 
@@ -30,6 +32,10 @@
     ----------
     instances : frozenset of str
         All instances of the fleet, with this one.
+    phase : float
+        Part of a token that this relay holds at first. The phases of all relays spread
+        evenly over an interval, so that as many relays hold a whole token as the parts
+        of all relays allow.
     reachable_part : float
         Part of them that this relay can reach, with itself, at the latest `refresh`.
     """
@@ -39,6 +45,7 @@
         self.is_reachable = is_reachable
         self.instances = frozenset({instance})
         self.candidates: dict[str, list[str]] = {}
+        self.phase = 0.0
         self.reachable_part = 1.0
 
     def set_instances(self, instances: Iterable[str]) -> None:
@@ -47,6 +54,8 @@
         if known != self.instances:
             self.instances = known
             self.candidates.clear()
+            rank = sorted(known).index(self.instance)
+            self.phase = rank * PHASE_STEP % 1.0
             self.refresh()
 
     def owner(self, workspace: str) -> str:
--- a/buckthornshed/tests/relay/quota_simulation.py
+++ b/buckthornshed/tests/relay/quota_simulation.py
@@ -1,7 +1,6 @@
 """A fleet of relays that keep a quota, in virtual time with cuts and restarts."""
 
 import heapq
-from bisect import bisect_left
 from itertools import count
 from random import Random
 
@@ -79,7 +78,7 @@
 
     def configure(self):
         instances = sorted(self.fleet.nodes or [self.instance])
-        self.quotas.set_instances(instances, bisect_left(instances, self.instance))
+        self.quotas.set_instances(instances)
         self.quotas.configure(self.fleet.catalog())
 
     def tick(self):
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -396,7 +396,7 @@
         instances = sorted({t.instance for t in targets.values()})
         self.budget.relays = max(1, len(instances))
         self.budget.rank = bisect_left(instances, self.instance)
-        self.quotas.set_instances(instances, self.budget.rank)
+        self.quotas.set_instances(instances)
         self.target_reports.update_local_target()
         self.target_reports.forget_removed_targets()
         self.target_reports.index_targets()
--- a/buckthornshed/transport/relay/workspaces/quota_exchange.py
+++ b/buckthornshed/transport/relay/workspaces/quota_exchange.py
@@ -17,6 +17,8 @@
 
 SUSPECT_S = 1.0
 """Time for which an owner that did not answer in time is not asked."""
+IN_TOUCH_PART = 0.5
+"""Part of the relays that a relay reaches if it admits requests without asking."""
 OPENED_AT_ONCE = 100
 """Workspaces whose owner is computed at each refresh, as each takes some time."""
 LOW_NOTICE_INTERVAL_S = 1.0
@@ -113,19 +115,20 @@
             name: at for name, at in self.low_told_at.items() if name in names
         }
 
-    def set_instances(self, instances: Iterable[str], rank: int) -> None:
-        """Set the instances of the fleet, and the position of this one in it."""
+    def set_instances(self, instances: Iterable[str]) -> None:
+        """Set the instances of the fleet."""
         self.owners.set_instances(instances)
         self.unopened = list(self.quotas)
         self.gate.relays = len(self.owners.instances)
-        self.gate.rank = rank
+        self.gate.phase = self.owners.phase
 
     # Requests of clients.
 
     def submit(self, workspace: str, decide: Decide) -> None:
         """Call `decide` with the verdict, now or once the owner has answered."""
         now = self.clock()
-        if self.gate.submit(now, workspace) is Step.ADMIT:
+        in_touch = self.owners.reachable_part >= IN_TOUCH_PART
+        if self.gate.submit(now, workspace, in_touch=in_touch) is Step.ADMIT:
             if self.gate.has_early(workspace):
                 self._report(now)
             decide(QuotaVerdict(granted=True))
