Split the messages of other relays from the relay

Change: PeerMessages, with a table for each kind of connection. Moves only; the tests of the relay pass.

--- a/buckthornshed/tests/relay/test_crashing_request.py
+++ b/buckthornshed/tests/relay/test_crashing_request.py
@@ -113,14 +113,14 @@
         async with fleet_of(4) as fleet:
             service = Service(fleet)
             cut_off = fleet.relays[3]
-            apply = cut_off.session_handlers.pop(CrashNotice)
+            apply = cut_off.peer_messages.session_handlers.pop(CrashNotice)
             number = 0
             while service.sends < 3:
                 await fleet.ask(fleet.relays[number % 3], DEADLY)
                 await service.all_up()
                 number += 1
             assert not cut_off.crash_reports.suspects.active
-            cut_off.session_handlers[CrashNotice] = apply
+            cut_off.peer_messages.session_handlers[CrashNotice] = apply
             for relay in fleet.relays[:3]:
                 relay.links.links[cut_off.instance].abort()
             await until(lambda: cut_off.crash_reports.suspects.quarantines)
--- a/buckthornshed/tests/relay/test_supervision.py
+++ b/buckthornshed/tests/relay/test_supervision.py
@@ -48,7 +48,7 @@
     async def scenario():
         async with fleet_of(2) as fleet:
             relay = fleet.relays[0]
-            handle_new_link = relay.handle_new_link
+            handle_new_link = relay.peer_messages.handle_new_link
             failures: list[str] = []
 
             def fail_once(instance):
@@ -57,7 +57,7 @@
                     raise ZeroDivisionError("unexpected")
                 handle_new_link(instance)
 
-            relay.handle_new_link = fail_once
+            relay.peer_messages.handle_new_link = fail_once
             for link in list(relay.links.links.values()):
                 link.abort()
             await until(lambda: failures and relay.links.links)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
@@ -19,27 +19,15 @@
 from ...coordination.relay.placement.load_balancer import Availability, LoadBalancer
 from ...coordination.relay.retries.retried_runs import RetriedRuns
 from ...coordination.relay.retries.retry_budget import RetryBudget
-from ...protocol.crash_messages import CrashNotice
-from ...protocol.quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 from ...protocol.relay_messages import (
-    AnswerMessage,
-    CallMessage,
     CancelMessage,
     DrainNotice,
-    FleetUpdate,
     HeaderNames,
     Hello,
-    Ping,
-    Pong,
-    RefusalMessage,
-    RelayMessage,
-    Status,
-    ViewRequest,
 )
 from ...state.catalog import Target
 from ...state.relay_settings import RelaySettings
 from ..buffer_budget import BufferBudget
-from ..logs import log_event
 from .clients.client_listener import ClientListener
 from .clients.client_requests import ClientRequests
 from .clients.client_responses import ClientResponses
@@ -49,9 +37,9 @@
 from .fleet.fleet_exchange import FleetExchange
 from .fleet.status_exchange import StatusExchange
 from .logs.access_log import AccessLog
-from .peers.peer_connections import PeerSession
 from .peers.peer_links import PeerLinks
-from .target.call_outcomes import CallKey, CallOutcome
+from .peers.peer_messages import PeerMessages
+from .target.call_outcomes import CallKey
 from .target.local_target import LocalTarget
 from .target.target_reports import TargetReports
 from .workspaces.quota_exchange import QuotaExchange
@@ -108,10 +96,11 @@
         self.instance = settings.target_address.rpartition(":")[0]
         self.counts = RelayCounts()
         self.access_log = AccessLog(counts=self.counts)
+        self.peer_messages = PeerMessages(relay=self)
         self.links = PeerLinks(
             hello=Hello(settings.name, int(wall() * 1e3), self.instance),
             port=settings.peer_port,
-            handler=self,
+            handler=self.peer_messages,
             clock=clock,
             counts=self.counts,
         )
@@ -144,7 +133,7 @@
         self.local_target = LocalTarget(
             address=settings.target_address,
             names=names,
-            deliver=self._handle_call_outcome,
+            deliver=self.peer_messages.deliver,
             on_leaving=self.fleet_updater.handle_leaving,
             covers_retried_run=lambda route: self.retried_runs.covered(clock(), route),
             crash_reports=self.crash_reports,
@@ -204,7 +193,7 @@
             dispatcher=self.dispatcher,
             responses=self.responses,
             offered=self.statuses.offered,
-            execute=self._execute,
+            execute=self.execute,
             clock=clock,
         )
         self.listener = ClientListener(
@@ -213,18 +202,6 @@
             clock=clock,
             buffers=buffers,
         )
-        self.sessions: dict[int, PeerSession] = {}
-        self.session_handlers: dict[type, Callable[[PeerSession, Any], None]] = {
-            CallMessage: self._submit_call,
-            CancelMessage: self._cancel_call,
-            Ping: self._answer_ping,
-            Status: self._record_status,
-            FleetUpdate: self._apply_update,
-            CrashNotice: self._apply_crash_notice,
-            QuotaUse: self.quotas.record_use,
-            QuotaQuestion: self.quotas.answer,
-            QuotaLow: lambda _, notice: self.quotas.record_low(notice),
-        }
         self.leaving = False
         self.tick_count = 0
 
@@ -278,14 +255,14 @@
     def end_requests(self) -> None:
         """Answer all requests that are still in progress, as the process ends."""
         self.quotas.decide_all()
-        self._execute(self.dispatcher.end_all())
+        self.execute(self.dispatcher.end_all())
 
     def tick(self) -> None:
         """Run the periodic work that is due."""
         now = self.clock()
         self.tick_count += 1
         self.local_target.tick(now)
-        self._execute(self.dispatcher.tick(now))
+        self.execute(self.dispatcher.tick(now))
         self.crash_reports.flush()
         self.quotas.tick(now)
         if self.tick_count % TICKS_PER_LINK_CHECK == 0:
@@ -300,84 +277,17 @@
             self.retried_runs.divide_slack()
             self.fleet_exchange.request_view()
 
-    # Other relays.
-
-    def handle_session_message(
-        self, session: PeerSession, message: RelayMessage
-    ) -> None:
-        """Handle a message on a connection that another relay opened."""
-        handle = self.session_handlers.get(type(message))
-        if handle is not None:
-            handle(session, message)
-
-    def _submit_call(self, session: PeerSession, message: CallMessage) -> None:
-        self.sessions[session.number] = session
-        key = CallKey(session.number, message.exchange)
-        self.local_target.submit(key, message)
-
-    def _cancel_call(self, session: PeerSession, message: CancelMessage) -> None:
-        self.local_target.cancel(CallKey(session.number, message.exchange))
-
-    def _answer_ping(self, session: PeerSession, _: Ping) -> None:
-        session.send(Pong(self.local_target.limiter.load))
-
-    def _record_status(self, session: PeerSession, status: Status) -> None:
-        now = self.clock()
-        self.target_reports.record_status(now, status)
-        self.statuses.receive(now, session.name, status)
-
-    def handle_silent_link(self, instance: str) -> None:
-        """Tell others of a relay that does not answer."""
-        self.fleet_exchange.report_silent(instance)
-
-    def _apply_update(self, _: PeerSession, update: FleetUpdate) -> None:
-        self.fleet_exchange.apply(update)
-        self.target_reports.learn_limits(update.limits)
-
-    def _apply_crash_notice(self, _: PeerSession, notice: CrashNotice) -> None:
-        self.crash_reports.apply(notice)
-
-    def handle_session_loss(self, session: PeerSession) -> None:
-        """Cancel the calls that arrived on a closed connection."""
-        self.sessions.pop(session.number, None)
-        self.local_target.cancel_session(session.number)
-
-    def handle_link_message(self, instance: str, message: RelayMessage) -> None:
-        """Handle a message on a connection that this relay opened."""
-        now = self.clock()
-        if isinstance(message, AnswerMessage):
-            self._execute(self.dispatcher.handle_answer(now, message))
-        elif isinstance(message, RefusalMessage):
-            self._execute(self.dispatcher.handle_refusal(now, message))
-        elif isinstance(message, QuotaGrant):
-            self.quotas.record_grant(message)
-        elif isinstance(message, QuotaLow):
-            self.quotas.record_low(message)
-        elif isinstance(message, DrainNotice):
-            log_event("peer_leaving", peer=instance)
-            self.links.mark_draining(instance)
-        elif isinstance(message, Pong):
-            self.target_reports.record_load(now, instance, message.load)
-        elif isinstance(message, ViewRequest):
-            self.fleet_exchange.send_view(instance)
-
-    def handle_new_link(self, instance: str) -> None:
-        """Tell a newly connected relay of the fleet, calls of routes and crashes."""
-        log_event("peer_found", peer=instance)
-        beside = self.target_reports.names_by_instance.get(instance, ())
-        self.fleet_exchange.greet(instance, beside)
-        first_messages = (
-            self.statuses.status_for_new_peer(),
-            self.crash_reports.notice(),
-        )
-        for message in first_messages:
-            if message is not None:
-                self.links.send(instance, message)
-
-    def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
-        """Handle the loss of a connection with calls in progress."""
-        log_event("peer_lost", peer=instance, calls=len(exchanges))
-        self._execute(self.dispatcher.handle_connection_loss(self.clock(), exchanges))
+    def execute(self, actions: list[DispatchAction]) -> None:
+        """Carry out what the dispatcher decides."""
+        for action in actions:
+            if isinstance(action, SendCall):
+                self._send(action)
+            elif isinstance(action, DeliverAnswer):
+                self.responses.deliver(action)
+            elif isinstance(action, FailRequest):
+                self.responses.fail(action)
+            else:
+                self._cancel(action)
 
     # Internal methods.
 
@@ -445,17 +355,6 @@
             return Availability.DOWN
         return Availability.DRAINING if self.leaving else Availability.UP
 
-    def _execute(self, actions: list[DispatchAction]) -> None:
-        for action in actions:
-            if isinstance(action, SendCall):
-                self._send(action)
-            elif isinstance(action, DeliverAnswer):
-                self.responses.deliver(action)
-            elif isinstance(action, FailRequest):
-                self.responses.fail(action)
-            else:
-                self._cancel(action)
-
     def _send(self, action: SendCall) -> None:
         instance = action.target.instance
         if instance == self.instance:
@@ -471,13 +370,3 @@
         else:
             self.links.discard_exchange(instance, action.exchange)
             self.links.send(instance, CancelMessage(action.exchange))
-
-    def _handle_call_outcome(self, key: CallKey, outcome: CallOutcome) -> None:
-        if key.session:
-            session = self.sessions.get(key.session)
-            if session is not None:
-                session.send(outcome)
-        elif isinstance(outcome, AnswerMessage):
-            self._execute(self.dispatcher.handle_answer(self.clock(), outcome))
-        else:
-            self._execute(self.dispatcher.handle_refusal(self.clock(), outcome))
