Recognize a deadly request by the workspace that the relay knows

Cause: the fingerprint of a request took in the Tenant header. Where no workspace is configured it is the client's own, so that a deadly request with another name each time was not recognized, as it was before workspaces.

Change: the fingerprint takes the workspace that the relay has found. Also a test that no log line, metric or message between relays contains a key. Found by reading for deployments without workspaces.

--- a/buckthornshed/coordination/relay/crashes/fingerprints.py
+++ b/buckthornshed/coordination/relay/crashes/fingerprints.py
@@ -12,7 +12,7 @@
 
 
 def request_fingerprint(
-    head: bytes, body: bytes, credential: bytes, workspace: bytes = b""
+    head: bytes, body: bytes, credential: bytes, workspace: str = ""
 ) -> bytes:
     """Return the fingerprint of a request, 8 bytes.
 
@@ -24,16 +24,15 @@
         The whole body.
     credential : bytes
         Name of the header by which a client identifies itself, in lower case.
-    workspace : bytes
-        Name of the header that replaces it where the key is known, in lower case.
+    workspace : str
+        Workspace of the request; where there are any, its head has no credential.
     """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     request_line, _, headers = head.partition(b"\r\n")
     digest.update(request_line)
     digest.update(b"\n" + _header_value(headers, b"host").lower())
     digest.update(b"\n" + _header_value(headers, credential))
-    if workspace:
-        digest.update(b"\n" + _header_value(headers, workspace))
+    digest.update(b"\n" + workspace.encode())
     digest.update(b"\n" + body)
     return digest.digest()
 
--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -75,7 +75,7 @@
     suspects : CrashSuspects
         Knows the requests that are not to be sent.
     fingerprint : callable
-        Returns the fingerprint of a request from its head and its body.
+        Returns the fingerprint of a request from its head, body and workspace.
     rng : random.Random
         Source of the jitter of Retry-After times.
     """
@@ -89,7 +89,7 @@
         admission: AdmissionController,
         availability: Callable[[Target], Availability],
         suspects: CrashSuspects,
-        fingerprint: Callable[[bytes, bytes], bytes],
+        fingerprint: Callable[[bytes, bytes, str], bytes],
         rng: "Random",
     ) -> None:
         self.fleet_view = fleet_view
--- a/buckthornshed/coordination/relay/placement/target_choice.py
+++ b/buckthornshed/coordination/relay/placement/target_choice.py
@@ -29,7 +29,7 @@
     suspects : CrashSuspects
         Knows the requests that are not to be sent.
     fingerprint : callable
-        Returns the fingerprint of a request from its head and its body.
+        Returns the fingerprint of a request from its head, body and workspace.
     """
 
     def __init__(
@@ -39,7 +39,7 @@
         load_balancer: LoadBalancer,
         availability: Callable[[Target], Availability],
         suspects: CrashSuspects,
-        fingerprint: Callable[[bytes, bytes], bytes],
+        fingerprint: Callable[[bytes, bytes, str], bytes],
     ) -> None:
         self.fleet_view = fleet_view
         self.load_balancer = load_balancer
@@ -110,6 +110,8 @@
             return False
         if not pending.fingerprint:
             request = pending.request
-            pending.fingerprint = self.fingerprint(request.head, request.body)
+            pending.fingerprint = self.fingerprint(
+                request.head, request.body, request.workspace
+            )
         handling = self.suspects.handling(now, pending.fingerprint, target.release)
         return handling is Handling.REFUSED
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -1,6 +1,5 @@
 """Factories of small objects for the tests of relays."""
 
-from functools import partial
 from random import Random
 
 from buckthornshed.coordination.relay.admission.call_graph import CallGraph
@@ -116,6 +115,8 @@
             else Availability.UP
         ),
         suspects=CrashSuspects(),
-        fingerprint=partial(request_fingerprint, credential=b"credential"),
+        fingerprint=lambda head, body, workspace: request_fingerprint(
+            head, body, b"credential", workspace
+        ),
         rng=rng,
     )
--- a/buckthornshed/tests/relay/test_crash_suspects.py
+++ b/buckthornshed/tests/relay/test_crash_suspects.py
@@ -273,3 +273,11 @@
     (action,) = dispatcher.submit(0.0, 2, request)
     assert (action.reason, action.may_have_run) == (RefusalReason.QUARANTINED, False)
     assert action.retry_after >= FIRST_QUARANTINE_S
+
+
+def test_a_request_is_recognized_by_its_workspace_not_by_what_a_client_calls_it():
+    head = b"GET /avail/1 HTTP/1.1\r\nhost: a\r\n"
+    named = head + b"tenant: forged\r\n"
+    known = request_fingerprint(head, b"", b"credential", "yard")
+    assert known == request_fingerprint(named, b"", b"credential", "yard")
+    assert known != request_fingerprint(head, b"", b"credential", "ranch")
--- a/buckthornshed/tests/relay/test_crashing_request.py
+++ b/buckthornshed/tests/relay/test_crashing_request.py
@@ -221,7 +221,7 @@
                 await service.all_up()
             suspects = front.crash_reports.suspects
             deadly = front.crash_reports.fingerprint(
-                f"GET {DEADLY} HTTP/1.1\r\nhost: {HOST}\r\n".encode(), b""
+                f"GET {DEADLY} HTTP/1.1\r\nhost: {HOST}\r\n".encode(), b"", ""
             )
             return service.sends, list(suspects.quarantines) == [deadly]
 
--- a/buckthornshed/tests/relay/test_workspaces.py
+++ b/buckthornshed/tests/relay/test_workspaces.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 
 import pytest
 
@@ -10,6 +11,9 @@
 from buckthornshed.platform.documents import decode_catalog
 from buckthornshed.protocol.relay_frames import FrameReader, FrameWriter
 from buckthornshed.protocol.relay_messages import FleetUpdate
+from buckthornshed.state.workspaces import key_digest
+from buckthornshed.transport.relay.gauges import read_gauges
+from buckthornshed.transport.relay.metrics import RelayMetrics
 
 from .fleet import HOST, configuration, fleet_of, read_response, until
 
@@ -314,3 +318,54 @@
         assert relay.local_target.graph.calls["book"] == {"avail": 1.0}
 
     run(scenario, relays=1)
+
+
+def test_no_log_line_metric_or_message_contains_a_key(caplog):
+    messages: list[bytes] = []
+    add = FrameWriter.add
+
+    def record(writer, message):
+        add(writer, message)
+        messages.extend(writer.frames)
+
+    async def scenario(fleet):
+        await publish(fleet, tenant("yard", KEY, rate=0.01, burst=1))
+        held = [("Credential", KEY)]
+        twice = [*held, ("Credential", OTHER_KEY)]
+        unknown = [("Credential", UNKNOWN_KEY)]
+        for relay in fleet.relays:
+            for headers in (held, held, twice, unknown):
+                await ask(fleet, relay, headers=headers)
+            await ask(fleet, relay, "/none/1", headers=held)
+        for target in fleet.targets:
+            target.scripts = ["reset"] * 3
+        await ask(fleet, fleet.relays[0], "/book/1", headers=held)
+        reader, writer = await fleet.connect(fleet.relays[0])
+        writer.write(f"GET /avail/1 HTTP/1.1\r\nCredential: {KEY}\r\n: x\r\n".encode())
+        assert (await read_response(reader)).status == 400
+        writer.close()
+        return [metrics_of(relay) for relay in fleet.relays]
+
+    texts: list[str] = []
+    with pytest.MonkeyPatch.context() as patch, caplog.at_level(logging.DEBUG):
+        patch.setattr(FrameWriter, "add", record)
+        run(lambda fleet: collect(texts, scenario, fleet), relays=3)
+    assert messages
+    written = [*texts, *(f"{each.msg} {each.__dict__}" for each in caplog.records)]
+    assert any("over_quota" in each for each in written)
+    assert any("request_unauthorized" in each for each in written)
+    for key in (KEY, OTHER_KEY, UNKNOWN_KEY):
+        digest = key_digest(key.encode())
+        assert not [each for each in written if key in each or digest.hex() in each]
+        assert not [each for each in messages if key.encode() in each]
+
+
+async def collect(texts, scenario, fleet):
+    texts += await scenario(fleet)
+
+
+def metrics_of(relay):
+    metrics = RelayMetrics(
+        name="a", counts=relay.counts, gauges=lambda: read_gauges(relay)
+    )
+    return metrics.render().decode()
--- a/buckthornshed/transport/relay/crashes/crash_reports.py
+++ b/buckthornshed/transport/relay/crashes/crash_reports.py
@@ -66,10 +66,9 @@
         self.recent_answers = RecentAnswers()
         self.clearances: list[Clearance] = []
 
-    def fingerprint(self, head: bytes, body: bytes) -> bytes:
+    def fingerprint(self, head: bytes, body: bytes, workspace: str) -> bytes:
         """Return the fingerprint of a request."""
-        names = self.names
-        return request_fingerprint(head, body, names.credential, names.workspace)
+        return request_fingerprint(head, body, self.names.credential, workspace)
 
     def release(self, target: Target | None) -> Release:
         """Return what the local target runs; the version is empty if not known."""
@@ -82,7 +81,9 @@
         """
         now = self.clock()
         self.counts.target_crashes += 1
-        running = [self.fingerprint(call.head, call.body) for call in calls]
+        running = [
+            self.fingerprint(call.head, call.body, call.workspace) for call in calls
+        ]
         suspects = self.recent_answers.suspects(now, running)
         crash = Crash(
             instance=self.instance,
@@ -104,7 +105,7 @@
 
     def record_answer(self, target: Target | None, call: CallMessage) -> None:
         """Record that the local target has run a call and answered it."""
-        fingerprint = self.fingerprint(call.head, call.body)
+        fingerprint = self.fingerprint(call.head, call.body, call.workspace)
         self.recent_answers.record(self.clock(), fingerprint)
         if not self.suspects.active:
             return
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -214,7 +214,9 @@
 
     def _fingerprint(self, call: LimiterCall) -> bytes:
         message = call.message
-        return self.crash_reports.fingerprint(message.head, message.body)
+        return self.crash_reports.fingerprint(
+            message.head, message.body, message.workspace
+        )
 
     def _refuse_suspect(self, call: LimiterCall, reason: RefusalReason) -> None:
         retry_after = self.limiter.retry_after()
