Show that the relay beside a removed server may not be told of it

Cause: readers drop the instance of a removed server before they announce the removal, and links with pending calls keep that relay from reading the store.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -164,6 +164,7 @@
         self.ports = _free_ports()
         self.store_address = f"{STORE_IP}:{self.ports[7]}"
         self.version = 0
+        self.born = int(time.time() * 1e3) - 60_000
 
     def add(
         self,
@@ -174,7 +175,7 @@
     ) -> Machine:
         """Add a machine with a server of a service."""
         index = len(self.machines)
-        ip = f"127.0.0.{FIRST_IP + index}"
+        ip = self.next_ip(0)
         server = Server(name=f"i-{index:08x}", record=self.record, reply=reply)
         machine = Machine(name=f"side-{index}", ip=ip, zone=zone, server=server)
         machine.service = service
@@ -184,6 +185,10 @@
         self.machines.append(machine)
         return machine
 
+    def next_ip(self, offset: int) -> str:
+        """Return the address of the next machine, or of one after it."""
+        return f"127.0.0.{FIRST_IP + len(self.machines) + offset}"
+
     def configure(
         self, rules: list[dict[str, object]], **fields: object
     ) -> dict[str, object]:
@@ -226,7 +231,7 @@
             "state": "ready",
             "coldLeftS": 0,
             "seq": 4,
-            "born": int(time.time() * 1e3) - 60_000,
+            "born": self.born,
             **changes,
         }
         self.store.put(f"servers/{machine.server.name}", registration)
