Do not take a cut watch for an outage of the store

Cause: the reader of the store reported each failed read as an outage, a watch that was cut as well. The next answer ended it and began the grace period of 2 s in which ended registrations are kept; a second cut prolonged it. Change: after a watch that ends early the reader asks again at once with a short watch. Only if that fails, too, there is an outage. A watch that ends after its wait is one at once. `target_kept` and `store_watch_cut` are logged, as nothing told a removal that was read from one that was applied. Ruled out: a late read (the removal is read within 0.1 s), and another relay that had not read it. The reader of nodes only delays its next read after a failure.

--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -15,6 +15,7 @@
     HistoryLostError,
     StoreClient,
     StoreRestoredError,
+    WatchCutError,
 )
 from .wire import ALL_KEYS, CATALOG_KEY, TARGET_PREFIX
 
@@ -27,6 +28,10 @@
 """Interval at which a relay that does not read checks whether it has to."""
 FIRST_WATCH_WAIT_S = 0.05
 """Wait of the first watch after a time without reading, which reports soon."""
+CONFIRMATION_MARGIN_S = 0.5
+"""Time that the watch after a cut one may take in addition to its wait time."""
+CONFIRMED_DELAY_S = 0.05
+"""Delay after the store has answered the watch after a cut one."""
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 
@@ -88,6 +93,8 @@
         self.unavailable = False
         self.standing_by = False
         self.revision: int | None = None
+        self.confirming = False
+        self.backoff = INITIAL_BACKOFF_S
 
     async def follow(self) -> None:
         """Read the store and report its changes until cancelled.
@@ -99,48 +106,84 @@
         After the first complete read the listener decides whether to go on.
         """
         self.revision = None
-        delay = INITIAL_BACKOFF_S
         while True:
             if self.revision is not None and not self.listener.reads_store():
                 self._stand_by()
                 await asyncio.sleep(STANDBY_INTERVAL_S)
                 continue
-            try:
-                batch = await self._read_changes(self.revision)
-            except StoreRestoredError as error:
-                log_event("store_restored", revision=self.revision, error=str(error))
-                self.listener.handle_store_restored()
-                self.revision = None
-                continue
-            except HistoryLostError:
-                log_event("store_history_lost", revision=self.revision)
-                self.revision = None
-                continue
-            except PlatformError as error:
-                self._report_unavailable(str(error))
-                self.listener.handle_store_read(succeeded=False)
-                await asyncio.sleep(delay)
-                delay = min(delay * 2, MAX_BACKOFF_S)
-                continue
-            delay = INITIAL_BACKOFF_S
-            self._report_available()
-            self._handle_catalog(batch.changes)
-            if self.revision is None:
-                self._handle_all_targets(batch.changes)
-            else:
-                self._handle_target_changes(batch.changes)
-            self.revision = batch.revision
-            self.standing_by = False
-            self.listener.handle_store_read(succeeded=True)
-            if batch.changes:
-                await asyncio.sleep(COALESCING_DELAY_S)
+            await asyncio.sleep(await self._read_once())
+
+    async def _read_once(self) -> float:
+        """Read and handle changes; return the delay before the next read."""
+        try:
+            batch = await self._read_changes(self.revision)
+        except StoreRestoredError as error:
+            log_event("store_restored", revision=self.revision, error=str(error))
+            self.listener.handle_store_restored()
+            return self._read_all_next()
+        except HistoryLostError:
+            log_event("store_history_lost", revision=self.revision)
+            return self._read_all_next()
+        except WatchCutError as error:
+            return self._handle_cut(error)
+        except PlatformError as error:
+            return self._handle_failure(error)
+        return self._handle_batch(batch)
 
     def _read_changes(self, revision: int | None) -> Awaitable[ChangeBatch]:
         if revision is None:
             return self.client.range(ALL_KEYS)
+        if self.confirming:
+            return self.client.watch(
+                ALL_KEYS, revision, FIRST_WATCH_WAIT_S, CONFIRMATION_MARGIN_S
+            )
         wait = FIRST_WATCH_WAIT_S if self.standing_by else WATCH_WAIT_S
         return self.client.watch(ALL_KEYS, revision, wait)
 
+    def _read_all_next(self) -> float:
+        self.revision = None
+        self.confirming = False
+        return 0.0
+
+    def _handle_cut(self, error: WatchCutError) -> float:
+        """Ask again at once after a cut watch, which alone is no outage.
+
+        The store may cut a watch at any time. It is unavailable only if it does not
+        answer the next, short watch either.
+        """
+        if self.unavailable or self.confirming:
+            return self._handle_failure(error)
+        log_event("store_watch_cut", revision=self.revision, error=str(error))
+        self.confirming = True
+        return 0.0
+
+    def _handle_failure(self, error: PlatformError) -> float:
+        self.confirming = False
+        self._report_unavailable(str(error))
+        self.listener.handle_store_read(succeeded=False)
+        delay = self.backoff
+        self.backoff = min(delay * 2, MAX_BACKOFF_S)
+        return delay
+
+    def _handle_batch(self, batch: ChangeBatch) -> float:
+        self.backoff = INITIAL_BACKOFF_S
+        self._report_available()
+        self._handle_catalog(batch.changes)
+        if self.revision is None:
+            self._handle_all_targets(batch.changes)
+        else:
+            self._handle_target_changes(batch.changes)
+        self.revision = batch.revision
+        self.standing_by = False
+        self.listener.handle_store_read(succeeded=True)
+        if batch.changes:
+            delay = COALESCING_DELAY_S
+        else:
+            # A store that cuts each watch is asked at intervals.
+            delay = CONFIRMED_DELAY_S if self.confirming else 0.0
+        self.confirming = False
+        return delay
+
     def _stand_by(self) -> None:
         """Leave reading to other relays, which can read the store."""
         if not self.standing_by:
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -20,6 +20,7 @@
     "HistoryLostError",
     "StoreClient",
     "StoreRestoredError",
+    "WatchCutError",
 ]
 
 READ_TIMEOUT_S = 1.0
@@ -37,6 +38,14 @@
     """The store has returned from an old copy and gives out revisions again."""
 
 
+class ConnectionEndedError(PlatformError):
+    """The connection of a call ended before the answer was complete."""
+
+
+class WatchCutError(PlatformError):
+    """The store closed the connection of a watch that was still waiting."""
+
+
 class Change(NamedTuple):
     """A key and its value, which is None if the key was deleted."""
 
@@ -136,11 +145,17 @@
                 raise self._error("pages without an end", "a last page")
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait: float) -> ChangeBatch:
+    async def watch(
+        self, prefix: str, after: int, wait: float, margin: float = WATCH_MARGIN_S
+    ) -> ChangeBatch:
         """Wait at most `wait` seconds for changes after a revision.
 
+        The store has `margin` seconds more to answer.
+
         Raises
         ------
+        WatchCutError
+            If the connection is closed before the wait is over.
         HistoryLostError
             If the store no longer has the changes after that revision.
         StoreRestoredError
@@ -152,7 +167,20 @@
             f"/kv-watch?prefix={quote(prefix, safe='/')}"
             f"&after={after}&waitMs={int(wait * 1e3)}"
         )
-        events = _decode(EVENTS_DECODER, await self._get(query, wait + WATCH_MARGIN_S))
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        try:
+            body = await self._get(query, wait + margin)
+        except ConnectionEndedError as error:
+            waited = loop.time() - begun
+            if waited > wait:
+                raise
+            raise WatchCutError(
+                subject=error.subject,
+                found=f"the connection closed after {waited:.3f} s",
+                expected=f"events within {wait} s",
+            ) from error
+        events = _decode(EVENTS_DECODER, body)
         return ChangeBatch(tuple(map(_to_change, events.events)), events.at)
 
     async def _get(self, query: str, timeout: float) -> bytes:
@@ -168,7 +196,7 @@
 
         def on_fault(fault: Fault) -> None:
             if not answer_future.done():
-                answer_future.set_exception(self._error(fault.detail, "an answer"))
+                answer_future.set_exception(self._fault_error(fault))
 
         request = f"GET {query} HTTP/1.1\r\nhost: {self.address}\r\n\r\n"
         self.pool.send(
@@ -213,6 +241,12 @@
                 expected=f"copy {previous}",
             )
 
+    def _fault_error(self, fault: Fault) -> PlatformError:
+        error_type = ConnectionEndedError if fault.closed else PlatformError
+        return error_type(
+            subject=f"store at {self.address}", found=fault.detail, expected="an answer"
+        )
+
     def _error(self, found: str, expected: str) -> PlatformError:
         return PlatformError(
             subject=f"store at {self.address}", found=found, expected=expected
--- a/buckthornshed/protocol/messages.py
+++ b/buckthornshed/protocol/messages.py
@@ -145,15 +145,18 @@
     ----------
     exchange : int
         Identifier of the failed exchange.
-    started : bool
+    maybe_sent : bool
         Whether any byte of the request may have reached the remote side.
     detail : str
         Description of the failure for log lines.
+    closed : bool
+        Whether the failure is that the connection ended before the answer did.
     """
 
     exchange: int
     maybe_sent: bool
     detail: str
+    closed: bool = False
 
 
 def refusal_answer(
--- a/buckthornshed/tests/relay/standin_store.py
+++ b/buckthornshed/tests/relay/standin_store.py
@@ -28,6 +28,7 @@
         self.calls = []
         self.era = 1
         self.changed = asyncio.Condition()
+        self.waiting = set()
         self.server: asyncio.Server | None = None
         self.address = ""
 
@@ -57,6 +58,13 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def cut_watches(self):
+        """Abort the connections of all watches that wait; return how many."""
+        waiting = list(self.waiting)
+        for writer in waiting:
+            writer.transport.abort()
+        return len(waiting)
+
     def copy(self):
         """Return a copy of the contents, for `restore`."""
         return self.revision, dict(self.items), list(self.history)
@@ -91,7 +99,10 @@
                 if self.mode == "reset":
                     writer.transport.abort()
                     return
+                if path.startswith("/kv-watch"):
+                    self.waiting.add(writer)
                 status, body = await self._answer(path)
+                self.waiting.discard(writer)
                 data = json.dumps(body).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
@@ -101,6 +112,8 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
+        finally:
+            self.waiting.discard(writer)
 
     async def _answer(self, path):
         error_statuses = {"busy": 503, "many": 429}
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -89,7 +89,7 @@
         """Fail the running exchange."""
         self.transport = None
         self.pool.discard(self)
-        self._fail("connection closed before the answer was complete")
+        self._fail("connection closed before the answer was complete", closed=True)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
@@ -168,11 +168,13 @@
                 return None
         return "answer has no length, so truncation cannot be detected"
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, detail: str, *, closed: bool = False) -> None:
         exchange, handlers = self.exchange, self.handlers
         self.abort()
         if exchange is not None and handlers is not None:
-            handlers.on_fault(Fault(exchange=exchange, maybe_sent=True, detail=detail))
+            handlers.on_fault(
+                Fault(exchange=exchange, maybe_sent=True, detail=detail, closed=closed)
+            )
 
 
 class ConnectionPool:
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -97,6 +97,8 @@
         self._announce(changed, [known[name] for name in removed])
         for name in removed:
             log_event("target_gone", target=name, source="store")
+        for name in view.pending_removal:
+            self._log_kept(name)
 
     def handle_target_change(self, target: Target) -> None:
         """Apply a new or changed registration."""
@@ -108,10 +110,14 @@
     def handle_target_deletion(self, name: str) -> None:
         """Apply the end of a registration."""
         target = self.fleet_view.targets.get(name)
-        if target is not None and self.fleet_view.remove_target(self.clock(), name):
-            log_event("target_gone", target=name, source="store")
-            self.on_targets()
-            self._announce([], [target])
+        if target is None:
+            return
+        if not self.fleet_view.remove_target(self.clock(), name):
+            self._log_kept(name)
+            return
+        log_event("target_gone", target=name, source="store")
+        self.on_targets()
+        self._announce([], [target])
 
     def handle_store_unavailable(self, detail: str) -> None:
         """Record that the store cannot be read; `detail` is the error."""
@@ -189,6 +195,16 @@
             self.on_targets()
             self._announce([], [known[name] for name in names])
 
+    def _log_kept(self, name: str) -> None:
+        """Log that a target is kept, although its registration has ended."""
+        view = self.fleet_view
+        log_event(
+            "target_kept",
+            target=name,
+            store_unavailable=view.store_unavailable,
+            grace_left=round(max(0.0, view.grace_until - self.clock()), 3),
+        )
+
     def _announce(self, changed: list[Target], removed: list[Target]) -> None:
         """Tell all relays of changed registrations and of ended ones."""
         if changed or removed:
