Read on after an odd entry in the store

Cause: the decoder raises RecursionError, which is no DecodeError; the reader ended, began anew 0.1 s later and met the entry again. Each place that decodes foreign data had its own, mostly incomplete list of errors. One odd item hid all others of its page, and numbers of over 4,300 digits raise ValueError. Change: DECODE_ERRORS and parse_decimal, used by every place that decodes what another process wrote; items of the store are decoded one by one; ports, names that do not fit into a header, deadlines and settings are checked. Ruled out: processes that end (keep_running restarts the reader), and numbers out of range in registrations, which were rejected before.

--- a/buckthornshed/cli/dump.py
+++ b/buckthornshed/cli/dump.py
@@ -10,6 +10,7 @@
 from tabulate import tabulate
 
 from ..errors import BuckthornshedError
+from ..protocol.decoding import DECODE_ERRORS
 from .exits import ExitCode, exit_on_error
 
 __all__ = ["Dump", "DumpError", "fetch_dump", "render_dump"]
@@ -154,7 +155,7 @@
 def _decode(address: str, content: bytes) -> State:
     try:
         return msgspec.json.decode(content, type=State)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise DumpError(
             subject=address, found=str(error), expected="a JSON object"
         ) from error
--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..errors import BuckthornshedError
+from ..protocol.decoding import DECODE_ERRORS
 from .exits import ExitCode, exit_on_error
 
 __all__ = ["LogLine", "Trace", "TraceError", "explain_end", "read_lines"]
@@ -223,7 +224,7 @@
     for name, value in PAIR.findall(text):
         try:
             fields[name] = msgspec.json.decode(value) if value[0] == '"' else value
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
     if not {"time", "event", "request"} <= fields.keys():
         return None
--- a/buckthornshed/coordination/entry/edge.py
+++ b/buckthornshed/coordination/entry/edge.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from ...protocol.decoding import parse_decimal
 from ...protocol.http import (
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -119,9 +120,9 @@
         """Return the timeout of the request in seconds, capped by that of the route."""
         route_limit_ms = policies.route["deadline_ms"]
         value = get_header(request.headers, DEADLINE_HEADER)
-        requested_ms = (
-            int(value) if value is not None and value.isdigit() else route_limit_ms
-        )
+        requested_ms = parse_decimal(value or b"")
+        if requested_ms is None:
+            return route_limit_ms / 1e3
         return min(requested_ms, route_limit_ms) / 1e3
 
 
--- a/buckthornshed/integration/errors.py
+++ b/buckthornshed/integration/errors.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..errors import BuckthornshedError
+from ..protocol.decoding import DECODE_ERRORS
 from ..protocol.http import OUTCOME_HEADER
 from ..protocol.outcome import Outcome
 
@@ -110,7 +111,7 @@
         problem_type = msgspec.json.decode(response.content, type=dict[str, object])[
             "type"
         ]
-    except (msgspec.DecodeError, KeyError):
+    except (*DECODE_ERRORS, KeyError):
         return None
     text = str(problem_type)
     if not text.startswith(PROBLEM_PREFIX):
--- a/buckthornshed/integration/request_context.py
+++ b/buckthornshed/integration/request_context.py
@@ -5,6 +5,7 @@
 from contextvars import ContextVar
 from typing import NamedTuple
 
+from ..protocol.decoding import parse_decimal
 from ..protocol.http import (
     CONTEXT_HEADER,
     DEADLINE_HEADER,
@@ -58,10 +59,10 @@
 def read_context(headers: Iterable[tuple[bytes, bytes]]) -> RequestContext:
     """Return the context in the headers of a request that has just arrived."""
     pairs = tuple((name.lower(), value) for name, value in headers)
-    remaining_ms = get_header(pairs, DEADLINE_HEADER)
+    remaining_ms = parse_decimal(get_header(pairs, DEADLINE_HEADER) or b"")
     deadline = None
-    if remaining_ms is not None and remaining_ms.isdigit():
-        deadline = time.monotonic() + int(remaining_ms) / 1e3
+    if remaining_ms is not None:
+        deadline = time.monotonic() + remaining_ms / 1e3
     return RequestContext(
         context=get_header(pairs, CONTEXT_HEADER),
         traceparent=get_header(pairs, TRACE_HEADER),
--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..errors import PlatformError
+from ..protocol.decoding import DECODE_ERRORS, parse_decimal
 from ..state.catalog import Catalog, Limits, Route, RouteDestination, Target
 from ..state.workspaces import Quota, Workspace, key_digest
 
@@ -17,8 +18,8 @@
 """Greatest integer that can be sent to other relays."""
 MAX_PORT = 65_535
 MAX_SLOTS = 1_000_000
-WORKSPACE_NAME = re.compile(r"[!-~]{1,200}")
-"""Names are sent in a header."""
+HEADER_VALUE = re.compile(r"[!-~]{1,200}")
+"""Names of workspaces and of targets, which are sent in a header."""
 VERSION = re.compile(r"r([0-9]{1,18})")
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
@@ -139,7 +140,7 @@
     """
     try:
         document = DOCUMENT_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         _reject("configuration", str(error), "a configuration document")
     routes: dict[str, list[Route]] = defaultdict(list)
     for entry in document.listeners:
@@ -171,9 +172,11 @@
     PlatformError
         If the registration is invalid.
     """
+    if not HEADER_VALUE.fullmatch(name):
+        _reject("registration", f"name {name!r}", "a printable ASCII name")
     try:
         registration = REGISTRATION_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         _reject(f"registration {name}", str(error), "a registration")
     draining = DRAINING_BY_STATE.get(registration.state)
     if draining is None:
@@ -202,7 +205,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT
+    return 0 < (parse_decimal(port) or 0) <= MAX_PORT
 
 
 def _route(host: str, rule: Rule) -> Route:
@@ -232,7 +235,7 @@
 def _workspaces(tenants: list[Tenant]) -> dict[str, Workspace]:
     workspaces: dict[str, Workspace] = {}
     for tenant in tenants:
-        if not WORKSPACE_NAME.fullmatch(tenant.name):
+        if not HEADER_VALUE.fullmatch(tenant.name):
             _reject("workspace", f"name {tenant.name!r}", "a printable ASCII name")
         if tenant.name in workspaces:
             _reject(f"workspace {tenant.name}", "a second entry", "one entry")
--- a/buckthornshed/platform/settings.py
+++ b/buckthornshed/platform/settings.py
@@ -1,18 +1,22 @@
 """Decoder of the platform's settings file, which has lines ``a.b=value``."""
 
+import math
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import NoReturn, TypeVar
 
 from ..errors import SettingsError
+from ..protocol.decoding import parse_decimal
 from ..state.relay_settings import RelaySettings, RetryLimits
 
 __all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings"]
 
 SETTINGS_VARIABLE = "BUCKTHORNSHED_BOOT"
 BYTES_PER_MB = 1_000_000
+MAX_PORT = 65_535
+MAX_SHOWN_VALUE = 80
 
-Value = TypeVar("Value")
+Value = TypeVar("Value", int, float)
 
 
 def read_settings(path: Path) -> RelaySettings:
@@ -88,25 +92,35 @@
 ) -> Value:
     value = _get_required(fields, name)
     try:
-        return convert(value)
-    except ValueError:
-        _reject(name, repr(value), "a number")
+        number = convert(value)
+        finite = math.isfinite(number)
+    except (ValueError, OverflowError):
+        finite = False
+    if not finite:
+        _reject(name, repr(value[:MAX_SHOWN_VALUE]), "a number")
+    return number
 
 
 def _parse_address(fields: Mapping[str, str], name: str) -> str:
     value = _get_required(fields, name)
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not 0 <= _parse_port(port) <= MAX_PORT:
         _reject(name, repr(value), "ip:port")
     return value
 
 
 def _parse_port_range(value: str) -> tuple[int, int]:
     first, _, last = value.partition(",")
-    if not first.isdigit() or not last.isdigit() or int(first) >= int(last):
+    if not 0 <= _parse_port(first) < _parse_port(last) <= MAX_PORT:
         _reject("internalPorts", repr(value), "two ports, the lower one first")
     return int(first), int(last)
 
 
+def _parse_port(text: str) -> int:
+    """Return a port, -1 if the text is no number."""
+    port = parse_decimal(text)
+    return -1 if port is None else port
+
+
 def _reject(name: str, found: str, expected: str) -> NoReturn:
     raise SettingsError(subject=f"setting {name}", found=found, expected=expected)
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import logging
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -10,8 +11,10 @@
 import msgspec
 
 from ..errors import PlatformError
+from ..protocol.decoding import DECODE_ERRORS
 from ..protocol.messages import Fault
 from ..transport.http_client import ConnectionPool, ExchangeHandlers, RawAnswer
+from ..transport.logs import log_event
 from .wire import is_history_lost, read_era
 
 __all__ = [
@@ -70,9 +73,12 @@
 
 
 class Page(msgspec.Struct):
-    """One page of a range; `at` is the revision of the store."""
+    """One page of a range; `at` is the revision of the store.
 
-    items: list[Item]
+    Items are decoded one by one, so that one that cannot be read hides no other.
+    """
+
+    items: list[msgspec.Raw]
     at: int
     more: bool = msgspec.field(name="hasMore", default=False)
 
@@ -80,7 +86,7 @@
 class Events(msgspec.Struct):
     """Response to a watch; `at` is the revision from which to continue."""
 
-    events: list[Item]
+    events: list[msgspec.Raw]
     at: int
 
 
@@ -88,6 +94,7 @@
 
 PAGE_DECODER = msgspec.json.Decoder(Page)
 EVENTS_DECODER = msgspec.json.Decoder(Events)
+ITEM_DECODER = msgspec.json.Decoder(Item)
 
 
 class StoreClient:
@@ -138,12 +145,14 @@
             # Pages can be of different revisions. A watch from the revision of the
             # first page misses no change made between pages.
             revision = page.at if revision is None else revision
-            changes += map(_to_change, page.items)
+            page_changes = _read_items(page.items)
+            changes += page_changes
             if not page.more or not page.items:
                 return ChangeBatch(tuple(changes), revision)
-            if page.items[-1].key <= after or len(changes) > MAX_RANGE_ITEMS:
+            last = page_changes[-1].key if page_changes else ""
+            if last <= after or len(changes) > MAX_RANGE_ITEMS:
                 raise self._error("pages without an end", "a last page")
-            after = page.items[-1].key
+            after = last
 
     async def watch(
         self, prefix: str, after: int, wait: float, margin: float = WATCH_MARGIN_S
@@ -181,7 +190,7 @@
                 expected=f"events within {wait} s",
             ) from error
         events = _decode(EVENTS_DECODER, body)
-        return ChangeBatch(tuple(map(_to_change, events.events)), events.at)
+        return ChangeBatch(tuple(_read_items(events.events)), events.at)
 
     async def _get(self, query: str, timeout: float) -> bytes:
         loop = asyncio.get_running_loop()
@@ -256,12 +265,23 @@
 def _decode(decoder: msgspec.json.Decoder[Body], data: bytes) -> Body:
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(
             subject="store", found=str(error), expected="items or events"
         ) from error
 
 
+def _read_items(items: list[msgspec.Raw]) -> list[Change]:
+    """Return the changes that can be read."""
+    changes: list[Change] = []
+    for item in items:
+        try:
+            changes.append(_to_change(ITEM_DECODER.decode(item)))
+        except DECODE_ERRORS as error:
+            log_event("store_item_ignored", level=logging.WARNING, error=str(error))
+    return changes
+
+
 def _to_change(item: Item) -> Change:
     if item.deleted or item.value is None:
         return Change(item.key, None)
--- a/buckthornshed/platform/wire.py
+++ b/buckthornshed/platform/wire.py
@@ -1,5 +1,6 @@
 """Names of headers, keys, paths and status codes that the platform defines."""
 
+from ..protocol.decoding import parse_decimal
 from ..protocol.http import get_header
 from ..protocol.messages import Headers
 from ..protocol.relay_messages import HeaderNames
@@ -51,6 +52,4 @@
 def read_era(headers: Headers) -> int | None:
     """Return the number of the copy that the store runs from, None if not stated."""
     value = get_header(headers, ERA_HEADER)
-    if value is None or not value.isdigit():
-        return None
-    return int(value)
+    return None if value is None else parse_decimal(value)
--- a/buckthornshed/protocol/encoded_sets.py
+++ b/buckthornshed/protocol/encoded_sets.py
@@ -18,6 +18,7 @@
     set_digest,
 )
 from .configuration import check_change, check_set
+from .decoding import DECODE_ERRORS
 from .fields import KINDS
 from .findings import FindingsError
 from .published import encode_published, unpack_published
@@ -78,7 +79,7 @@
     """
     try:
         fields = msgspec.json.decode(encoded)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise EncodedObjectError(
             subject=key, found=str(error), expected="JSON of an object"
         ) from error
--- a/buckthornshed/protocol/published.py
+++ b/buckthornshed/protocol/published.py
@@ -14,6 +14,7 @@
 from ..state.objects import ConfigurationSet
 from .canonical import Digests, canonical_bytes, compute_digests, set_digest
 from .configuration import require_valid
+from .decoding import DECODE_ERRORS
 from .fields import KINDS
 from .findings import Finding
 
@@ -214,7 +215,7 @@
 def _parse(data: bytes) -> _Value:
     try:
         return DECODER.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise PublishedValueError(
             subject="value", found=str(error), expected="JSON of a published set"
         ) from error
--- a/buckthornshed/protocol/relay_frames.py
+++ b/buckthornshed/protocol/relay_frames.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..errors import PeerError
+from .decoding import DECODE_ERRORS
 from .relay_messages import RelayMessage
 
 __all__ = ["FrameReader", "FrameWriter"]
@@ -116,7 +117,7 @@
 def _decode(body: bytes) -> RelayMessage:
     try:
         return MESSAGE_DECODER.decode(body)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PeerError(
             subject="frame", found=str(error), expected="a relay message"
         ) from error
--- a/buckthornshed/protocol/wire_context.py
+++ b/buckthornshed/protocol/wire_context.py
@@ -12,6 +12,7 @@
 
 from ..errors import ContextError
 from .authentication import MAC_BYTES, Authenticator
+from .decoding import DECODE_ERRORS
 from .messages import Answer, CallContext, NodeSignal
 from .outcome import Outcome, Reason
 
@@ -100,7 +101,7 @@
             fields = self._context_decoder.decode(
                 self._decode_signed(CONTEXT_TAG, value, "context header")
             )
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise _malformed_error("context header", str(error)) from error
         if fields.receiver != receiver:
             raise ContextError(
@@ -153,7 +154,7 @@
             fields = self._answer_decoder.decode(
                 self._decode_signed(ANSWER_TAG, value, "answer header")
             )
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise _malformed_error("answer header", str(error)) from error
         return Answer(
             exchange=fields.exchange,
--- a/buckthornshed/transport/platform_reader.py
+++ b/buckthornshed/transport/platform_reader.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import PlatformError
+from ..protocol.decoding import DECODE_ERRORS, parse_decimal
 from ..protocol.peer_messages import MAX_SET_BYTES, NodeState, PeerState
 
 __all__ = ["PlatformReader", "Unchanged", "Value"]
@@ -80,9 +81,10 @@
         if status == httpx.codes.NOT_MODIFIED:
             return Unchanged()
         version = headers.get("X-Version", "")
-        if not version.isdecimal():
-            raise answer_error(key, f"version {version!r}", "a number")
-        return Value(int(version), body)
+        number = parse_decimal(version)
+        if number is None:
+            raise answer_error(key, f"version {version[:80]!r}", "a number")
+        return Value(number, body)
 
     async def read_instances(self) -> tuple[NodeState, ...]:
         """Read the instance list, which lags behind the actual state.
@@ -96,7 +98,7 @@
         _, _, body = await self.get(path, {}, MAX_INSTANCES_BYTES, 0.0)
         try:
             entries = INSTANCES_DECODER.decode(body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise answer_error(path, str(error), "a list of instances") from error
         return tuple(
             NodeState(entry.name, entry.incarnation, PEER_STATES[entry.state])
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -1,5 +1,6 @@
 """Matching of complete requests to routes, before they are dispatched."""
 
+import math
 from typing import NamedTuple
 
 from ....coordination.relay.dispatch_messages import RoutedRequest
@@ -201,6 +202,7 @@
     if value is None:
         return None
     try:
-        return float(value) / 1e3
+        seconds = float(value) / 1e3
     except ValueError:
         return None
+    return seconds if math.isfinite(seconds) else None
