Keep a target beside an entry with an unknown service

Callers saw (seen in the review, by reading): every request of a service got 503 after another writer had registered the address of its server under a service that is not configured, with a later start.

Cause: of several registrations with one address only the latest counts, whatever its service; and the relay beside the server took the entry for its own registration. Change: registrations with a service that neither the list of services nor a route names replace no other one. Ruled out: addresses that a server of another configured service has taken over; that rule stays (test_fleet_view). Evidence: test_unknown_service, both cases failed on and pass.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self.catalog: Catalog | None = None
+        self.named_services: frozenset[str] = frozenset()
         self.targets: dict[str, Target] = {}
         self.tombstones: dict[str, RegistrationVersion] = {}
         self.usable: dict[str, tuple[Target, ...]] = {}
@@ -58,6 +59,8 @@
         if self.catalog is not None and catalog.generation <= self.catalog.generation:
             return False
         self.catalog = catalog
+        self.named_services = catalog.named_services()
+        self._rebuild_index()
         return True
 
     def accept_target(self, target: Target) -> bool:
@@ -145,6 +148,13 @@
         self._remove(current)
         return True
 
+    def is_named(self, service: str) -> bool:
+        """Return whether the configuration names a service; true while there is none.
+
+        A registration with another service may come from a writer that is no target.
+        """
+        return self.catalog is None or service in self.named_services
+
     def replace_targets(self, now: float, targets: list[Target]) -> list[str]:
         """Replace all registrations; return the names of the removed targets."""
         for target in targets:
@@ -194,6 +204,8 @@
     def _rebuild_index(self) -> None:
         started: dict[str, int] = {}
         for target in self.targets.values():
+            if not self.is_named(target.service):
+                continue
             started[target.address] = max(
                 target.started, started.get(target.address, target.started)
             )
@@ -201,7 +213,8 @@
         for target in self.targets.values():
             # A registration outlives its target for a while. Of several with the same
             # address only the latest one can be that of a running target.
-            superseded = target.started < started[target.address]
+            latest = started.get(target.address, target.started)
+            superseded = target.started < latest
             outdated = superseded or target.name in self.outdated
             leaves = target.draining or self.is_leaving(target)
             if not leaves and not outdated:
--- a/buckthornshed/state/catalog.py
+++ b/buckthornshed/state/catalog.py
@@ -93,6 +93,16 @@
     workspaces: Mapping[str, Workspace] = {}
     keys: Mapping[bytes, str] = {}
 
+    def named_services(self) -> frozenset[str]:
+        """Return the names of all services, also of those that only routes name."""
+        destinations = {
+            destination.service
+            for routes in self.routes.values()
+            for route in routes
+            for destination in route.destinations
+        }
+        return frozenset(self.services) | destinations
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of `path`, or None."""
         for route in self.routes.get(host, ()):
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -299,6 +299,7 @@
         self.dispatcher.weighted_split.retain(names)
         self.admission.configure(catalog)
         self.quotas.configure(catalog)
+        self.target_reports.update_local_target()
 
     def _targets_changed(self) -> None:
         targets = self.fleet_view.targets
--- a/buckthornshed/transport/relay/target/target_reports.py
+++ b/buckthornshed/transport/relay/target/target_reports.py
@@ -90,13 +90,17 @@
                 self.load_balancer.forget(name)
 
     def _local_registration(self) -> Target | None:
-        """Return the latest registration with the address of the local target."""
+        """Return the latest registration with the address of the local target.
+
+        One with a service that the configuration names goes before others.
+        """
+        view = self.fleet_view
         return max(
             (
                 target
-                for target in self.fleet_view.targets.values()
+                for target in view.targets.values()
                 if target.address == self.local_target.address
             ),
-            key=lambda target: target.started,
+            key=lambda target: (view.is_named(target.service), target.started),
             default=None,
         )
