End the exchange of a node after all received bytes are parsed

Callers saw (found on related paths of a reported fault): the answer to another request. A target that writes an answer twice in one segment answered the next request with the copy.

Cause: the pool of nodes ended the exchange within the parser, and the next request was sent on the connection at once; what followed in the same bytes was parsed as its answer. Change: the exchange ends when all received bytes are parsed. What follows a complete answer closes the connection. Ruled out: the pool of relays, which did so before.

--- a/buckthornshed/tests/test_http_client.py
+++ b/buckthornshed/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client connections against targets that send invalid answers."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -98,3 +99,45 @@
     head = b"HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n"
     [(_, answer)] = asyncio.run(run_exchanges([head], head_only=True))
     assert (answer.status, answer.body) == (200, b"")
+
+
+# Guards against a foreign answer: the next request was sent on the connection before
+# the bytes after the answer were parsed, and a second answer among them ended it.
+@pytest.mark.parametrize("copies", [1, 2, 5])
+def test_a_second_answer_does_not_answer_a_request_that_is_sent_at_once(copies):
+    refusal = b"HTTP/1.1 503 X\r\ncontent-length: 4\r\n\r\nfull"
+
+    async def scenario():
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while head := await reader.readuntil(b"\r\n\r\n"):
+                    is_first = head.startswith(b"GET /first")
+                    writer.write(refusal * (1 + copies) if is_first else OK)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(max_body_bytes=1_000, max_idle=2, clock=time.monotonic)
+        ended: asyncio.Queue = asyncio.Queue()
+
+        def send(exchange, path, on_answer):
+            pool.send(
+                exchange=exchange,
+                address=f"127.0.0.1:{port}",
+                data=REQUEST.replace(b"/", path, 1),
+                head_only=False,
+                handlers=ExchangeHandlers(on_answer, ended.put_nowait),
+            )
+
+        def send_next(_, answer):
+            ended.put_nowait(answer)
+            send(2, b"/second", lambda _, answer: ended.put_nowait(answer))
+
+        send(1, b"/first", send_next)
+        first = await asyncio.wait_for(ended.get(), 10)
+        second = await asyncio.wait_for(ended.get(), 10)
+        assert (first.status, second.status) == (503, 200)
+        pool.close_idle()
+        server.close()
+
+    asyncio.run(scenario())
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -71,6 +71,8 @@
         self.reused = False
         self.received = False
         self.interim_answers = 0
+        self.answer: RawAnswer | None = None
+        self.reusable = False
         self.idle_since = 0.0
         self.collector = MessageCollector(
             max_body_bytes=pool.max_body_bytes,
@@ -101,9 +103,15 @@
         try:
             self.feed(data)
         except (ParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"invalid answer: {error}")
-            return
-        if self.collector.too_large:
+            self.reusable = False
+            if self.answer is None:
+                self._fail(f"invalid answer: {error}")
+                return
+        if self.answer is not None:
+            # The exchange ends after all received data is parsed: a next request on
+            # this connection could else be answered by what follows the answer.
+            self._end_exchange(self.answer)
+        elif self.collector.too_large:
             self._fail("answer over the size limit")
 
     def send(
@@ -115,6 +123,7 @@
         self.head_only = head_only
         self.received = False
         self.interim_answers = 0
+        self.answer = None
         self.collector.reset()
         assert self.transport is not None
         self.transport.write(data)
@@ -131,12 +140,15 @@
             return
         if self.head_only:
             self._message_complete()
-            self.abort()
 
     def _message_complete(self) -> None:
         status = self.parser.get_status_code()
         if self.exchange is None:
             return
+        if self.answer is not None:
+            # Data after the answer belongs to no request.
+            self.reusable = False
+            return
         if status < 200:
             self.interim_answers += 1
             if self.interim_answers > MAX_SKIPPED_ANSWERS:
@@ -149,14 +161,19 @@
         if self.collector.too_large:
             self._fail("answer over the size limit")
             return
+        self.answer = RawAnswer(status, self.collector.headers, self.collector.body)
+        self.reusable = self.parser.should_keep_alive() and not self.head_only
+
+    def _end_exchange(self, answer: RawAnswer) -> None:
         exchange, handlers = self.exchange, self.handlers
-        self.exchange = None
-        self.handlers = None
+        assert exchange is not None
         assert handlers is not None
-        answer = RawAnswer(status, self.collector.headers, self.collector.body)
-        if self.parser.should_keep_alive() and not self.head_only:
+        self.answer = None
+        if self.reusable and self.collector.complete:
+            self.exchange = None
+            self.handlers = None
             self.pool.release(self)
-        elif not self.head_only:
+        else:
             self.abort()
         handlers.on_answer(exchange, answer)
 
