Accept answers of relays only on the link of their call

Callers saw: nothing yet; found while looking for places that take an answer for the awaited one. A refusal from a relay that never got the call ended it as not run, and a booking that ran was sent again.

Cause: the number of a call was looked up among all calls, whoever answered. Change: a link accepts answers to the calls that were sent on it, and logs others as `peer_answer_discarded`. Evidence: test_foreign_refusals ran the booking twice on; once now.

--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -240,6 +240,13 @@
             return
         for message in messages:
             if isinstance(message, AnswerMessage | RefusalMessage):
+                if message.exchange not in self.exchanges:
+                    log_event(
+                        "peer_answer_discarded",
+                        peer=self.instance,
+                        exchange=message.exchange,
+                    )
+                    continue
                 self.exchanges.discard(message.exchange)
             self.links.handler.handle_link_message(self.instance, message)
 
