Do not apply an answer to an earlier watch again

Callers saw: nothing yet; found while looking for places that take an answer for the awaited one. An answer of the store that came again in place of the next one was applied again, and a removal in it took a target out of use that had registered since.

Cause: answers of the store are told apart by their order on the connection only. Change: events up to a revision before that of the watch belong to an earlier one; the connections are closed, and everything is read anew. Ruled out: a store that returns from an old copy answers 410 or states another copy.

--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -190,6 +190,14 @@
                 expected=f"events within {wait} s",
             ) from error
         events = _decode(EVENTS_DECODER, body)
+        if events.at < after:
+            # An answer to an earlier watch; the one to this watch may still come.
+            self.pool.close_idle()
+            raise HistoryLostError(
+                subject=f"store at {self.address}",
+                found=f"events up to revision {events.at}",
+                expected=f"events after revision {after}",
+            )
         return ChangeBatch(tuple(_read_items(events.events)), events.at)
 
     async def _get(self, query: str, timeout: float) -> bytes:
