Do not send a refused request again on the connection of its refusal

Cause: answers are told apart by the identifier of the request, and a connection was not used again for the request that it carried last. With another request in between it was, and the old refusal bears the right identifier. Change: a connection remembers the requests that failed on it and carries none of them again; it is replaced after 64. A second answer behind a complete one closes it.

--- a/buckthornshed/transport/relay/target/target_pool.py
+++ b/buckthornshed/transport/relay/target/target_pool.py
@@ -4,7 +4,7 @@
 answer. An answer that echoes the identifier of another request, such as a late copy of
 the answer to an earlier one, is discarded; one without any identifier is not accepted.
 A request that is sent again takes another connection than before, because a late copy
-of its first answer would bear its identifier.
+of its first answer would bear its identifier, also after answers to other requests.
 """
 
 import asyncio
@@ -34,6 +34,10 @@
 IDLE_MARGIN_S = 1.0
 """Time before the end of the keep-alive time at which a connection is closed."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+FAILED_STATUS = 400
+"""Lowest status after which a request may be sent to the target again."""
+MAX_FAILED_REQUESTS = 64
+"""Identifiers of failed requests that a connection keeps before it is replaced."""
 
 
 class FaultKind(Enum):
@@ -73,6 +77,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: int | None = None
         self.request_id = b""
+        self.failed_ids: set[bytes] = set()
         self.head_only = False
         self.delimited_by_close = False
         self.complete_answer: TargetAnswer | None = None
@@ -86,6 +91,10 @@
         """Whether the connection is open."""
         return self.transport is not None and not self.transport.is_closing()
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether no copy of an earlier answer can bear this identifier."""
+        return request_id != self.request_id and request_id not in self.failed_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         # uvloop's transports do not derive from the classes of asyncio.
@@ -169,7 +178,11 @@
 
     def _message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if self.exchange is None or self.complete_answer is not None:
+        if self.exchange is None:
+            return
+        if self.complete_answer is not None:
+            # A second answer belongs to no request.
+            self.reusable = False
             return
         if status < 200:
             self._skip_answer()
@@ -214,7 +227,9 @@
         self.complete_answer = None
         if exchange is None or answer is None:
             return
-        if self.reusable:
+        if answer.status >= FAILED_STATUS:
+            self.failed_ids.add(self.request_id)
+        if self.reusable and len(self.failed_ids) < MAX_FAILED_REQUESTS:
             self.pool.release(self, answer.headers)
         elif self.transport is not None:
             self.transport.close()
@@ -356,7 +371,7 @@
         """Remove and return the connection to reuse for a request, if there is one."""
         self.close_expired()
         for connection in reversed(self.idle):
-            if connection.is_open and connection.request_id != request_id:
+            if connection.is_open and connection.may_carry(request_id):
                 self.idle.remove(connection)
                 return connection
         return None
