End an exchange whose target answers another request without a length

Callers saw (seen in the review, by reading): a request that waited for its deadline, after its target had sent an answer to another request, without a length, and closed.

Cause: the end of the connection completed an answer that was not the awaited one, and the exchange was dropped without a result. Change: it is a fault of the connection, as any other end before the answer.

--- a/buckthornshed/transport/relay/target/target_pool.py
+++ b/buckthornshed/transport/relay/target/target_pool.py
@@ -107,8 +107,9 @@
         if self.delimited_by_close and exc is None and self.collector.head_complete:
             # An answer without a length ends when its connection closes.
             self._finish_answer(reusable=False)
-            self._end_exchange()
-            return
+            if self.complete_answer is not None:
+                self._end_exchange()
+                return
         self._fail(FaultKind.BROKEN, str(exc or "connection closed"))
 
     def eof_received(self) -> bool:
