Tell the relay beside a removed target on links that stay open

Cause: relays tell only those beside registered targets, and a relay finds out that its own is gone as the links of the readers to it close. A link with pending calls stays open, and the last report of a reader on it counts for 3.5 s. Change: whoever drops an instance and keeps the link tells the relay there which registrations have ended. A relay without a registered target reads the store itself.

--- a/buckthornshed/coordination/relay/fleet/store_readers.py
+++ b/buckthornshed/coordination/relay/fleet/store_readers.py
@@ -49,9 +49,16 @@
         self.reports: dict[str, ReadReport] = {}
         self.own_report = ReadReport(True, 0.0)
         self.missing_since: float | None = None
+        self.registered = True
 
-    def set_instances(self, instances: Iterable[str]) -> None:
-        """Set the instances of the relay's failure domain."""
+    def set_instances(
+        self, instances: Iterable[str], *, registered: bool = True
+    ) -> None:
+        """Set the other instances of the relay's failure domain.
+
+        `registered` states whether this relay's own one has a registered target.
+        """
+        self.registered = registered
         own = _order(self.instance)
         self.ahead = [each for each in instances if _order(each) < own]
         self.reports = {
@@ -71,6 +78,9 @@
 
     def should_read(self, now: float) -> bool:
         """Return whether this relay is to read the store."""
+        if not self.registered:
+            # Relays tell only those beside registered targets of changes.
+            return self._may_try(now)
         ahead = [each for each in self.ahead if self.is_connected(each)]
         reading = sum(self._reads(now, each) for each in ahead)
         missing = READERS_PER_DOMAIN - reading
@@ -85,8 +95,7 @@
         delay = (not_reading - missing + 1) * TAKEOVER_STEP_S
         if now - self.missing_since < delay:
             return False
-        failed = not self.own_report.succeeded
-        return not failed or now - self.own_report.at >= RETRY_INTERVAL_S
+        return self._may_try(now)
 
     def is_first(self, now: float) -> bool:
         """Return whether no relay before this one reads the store."""
@@ -94,6 +103,11 @@
             self.is_connected(each) and self._reads(now, each) for each in self.ahead
         )
 
+    def _may_try(self, now: float) -> bool:
+        """Return whether the last read succeeded, or it is time for another attempt."""
+        failed = not self.own_report.succeeded
+        return not failed or now - self.own_report.at >= RETRY_INTERVAL_S
+
     def _reads(self, now: float, instance: str) -> bool:
         """Return whether a relay has lately read the store."""
         report = self.reports.get(instance)
--- a/buckthornshed/transport/relay/fleet/fleet_exchange.py
+++ b/buckthornshed/transport/relay/fleet/fleet_exchange.py
@@ -1,5 +1,6 @@
 """What relays tell each other about the fleet: changes, whole views, silent peers."""
 
+from collections import defaultdict
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
@@ -8,6 +9,7 @@
 from ....coordination.relay.placement.load_balancer import LoadBalancer
 from ....protocol.relay_messages import FleetUpdate, ViewRequest
 from ....state.catalog import Target
+from ...logs import log_event
 from ..peers.peer_links import PeerLinks
 from .fleet_updater import FleetUpdater
 
@@ -45,6 +47,8 @@
         Applies updates to the view of the fleet.
     domain_peers : list of str
         The other instances of the failure domain.
+    names_by_instance : dict
+        Names of the targets on each instance.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self.clock = clock
         self.rng = rng
         self.domain_peers: list[str] = []
+        self.names_by_instance: dict[str, list[str]] = {}
         self.store_readers = StoreReaders(
             instance=instance, is_connected=links.is_connected
         )
@@ -81,15 +86,23 @@
 
     def update_peers(self, targets: Collection[Target]) -> None:
         """Keep links to the instances of all targets, and note those of the domain."""
-        instances = {target.instance for target in targets} - {self.instance}
+        names: defaultdict[str, list[str]] = defaultdict(list)
+        for target in targets:
+            names[target.instance].append(target.name)
+        instances = names.keys() - {self.instance}
         self.links.set_instances(instances)
+        for instance in self.names_by_instance.keys() - names.keys():
+            self._tell_removed(instance)
+        self.names_by_instance = names
         in_domain = {
             target.instance
             for target in targets
             if target.failure_domain == self.failure_domain
         }
         self.domain_peers = sorted(in_domain & instances)
-        self.store_readers.set_instances(self.domain_peers)
+        self.store_readers.set_instances(
+            self.domain_peers, registered=self.instance in names
+        )
 
     def apply(self, update: FleetUpdate) -> None:
         """Apply an update of another relay, except for the limits."""
@@ -139,6 +152,21 @@
         for instance in self.links.links.keys() - set(self.domain_peers):
             self.links.send(instance, update)
 
+    def _tell_removed(self, instance: str) -> None:
+        """Tell a relay that the targets beside it are no longer registered.
+
+        It gets no further updates, and learns that from the end of the link; but a link
+        with pending calls stays open.
+        """
+        tombstones = self.updater.fleet_view.tombstones
+        removed = [
+            (name, *tombstones[name])
+            for name in self.names_by_instance[instance]
+            if name in tombstones
+        ]
+        if removed and self.links.send(instance, FleetUpdate(tombstones=removed)):
+            log_event("peer_told_of_removal", peer=instance, targets=len(removed))
+
     def _is_sponsor(self, instance: str) -> bool:
         """Return whether this relay sends its whole view to a new one."""
         domains = {self.instance: self.failure_domain}
