Tell the own domain each removal that a reader's watch reports

A relay that has lost its link to the reader that told a removal first is not told by the others, as they know it by then, and may use the server until its next read.

Cause: a reader passed on only what was new to it. Change: each reader tells its own failure domain each removal that its watch reports, and each draining target once; heartbeats are not told.

--- /dev/null
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -0,0 +1,55 @@
+"""Tests of what a reader of the store tells after another relay told it first."""
+
+from buckthornshed.coordination.relay.fleet.store_readers import StoreReaders
+from buckthornshed.protocol.relay_messages import FleetUpdate
+from buckthornshed.transport.relay.fleet.fleet_updater import FleetUpdater
+
+from .makers import make_target
+
+
+class ReaderParts:
+    """An updater that knows one target, and what it tells its failure domain."""
+
+    def __init__(self):
+        self.told: list[FleetUpdate] = []
+        self.updater = FleetUpdater(
+            clock=lambda: 10.0,
+            on_catalog=lambda: None,
+            on_targets=lambda: None,
+            broadcast=lambda _: None,
+            readers=StoreReaders(instance="10.0.0.9", is_connected=lambda _: True),
+            tell_domain=self.told.append,
+            tell_other_domains=lambda _: None,
+        )
+        self.updater.apply_update(FleetUpdate(targets=[make_target()]))
+
+
+# Guards against requests to a removed target from a relay that has lost its link to
+# the reader that told the others first.
+def test_a_reader_tells_a_removal_that_it_heard_of_before():
+    parts = ReaderParts()
+    parts.updater.apply_update(FleetUpdate(tombstones=[("t-1", 1_000, 1)]))
+    parts.updater.handle_target_deletion("t-1")
+    assert [update.tombstones for update in parts.told] == [[("t-1", 1_000, 1)]]
+
+
+def test_a_reader_tells_a_draining_target_that_it_heard_of_before_once():
+    parts = ReaderParts()
+    draining = make_target(draining=True, sequence=2)
+    parts.updater.apply_update(FleetUpdate(targets=[draining]))
+    for sequence in (2, 3, 4):
+        parts.updater.handle_target_change(draining._replace(sequence=sequence))
+    assert [update.targets for update in parts.told] == [[draining]]
+
+
+def test_a_reader_does_not_tell_heartbeats():
+    parts = ReaderParts()
+    for sequence in (2, 3, 4):
+        parts.updater.handle_target_change(make_target(sequence=sequence))
+    assert parts.told == []
+
+
+def test_a_reader_tells_a_removal_of_its_own_once():
+    parts = ReaderParts()
+    parts.updater.handle_target_deletion("t-1")
+    assert [update.tombstones for update in parts.told] == [[("t-1", 1_000, 1)]]
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -14,13 +14,16 @@
 
 __all__ = ["FleetUpdater"]
 
+MAX_TOLD = 2_048
+
 
 class FleetUpdater:
     """Applies updates to the fleet view, logs them and forwards them to other relays.
 
     Only what was read from the store is forwarded: by each reader to its own failure
     domain, and by the first one of the domain to all others, which may have no reader
-    that the store answers.
+    that the store answers. Removals and draining targets are told by each reader, also
+    if another one told it first.
 
     Parameters
     ----------
@@ -43,6 +46,8 @@
     ----------
     fleet_view : FleetView
         The view to which updates are applied.
+    told_draining : dict
+        Start of the incarnation of each draining target that was told, by name.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         self.tell_domain = tell_domain
         self.tell_other_domains = tell_other_domains
         self.reading = True
+        self.told_draining: dict[str, int] = {}
         self.fleet_view = FleetView()
 
     # Updates from the platform's store.
@@ -106,11 +112,17 @@
             _log_registration(target, "store")
             self.on_targets()
             self._announce([target], [])
+        elif target.draining and self.told_draining.get(target.name) != target.started:
+            self.tell_domain(FleetUpdate(targets=[target]))
+        if target.draining:
+            self._note_told(target)
 
     def handle_target_deletion(self, name: str) -> None:
         """Apply the end of a registration."""
+        self.told_draining.pop(name, None)
         target = self.fleet_view.targets.get(name)
         if target is None:
+            self._repeat_tombstone(name)
             return
         if not self.fleet_view.remove_target(self.clock(), name):
             self._log_kept(name)
@@ -195,6 +207,20 @@
             self.on_targets()
             self._announce([], [known[name] for name in names])
 
+    def _note_told(self, target: Target) -> None:
+        if len(self.told_draining) >= MAX_TOLD:
+            self.told_draining.pop(next(iter(self.told_draining)))
+        self.told_draining[target.name] = target.started
+
+    def _repeat_tombstone(self, name: str) -> None:
+        """Tell the own failure domain of a removal that another relay told first.
+
+        A relay that has lost its link to that one counts on the other readers.
+        """
+        version = self.fleet_view.tombstones.get(name)
+        if version is not None:
+            self.tell_domain(FleetUpdate(tombstones=[(name, *version)]))
+
     def _log_kept(self, name: str) -> None:
         """Log that a target is kept, although its registration has ended."""
         view = self.fleet_view
