--- a/buckthornshed/tests/relay/test_relay_process.py
+++ b/buckthornshed/tests/relay/test_relay_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 from typing import Any
 
@@ -32,6 +33,14 @@
         self.process: Any = None
 
     async def start(self):
+        await self.open_surroundings()
+        path = self.folder / "node.conf"
+        path.write_text(self.settings())
+        self.process = await start_process(path, asyncio.subprocess.PIPE)
+        await self.wait_until_ready()
+
+    async def open_surroundings(self):
+        """Open the stand-ins and write the configuration and the registration."""
         await self.store.open()
         await self.target.open(HOST)
         await self.store.put("op/config", make_configuration())
@@ -46,9 +55,8 @@
             "born": 1_700_000_000_000,
         }
         await self.store.put("servers/i-1", registration)
-        path = self.folder / "node.conf"
-        path.write_text(self.settings())
-        self.process = await start_process(path, asyncio.subprocess.PIPE)
+
+    async def wait_until_ready(self):
         async with asyncio.timeout(20.0):
             while await self.ready_status() != 200:
                 await asyncio.sleep(0.05)
@@ -153,6 +161,33 @@
     run(scenario, tmp_path)
 
 
+# Guards against the end of a relay by a SIGHUP before its handler is installed. The
+# settings file is a pipe at first, so that the process waits amid its start.
+def test_a_change_of_the_settings_during_the_start_is_applied(tmp_path):
+    async def scenario():
+        relay = RelayUnderTest(tmp_path)
+        await relay.open_surroundings()
+        path, text = tmp_path / "node.conf", relay.settings()
+        os.mkfifo(path)
+        relay.process = await start_process(path, asyncio.subprocess.PIPE)
+        try:
+            pipe = await asyncio.to_thread(path.open, "w")
+            for _ in range(3):
+                relay.process.send_signal(signal.SIGHUP)
+            path.unlink()
+            path.write_text(text.replace("graceS=6", "graceS=4"))
+            with pipe:
+                pipe.write(text)
+            await relay.wait_until_ready()
+            relay.process.send_signal(signal.SIGTERM)
+            assert await relay.process.wait() == 0
+            assert "event=settings_changed fields=grace" in await relay.read_log()
+        finally:
+            await relay.stop()
+
+    asyncio.run(scenario())
+
+
 def test_metrics_are_served_in_the_prometheus_text_format(tmp_path):
     async def scenario(relay):
         assert (await relay.get("client", "/avail/1")).status == 200
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -233,6 +233,8 @@
         stop_requested = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        # They may have changed since the start, and an earlier SIGHUP is ignored.
+        self._reload_settings()
         await stop_requested.wait()
 
     async def _drain(self) -> None:
