Wait for slow readers in a planned stop

Cause: a request counted as answered when its response was handed to the transport; the process ended with the rest in its write buffers. Change: after the last request the relay waits until clients and other relays have taken what is written for them, until 0.2 s before the end of the grace period. Ruled out: the deadline of the drain, which had not come.

--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -26,6 +26,8 @@
         Awaited with the target and the path of each request that begins to run.
     extra_headers : str
         Lines that are added to the head of each answer.
+    body : bytes or None
+        Body of each answer; None for one that names the request.
     """
 
     def __init__(self, name):
@@ -40,6 +42,7 @@
         self.delay = 0.0
         self.on_run = None
         self.extra_headers = ""
+        self.body: bytes | None = None
         self.late_copies = {}
         self.writers = set()
         self.release = asyncio.Event()
@@ -117,7 +120,9 @@
             raise ConnectionError("caller closed the connection")
 
     def signed_answer(self, request_id, status=200, extra=""):
-        body = f"answer to {request_id} by {self.name}".encode()
+        body = self.body
+        if body is None:
+            body = f"answer to {request_id} by {self.name}".encode()
         head = (
             f"HTTP/1.1 {status} X\r\nrequest-id: {request_id}\r\n"
             f"response-seal: {self.name}.{request_id}\r\n{extra}{self.extra_headers}"
--- a/buckthornshed/tests/relay/test_relay_process.py
+++ b/buckthornshed/tests/relay/test_relay_process.py
@@ -161,6 +161,35 @@
     run(scenario, tmp_path)
 
 
+# Guards against answers that a planned stop cuts while their client still reads.
+def test_a_planned_stop_does_not_cut_an_answer_that_a_client_reads_slowly(tmp_path):
+    size = 15_000_000
+
+    async def scenario(relay):
+        path = relay.folder / "node.conf"
+        path.write_text(relay.settings().replace("graceS=6", "graceS=30"))
+        relay.process.send_signal(signal.SIGHUP)
+        relay.target.body = bytes(size)
+        reader, writer = await asyncio.open_connection(HOST, relay.ports["client"])
+        writer.write(
+            b"GET /avail/1 HTTP/1.1\r\nHost: stalls.example\r\n"
+            b"Request-Id: r-1\r\nDeadline-Ms: 5000\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        relay.process.send_signal(signal.SIGTERM)
+        assert b"content-length: %d" % size in head
+        # The relay ends 2.9 s after the signal if nothing is in progress.
+        await asyncio.sleep(3.5)
+        assert len(await reader.readexactly(size)) == size
+        writer.close()
+        assert await relay.process.wait() == 0
+        log = await relay.read_log()
+        assert "event=sending_answers" in log
+        assert "event=answers_cut" not in log
+
+    run(scenario, tmp_path)
+
+
 # Guards against the end of a relay by a SIGHUP before its handler is installed. The
 # settings file is a pipe at first, so that the process waits amid its start.
 def test_a_change_of_the_settings_during_the_start_is_applied(tmp_path):
--- a/buckthornshed/transport/relay/clients/client_listener.py
+++ b/buckthornshed/transport/relay/clients/client_listener.py
@@ -160,6 +160,13 @@
             self.paused = False
             self.transport.resume_reading()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the client has not taken yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def is_last(self, exchange: Exchange) -> bool:
         """Whether an exchange has the latest request of the connection."""
         return bool(self.exchanges) and self.exchanges[-1] is exchange
@@ -301,6 +308,11 @@
             self._accept, host, int(port), backlog=1_024, reuse_address=True
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that clients have not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay."""
         if self.server is not None:
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -165,6 +165,15 @@
         if link is not None:
             link.draining = True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that other relays have not taken yet."""
+        return sum(
+            session.transport.get_write_buffer_size()
+            for session in self.sessions
+            if session.transport is not None
+        )
+
     def close(self) -> None:
         """Close all connections at once."""
         if self.server is not None:
--- a/buckthornshed/transport/relay/process.py
+++ b/buckthornshed/transport/relay/process.py
@@ -39,6 +39,8 @@
 MAX_DRAIN_NOTICE_FRACTION = 0.45
 """Maximum fraction of the grace period in which requests are still accepted."""
 SHUTDOWN_MARGIN_S = 0.6
+END_MARGIN_S = 0.2
+"""Time before the end of the grace period at which answers are no longer sent."""
 FINAL_FLUSH_S = 0.05
 """Time in which the last written responses are sent before the process ends."""
 MAX_OPERATOR_CONNECTIONS = 64
@@ -260,8 +262,23 @@
         relay.end_requests()
         relay.listener.stop_accepting()
         relay.listener.close_idle()
+        unsent = relay.unsent_bytes
+        if unsent:
+            log_event("sending_answers", bytes=unsent)
+        await self._wait_while(
+            lambda: relay.unsent_bytes > 0, now + grace - END_MARGIN_S
+        )
         await asyncio.sleep(FINAL_FLUSH_S)
 
+    async def _send_answers(self, deadline: float) -> None:
+        """Wait until clients and other relays have taken what is written for them."""
+        relay = self.relay
+        if relay.unsent_bytes:
+            log_event("sending_answers", bytes=relay.unsent_bytes)
+        await self._wait_while(lambda: relay.unsent_bytes > 0, deadline)
+        if relay.unsent_bytes:
+            log_event("answers_cut", level=logging.WARNING, bytes=relay.unsent_bytes)
+
     async def _wait_while(self, condition: Callable[[], bool], deadline: float) -> None:
         while condition() and self.relay.clock() < deadline:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -215,6 +215,11 @@
         """Whether a request or a call is in progress."""
         return bool(self.responses.exchanges) or self.local_target.busy
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that clients and other relays have not taken yet."""
+        return self.listener.unsent_bytes + self.links.unsent_bytes
+
     @property
     def serves_clients(self) -> bool:
         """Whether a request of a client is in progress."""
