Bound the memory of answers that slow clients have not read

Cause: an answer is held until its client has read it, and nothing bounded what is held. Change: AnswerMemory refuses a request (503, not run) whose expected answer would take what is held and expected beyond a quarter of the memory, and replaces an answer by 502 beyond two fifths. Requests of routes with small answers are never refused. Ruled out: incomplete messages, which have a bound (BufferBudget).

--- a/buckthornshed/transport/relay/clients/client_requests.py
+++ b/buckthornshed/transport/relay/clients/client_requests.py
@@ -4,11 +4,15 @@
 
 from ....coordination.relay.admission.demand_class import class_name
 from ....coordination.relay.admission.offered_rates import OfferedRates
-from ....coordination.relay.dispatch_messages import DispatchAction, RoutedRequest
+from ....coordination.relay.dispatch_messages import (
+    DispatchAction,
+    FailRequest,
+    RoutedRequest,
+)
 from ....coordination.relay.dispatcher import Dispatcher
 from ....coordination.workspaces.quota_ledger import QuotaVerdict
 from ....protocol.http import Request
-from ....protocol.relay_messages import HeaderNames
+from ....protocol.relay_messages import HeaderNames, RefusalReason
 from ...logs import log_event
 from ..workspaces.quota_exchange import QuotaExchange
 from .client_listener import Exchange
@@ -18,6 +22,9 @@
 
 __all__ = ["ClientRequests"]
 
+MEMORY_RETRY_AFTER_S = 1.0
+"""Time after which a client may ask again that others leave no memory for."""
+
 
 class ClientRequests:
     """Matches requests to routes, applies quotas and dispatches them.
@@ -83,6 +90,7 @@
 
     def handle_disconnect(self, exchange: Exchange) -> None:
         """Cancel the call of a request whose client has disconnected."""
+        self.responses.memory.end(exchange.token)
         if self.responses.exchanges.pop(exchange.token, None) is not None:
             now = self.clock()
             self.execute(self.dispatcher.client_disconnected(now, exchange.token))
@@ -104,8 +112,30 @@
         else:
             self.responses.refuse_over_quota(exchange, routed, verdict.retry_after)
 
+    def _refuse_large_answer(self, exchange: Exchange, routed: RoutedRequest) -> None:
+        """Refuse a request whose answer there would be no room for."""
+        log_event(
+            "request_refused_memory",
+            request=routed.request_id.decode("latin-1"),
+            route=routed.route.name,
+            held=self.responses.memory.held_bytes(),
+        )
+        self.responses.fail(
+            FailRequest(
+                token=exchange.token,
+                request=routed,
+                reason=RefusalReason.OVERLOAD,
+                may_have_run=False,
+                retry_after=MEMORY_RETRY_AFTER_S,
+                attempts=(),
+            )
+        )
+
     def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
         if not routed.nested:
             self.offered.count(class_name(routed.route.name, routed.priority))
+        if not self.responses.memory.begin(exchange.token, routed.route.name):
+            self._refuse_large_answer(exchange, routed)
+            return
         actions = self.dispatcher.submit(self.clock(), exchange.token, routed)
         self.execute(actions)
--- a/buckthornshed/transport/relay/clients/client_responses.py
+++ b/buckthornshed/transport/relay/clients/client_responses.py
@@ -1,7 +1,9 @@
 """Final responses to the requests of clients and of the local target."""
 
+import logging
 from collections.abc import Callable
 
+from ....coordination.relay.admission.answer_memory import AnswerMemory
 from ....coordination.relay.admission.controller import AdmissionController
 from ....coordination.relay.admission.demand_class import class_name
 from ....coordination.relay.dispatch_messages import (
@@ -10,12 +12,14 @@
     RoutedRequest,
 )
 from ....protocol.relay_messages import HeaderNames, RefusalReason
+from ...logs import log_event
 from ..logs.access_log import AccessLog
 from .client_listener import Exchange
 from .responses import local_response, refusal_status
 
 __all__ = ["ClientResponses"]
 
+BAD_GATEWAY_STATUS = 502
 OVER_QUOTA_STATUS = 429
 
 
@@ -32,6 +36,8 @@
         Records whether requests of clients succeeded.
     refund : callable
         Called with the workspace of a request that was not run.
+    memory : AnswerMemory
+        Bounds the bytes of answers that clients have not read.
     clock : callable
         Returns seconds of the monotonic clock.
 
@@ -50,22 +56,28 @@
         access_log: AccessLog,
         admission: AdmissionController,
         refund: Callable[[str], None],
+        memory: AnswerMemory,
         clock: Callable[[], float],
     ) -> None:
         self.names = names
         self.access_log = access_log
         self.admission = admission
         self.refund = refund
+        self.memory = memory
         self.clock = clock
         self.exchanges: dict[int, Exchange] = {}
         self.draining = False
 
     def deliver(self, action: DeliverAnswer) -> None:
         """Respond with the answer of a target."""
+        self.memory.end(action.token)
         exchange = self.exchanges.pop(action.token, None)
         if exchange is None:
             return
         answer = action.answer
+        if not self.memory.accept(action.request.route.name, len(answer.body)):
+            self._drop_answer(exchange, action)
+            return
         close = self._should_close(exchange)
         head_end = b"connection: close\r\n\r\n" if close else b"\r\n"
         body = b"" if exchange.head_only else answer.body
@@ -74,9 +86,26 @@
         self._record_attempt(action.request, succeeded=not answer.failed)
         self.access_log.log_answer(self.clock(), action)
 
+    def _drop_answer(self, exchange: Exchange, action: DeliverAnswer) -> None:
+        """Respond with a failure in place of an answer that there is no room for.
+
+        The memory limit would end the process, and all other requests with it.
+        """
+        request = action.request
+        self.respond_locally(exchange, BAD_GATEWAY_STATUS, request.request_id, None)
+        self._record_attempt(request, succeeded=False)
+        log_event(
+            "answer_dropped",
+            level=logging.WARNING,
+            request=request.request_id.decode("latin-1"),
+            bytes=len(action.answer.body),
+            held=self.memory.held_bytes(),
+        )
+
     def fail(self, action: FailRequest) -> None:
         """Respond in place of a target."""
         request = action.request
+        self.memory.end(action.token)
         if request.workspace and not request.nested and not action.may_have_run:
             self.refund(request.workspace)
         exchange = self.exchanges.pop(action.token, None)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ...coordination.relay.admission.answer_memory import AnswerMemory
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
@@ -162,6 +163,10 @@
             access_log=self.access_log,
             admission=self.admission,
             refund=self.quotas.refund,
+            memory=AnswerMemory(
+                memory=settings.memory,
+                held_bytes=lambda: self.listener.unsent_bytes,
+            ),
             clock=clock,
         )
         self.target_reports = TargetReports(
