Keep the ports of a test fleet reserved while it runs

Cause: a block of ports is reserved by a socket of its allocator; the fleet did not keep the allocator, so the block was free again before the processes were started, and the next driver whose process id led to it took the same ports. Change: the fleet keeps the allocator. Ruled out: ports of the system's own range (32768 and above; the port was 31205). Evidence: test_the_ports_of_a_fleet_are_reserved_as_long_as_it_exists failed before; two runs of test_node_process at the same time pass.

--- a/buckthornshed/load/fleet.py
+++ b/buckthornshed/load/fleet.py
@@ -109,6 +109,8 @@
         self.folder = folder
         self.overrides = dict(overrides or {})
         self.seed = seed
+        # The ports are reserved as long as their allocator exists.
+        self.ports = ports
         self.platform = ports.allocate()
         self.platform_control = ports.allocate()
         self.members = {
--- a/buckthornshed/tests/test_load_fleet.py
+++ b/buckthornshed/tests/test_load_fleet.py
@@ -1,6 +1,7 @@
 """Tests of a deployment of separate processes, without nodes."""
 
 import asyncio
+import gc
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,8 @@
 from buckthornshed.load.plan import ClientBehaviour, Phase, Plan, Traffic
 from buckthornshed.load.processes import PORTS_PER_BLOCK, FleetError, Ports
 
+OTHER_DRIVERS = 5
+
 OBJECTS = """
 [target.front-1]
 service = "front"
@@ -120,6 +123,20 @@
     assert len({ports.allocate() for ports in drivers for _ in range(20)}) == 40
 
 
+# Guards against two test runs that use the same port: the block of a fleet was free
+# again as soon as the fleet had its addresses, before its processes were started.
+def test_the_ports_of_a_fleet_are_reserved_as_long_as_it_exists(folder):
+    fleet = create_fleet(folder)
+    gc.collect()
+    first = int(fleet.platform.rpartition(":")[2])
+    others = [Ports() for _ in range(OTHER_DRIVERS)]
+    blocks = {port.next // PORTS_PER_BLOCK for port in others}
+    assert first // PORTS_PER_BLOCK not in blocks
+    for ports in others:
+        for lock in ports.locks:
+            lock.close()
+
+
 @pytest.mark.parametrize(("path", "expected"), [("/", 2), ("/once/7", 0)])
 def test_allowance_is_that_of_the_longest_route(folder, path, expected):
     kind = Traffic("browsing", 1, "front", "GET", path)
