Split the connection to a target from its pool

Done: target_connection has the connection and what an exchange ends with, target_pool the pool; moved without a change.

--- a/buckthornshed/tests/relay/test_repeated_refusals.py
+++ b/buckthornshed/tests/relay/test_repeated_refusals.py
@@ -7,7 +7,8 @@
 
 from buckthornshed.platform.wire import HEADERS
 from buckthornshed.transport.buffer_budget import BufferBudget
-from buckthornshed.transport.relay.target.target_pool import TargetAnswer, TargetPool
+from buckthornshed.transport.relay.target.target_connection import TargetAnswer
+from buckthornshed.transport.relay.target.target_pool import TargetPool
 
 from .fleet import fleet_of
 from .standin_target import parse_head
--- a/buckthornshed/tests/test_cut_answers.py
+++ b/buckthornshed/tests/test_cut_answers.py
@@ -16,7 +16,8 @@
 from buckthornshed.protocol.messages import Fault
 from buckthornshed.transport.buffer_budget import BufferBudget
 from buckthornshed.transport.http_client import ConnectionPool, ExchangeHandlers
-from buckthornshed.transport.relay.target.target_pool import TargetFault, TargetPool
+from buckthornshed.transport.relay.target.target_connection import TargetFault
+from buckthornshed.transport.relay.target.target_pool import TargetPool
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\nrequest-id: r-1\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nresponse-seal: s\r\n"
--- a/buckthornshed/tests/test_endless_bytes.py
+++ b/buckthornshed/tests/test_endless_bytes.py
@@ -15,7 +15,8 @@
 from buckthornshed.transport.platform_reader import PlatformReader
 from buckthornshed.transport.relay.clients.client_listener import ClientListener
 from buckthornshed.transport.relay.clients.responses import local_response
-from buckthornshed.transport.relay.target.target_pool import TargetFault, TargetPool
+from buckthornshed.transport.relay.target.target_connection import TargetFault
+from buckthornshed.transport.relay.target.target_pool import TargetPool
 
 from .endless_bytes import ANSWERS, REQUESTS, Stream, endless_server, send_endless
 from .relay.fleet import free_port
--- /dev/null
+++ b/buckthornshed/transport/relay/target/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to the target beside a relay."""
--- a/buckthornshed/transport/relay/target/answer_checks.py
+++ b/buckthornshed/transport/relay/target/answer_checks.py
@@ -2,7 +2,7 @@
 
 from ....protocol.http import get_header
 from ....protocol.relay_messages import HeaderNames, RefusalReason
-from .target_pool import TargetAnswer
+from .target_connection import TargetAnswer
 
 __all__ = ["is_genuine", "refusal_reason"]
 
--- a/buckthornshed/transport/relay/target/call_outcomes.py
+++ b/buckthornshed/transport/relay/target/call_outcomes.py
@@ -10,9 +10,9 @@
     RefusalReason,
 )
 from ...logs import log_event
-from .answer_checks import refusal_reason
 from ..clients.responses import response_head
-from .target_pool import FaultKind, TargetAnswer, TargetFault
+from .answer_checks import refusal_reason
+from .target_connection import FaultKind, TargetAnswer, TargetFault
 
 __all__ = ["CallKey", "CallOutcome", "create_outcome"]
 
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Hashable
 
 from ....coordination.relay.admission.call_graph import CallGraph
+from ....coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from ....coordination.relay.limiter.concurrency_limiter import (
     ConcurrencyLimiter,
     LimiterAction,
     LimiterCall,
     StartCall,
 )
-from ....coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from ....protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -21,12 +21,13 @@
 from ....state.catalog import Target
 from ...buffer_budget import BufferBudget
 from ...logs import log_event
+from ..crashes.crash_detector import CrashDetector
+from ..crashes.crash_reports import CrashReports
 from ..logs.access_log import AccessLog
 from .answer_checks import is_genuine
 from .call_outcomes import CallKey, CallOutcome, create_outcome
-from ..crashes.crash_detector import CrashDetector
-from ..crashes.crash_reports import CrashReports
-from .target_pool import FaultKind, TargetAnswer, TargetFault, TargetPool
+from .target_connection import FaultKind, TargetAnswer, TargetFault
+from .target_pool import TargetPool
 from .target_statement import TargetStatement, read_statement
 
 __all__ = ["LocalTarget", "is_nested_id"]
