Decide again on the culprit of a crash when others are cleared of it

Cause: requests that ran beside the culprit for the first time call for one crash more. They are cleared a moment after the crash, but blame was decided at crashes only; traced by the state at the end of failing runs (one suspect left of all three crashes). Change: a crash notes who ran apart from earlier suspects; each answer that clears another one of it decides again. Quarantine moved to a module of its own.

--- a/buckthornshed/coordination/relay/crashes/crash_suspects.py
+++ b/buckthornshed/coordination/relay/crashes/crash_suspects.py
@@ -5,7 +5,8 @@
 request does not crash this release. A suspect of two crashes runs without any other
 suspect at its target, so that the next crash tells them apart, and from the third crash
 on at one target at a time. One that ran apart at the latest of enough crashes is
-quarantined, and explains these crashes: nothing else is suspected of them.
+quarantined, and explains these crashes: nothing else is suspected of them. Requests
+that were there for the first time count against that until a target answers them.
 
 A quarantine ends when a target answers the request. It holds for the releases that the
 request has crashed; another release, or the same one after some time, gets the request
@@ -14,18 +15,24 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
 from ....protocol.crash_messages import (
     Clearance,
     Crash,
     CrashNotice,
-    ReleaseCrash,
     ToldQuarantine,
 )
 from ....state.catalog import Release
+from .quarantine import (
+    MAX_RELEASES,
+    TRIAL_S,
+    Quarantine,
+    insert_bounded,
+    told_crash_at,
+)
 
 __all__ = ["CrashSuspects", "Handling"]
 
@@ -40,19 +47,9 @@
 MAX_QUARANTINES = 1_024
 MAX_CLEARED = 4_096
 MAX_TRIALS = 256
-MAX_RELEASES = 16
-"""Releases that one quarantine remembers."""
 MAX_TOLD_CRASHES = 16
 """Crashes that a new peer is told; their suspects are most of the message."""
 MAX_TOLD_QUARANTINES = 256
-FIRST_QUARANTINE_S = 30.0
-QUARANTINE_GROWTH = 4.0
-MAX_QUARANTINE_S = 3_600.0
-TRIAL_S = 5.0
-"""Time within which a trial shows whether the request still crashes targets."""
-
-Key = TypeVar("Key")
-Value = TypeVar("Value")
 
 
 class Handling(Enum):
@@ -74,77 +71,18 @@
 class CrashRecord:
     """A crash and the requests that are still suspected of it.
 
-    `at` is the time at which this relay learned of it, in seconds; `explained` is true
-    if its cause is known.
+    `at` is the time at which this relay learned of it, in seconds; `ran_apart` is the
+    suspect that ran without any request that was suspected before, if there is one;
+    `explained` is true if the cause is known.
     """
 
     release: Release
     suspects: set[bytes]
     at: float
+    ran_apart: bytes | None = None
     explained: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class Quarantine:
-    """State of a request that has crashed several targets.
-
-    Attributes
-    ----------
-    crashed : dict
-        Unix milliseconds of the latest crash of each release.
-    answered : dict
-        Releases that have answered the request since they crashed last; the values are
-        of no use.
-    failed_trials : int
-        Crashes after a quarantine had ended.
-    until : float
-        Time until which the releases in `crashed` do not get the request, in seconds.
-    trial_until : float
-        Time until which no release gets it, as one target tries it, in seconds.
-    last_crash_at : float
-        Time at which this relay learned of the latest crash, in seconds.
-    """
-
-    crashed: dict[Release, int] = field(default_factory=dict)
-    answered: dict[Release, None] = field(default_factory=dict)
-    failed_trials: int = 0
-    until: float = 0.0
-    trial_until: float = 0.0
-    last_crash_at: float = 0.0
-
-    def record_crash(self, now: float, release: Release, at_ms: int) -> None:
-        """Record another crash; those close together count as one trial."""
-        latest = max(at_ms, self.crashed.get(release, 0))
-        _insert(self.crashed, release, latest, limit=MAX_RELEASES)
-        self.answered.pop(release, None)
-        if now - self.last_crash_at > TRIAL_S:
-            self.failed_trials += 1
-        self.last_crash_at = now
-        self.until = now + quarantine_seconds(self.failed_trials)
-
-    def record_answer(self, release: Release) -> int | None:
-        """Record an answer of a release; return the time of its latest crash.
-
-        The time is in Unix milliseconds, 0 if the release did not crash; None if it had
-        answered before.
-        """
-        self.trial_until = 0.0
-        if release in self.answered:
-            return None
-        _insert(self.answered, release, None, limit=MAX_RELEASES)
-        return self.crashed.pop(release, 0)
-
-    def told(self, now: float, fingerprint: bytes) -> ToldQuarantine:
-        """Return the quarantine as it is told to other relays."""
-        return ToldQuarantine(
-            fingerprint=fingerprint,
-            crashes=[ReleaseCrash(*item) for item in self.crashed.items()],
-            failed_trials=self.failed_trials,
-            seconds=max(0.0, self.until - now),
-            trial_seconds=max(0.0, self.trial_until - now),
-        )
-
-
 class CrashSuspects:
     """Suspected and quarantined requests, by fingerprint.
 
@@ -224,6 +162,7 @@
         }
         record = CrashRecord(release=crash.release, suspects=suspects, at=now)
         self._add_crash(crash_id, record)
+        record.ran_apart = self._suspect_apart(suspects)
         for suspect in suspects:
             self.trials.pop(suspect, None)
         explained = suspects & self.quarantines.keys()
@@ -233,14 +172,10 @@
         if explained:
             self._explain(record)
             return []
-        culprit = self._culprit(now, suspects)
+        culprit = self._culprit(now, record)
         if culprit is None:
             return []
-        quarantine = Quarantine(last_crash_at=now)
-        for each_id, each in self.crashes.items():
-            if culprit in each.suspects:
-                quarantine.record_crash(now, each.release, each_id.at_ms)
-        self._add_quarantine(culprit, quarantine)
+        self._quarantine(now, culprit)
         return [culprit]
 
     def begin_trial(self, now: float, fingerprint: bytes) -> ToldQuarantine | None:
@@ -264,12 +199,14 @@
         """
         fingerprint, release, at_ms = clearance
         found = False
+        released: list[CrashRecord] = []
         self.trials.pop(fingerprint, None)
         for crash_id, record in self.crashes.items():
             if fingerprint in record.suspects and record.release == release:
                 record.suspects.discard(fingerprint)
                 self._uncount(fingerprint)
                 at_ms = max(at_ms, crash_id.at_ms)
+                released.append(record)
                 found = True
         quarantine = self.quarantines.get(fingerprint)
         if quarantine is not None:
@@ -280,9 +217,26 @@
             if not quarantine.crashed:
                 del self.quarantines[fingerprint]
         if found:
-            _insert(self.cleared, (fingerprint, release), at_ms, limit=MAX_CLEARED)
+            insert_bounded(
+                self.cleared, (fingerprint, release), at_ms, limit=MAX_CLEARED
+            )
+            self._decide_again(released)
         return found
 
+    def _decide_again(self, released: list[CrashRecord]) -> None:
+        """Quarantine the culprit of a crash that another request is cleared of."""
+        for record in released:
+            culprit = self._culprit(record.at, record)
+            if culprit is not None:
+                self._quarantine(record.at, culprit)
+
+    def _quarantine(self, now: float, culprit: bytes) -> None:
+        quarantine = Quarantine(last_crash_at=now)
+        for crash_id, record in self.crashes.items():
+            if culprit in record.suspects:
+                quarantine.record_crash(now, record.release, crash_id.at_ms)
+        self._add_quarantine(culprit, quarantine)
+
     def adopt(self, now: float, told: ToldQuarantine) -> bool:
         """Take over a quarantine of another relay; return whether it is new here."""
         crashed = {
@@ -301,7 +255,7 @@
             self._add_quarantine(told.fingerprint, quarantine)
         for release, at_ms in crashed.items():
             latest = max(at_ms, quarantine.crashed.get(release, 0))
-            _insert(quarantine.crashed, release, latest, limit=MAX_RELEASES)
+            insert_bounded(quarantine.crashed, release, latest, limit=MAX_RELEASES)
             quarantine.answered.pop(release, None)
         quarantine.failed_trials = max(quarantine.failed_trials, told.failed_trials)
         quarantine.until = max(quarantine.until, now + told.seconds)
@@ -322,22 +276,30 @@
             quarantines=[each.told(now, name) for name, each in quarantines],
         )
 
-    def _culprit(self, now: float, suspects: Iterable[bytes]) -> bytes | None:
-        """Return the suspect of enough crashes that ran apart from other suspects.
+    def _suspect_apart(self, suspects: Iterable[bytes]) -> bytes | None:
+        """Return the suspect that ran apart from all that were suspected before.
 
         A request that was present together with another suspect may have been there
         by chance, however often. Those that this crash is the first one of are no
         suspects yet when they run.
         """
         ranked = sorted(suspects, key=lambda each: self.counts[each], reverse=True)
-        counts = [self.counts[each] for each in ranked]
-        ran_apart = all(count == 1 for count in counts[1:])
-        if not counts or not ran_apart:
+        if not ranked:
+            return None
+        first, *others = (self.counts[each] for each in ranked)
+        all_new = bool(others) and first == 1
+        together = any(count > 1 for count in others)
+        return None if all_new or together else ranked[0]
+
+    def _culprit(self, now: float, record: CrashRecord) -> bytes | None:
+        """Return the suspect of enough crashes that ran apart at this one."""
+        suspect = record.ran_apart
+        if suspect is None or suspect not in record.suspects:
             return None
-        needed = CRASHES_TO_QUARANTINE + (len(ranked) > 1)
-        if self._crashes_without(now, ranked[0]) >= MANY_OTHER_CRASHES:
+        needed = CRASHES_TO_QUARANTINE + (len(record.suspects) > 1)
+        if self._crashes_without(now, suspect) >= MANY_OTHER_CRASHES:
             needed += 1
-        return ranked[0] if counts[0] >= needed else None
+        return suspect if self.counts[suspect] >= needed else None
 
     def _crashes_without(self, now: float, fingerprint: bytes) -> int:
         """Return the recent crashes of unknown cause that a request was not part of.
@@ -359,10 +321,10 @@
         self.counts.update(record.suspects)
 
     def _add_trial(self, now: float, fingerprint: bytes, seconds: float) -> None:
-        _insert(self.trials, fingerprint, now + seconds, limit=MAX_TRIALS)
+        insert_bounded(self.trials, fingerprint, now + seconds, limit=MAX_TRIALS)
 
     def _add_quarantine(self, fingerprint: bytes, quarantine: Quarantine) -> None:
-        _insert(self.quarantines, fingerprint, quarantine, limit=MAX_QUARANTINES)
+        insert_bounded(self.quarantines, fingerprint, quarantine, limit=MAX_QUARANTINES)
         for record in self.crashes.values():
             if fingerprint in record.suspects:
                 self._explain(record)
@@ -381,21 +343,3 @@
         self.counts[fingerprint] -= 1
         if not self.counts[fingerprint]:
             del self.counts[fingerprint]
-
-
-def quarantine_seconds(failed_trials: int) -> float:
-    """Return the seconds for which a request is kept from the releases it crashed."""
-    duration = FIRST_QUARANTINE_S * QUARANTINE_GROWTH**failed_trials
-    return min(duration, MAX_QUARANTINE_S)
-
-
-def told_crash_at(now: float, told: ToldQuarantine) -> float:
-    """Return the latest time at which a quarantine that is told can have begun."""
-    return now + told.seconds - quarantine_seconds(told.failed_trials)
-
-
-def _insert(table: dict[Key, Value], key: Key, value: Value, *, limit: int) -> None:
-    """Insert into a table; the oldest entry leaves if it is full."""
-    if key not in table and len(table) >= limit:
-        del table[next(iter(table))]
-    table[key] = value
--- a/buckthornshed/tests/relay/crash_simulation.py
+++ b/buckthornshed/tests/relay/crash_simulation.py
@@ -62,6 +62,7 @@
             self.suspects.adopt(now, told)
         for clearance in notice.clearances:
             self.suspects.clear(clearance)
+        self.fleet.blamed.update(self.suspects.quarantines)
 
     def submit(self, request):
         """Run a request; return whether it runs."""
@@ -91,6 +92,7 @@
         clearance = Clearance(request.fingerprint, RELEASE, self.fleet.now_ms())
         if self.suspects.clear(clearance):
             self.clearances.append(clearance)
+        self.fleet.blamed.update(self.suspects.quarantines)
 
     def flush(self):
         if self.clearances:
--- a/buckthornshed/tests/relay/test_crash_suspects.py
+++ b/buckthornshed/tests/relay/test_crash_suspects.py
@@ -3,17 +3,19 @@
 import pytest
 
 from buckthornshed.coordination.relay.crashes.crash_suspects import (
-    FIRST_QUARANTINE_S,
     MAX_CLEARED,
     MAX_CRASHES,
     MAX_QUARANTINES,
     MAX_SUSPECTS,
     MAX_TOLD_CRASHES,
-    TRIAL_S,
     CrashSuspects,
     Handling,
 )
 from buckthornshed.coordination.relay.crashes.fingerprints import request_fingerprint
+from buckthornshed.coordination.relay.crashes.quarantine import (
+    FIRST_QUARANTINE_S,
+    TRIAL_S,
+)
 from buckthornshed.coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from buckthornshed.protocol.crash_messages import Clearance, Crash
 from buckthornshed.protocol.relay_messages import RefusalReason
@@ -281,3 +283,26 @@
     known = request_fingerprint(head, b"", b"credential", "yard")
     assert known == request_fingerprint(named, b"", b"credential", "yard")
     assert known != request_fingerprint(head, b"", b"credential", "ranch")
+
+
+# Guards against a fourth crash: requests that ran beside the culprit for the first time
+# were cleared after the third one, when nothing decided again.
+def test_the_culprit_is_quarantined_when_those_beside_it_are_cleared():
+    suspects = CrashSuspects()
+    for number, beside in enumerate((b"x", b"y", b"z"), 1):
+        assert suspects.record_crash(0.0, crash(number, DEADLY, beside)) == []
+    # At the first crash both were new, so it does not show which of them ran apart.
+    suspects.clear(Clearance(b"x", V1, 10))
+    assert suspects.quarantines == {}
+    suspects.clear(Clearance(b"z", V1, 10))
+    assert list(suspects.quarantines) == [DEADLY]
+    assert not suspects.counts
+
+
+def test_a_request_that_never_ran_apart_is_not_blamed_when_another_is_cleared():
+    suspects = CrashSuspects()
+    for number in range(1, 6):
+        suspects.record_crash(0.0, crash(number, DEADLY, OTHER))
+    suspects.clear(Clearance(OTHER, V1, 10))
+    assert suspects.quarantines == {}
+    assert suspects.record_crash(1.0, crash(7, DEADLY)) == [DEADLY]
--- a/buckthornshed/tests/relay/test_crashing_request.py
+++ b/buckthornshed/tests/relay/test_crashing_request.py
@@ -182,11 +182,9 @@
                 for relay in fleet.relays
                 for number in range(3)
             ]
-            blamed = {
-                fingerprint
-                for relay in fleet.relays
-                for fingerprint in relay.crash_reports.suspects.quarantines
-            }
+            suspects = [relay.crash_reports.suspects for relay in fleet.relays]
+            await until(lambda: all(each.quarantines for each in suspects))
+            blamed = {name for each in suspects for name in each.quarantines}
             return after, blamed
 
     after, blamed = asyncio.run(scenario())
--- a/buckthornshed/transport/relay/crashes/crash_reports.py
+++ b/buckthornshed/transport/relay/crashes/crash_reports.py
@@ -148,8 +148,11 @@
         return culprits
 
     def _clear(self, clearance: Clearance) -> bool:
-        was_quarantined = clearance.fingerprint in self.suspects.quarantines
+        before = set(self.suspects.quarantines)
+        was_quarantined = clearance.fingerprint in before
         found = self.suspects.clear(clearance)
+        for culprit in self.suspects.quarantines.keys() - before:
+            self._log_quarantine(culprit, "answer")
         if found and was_quarantined:
             log_event(
                 "quarantine_cleared",
