Forget the call times of a target's warm-up

Cause, suspected, not proven: the first calls of a target that has just started are slow, and its call times keep all callers away afterwards, so that no later call corrects them. In a calm service one target of a failure domain gets all calls. Change: the relay beside a target, and all callers, forget its call times when its registration says that the warm-up is over.

--- a/buckthornshed/coordination/relay/placement/load_balancer.py
+++ b/buckthornshed/coordination/relay/placement/load_balancer.py
@@ -146,6 +146,9 @@
             record = TargetRecord(target=target)
             self.records[target.name] = record
         elif record.target is not target:
+            if target.has_warmed_up_since(record.target):
+                # The times from before would keep calls away for ever.
+                record.call_times.clear()
             record.target = target
         return record
 
--- a/buckthornshed/state/catalog.py
+++ b/buckthornshed/state/catalog.py
@@ -161,6 +161,10 @@
         """What the target runs."""
         return Release(self.service, self.version)
 
+    def has_warmed_up_since(self, earlier: "Target") -> bool:
+        """Return whether this registration is the first one after the warm-up."""
+        return self.warmup_left <= 0.0 < earlier.warmup_left
+
     @property
     def instance(self) -> str:
         """IP address of the instance that the target runs on."""
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -137,6 +137,8 @@
         if target is not None:
             if previous is not None and incarnation(previous) != incarnation(target):
                 self.limiter.rate_limiter.reset()
+            if previous is not None and target.has_warmed_up_since(previous):
+                self.limiter.call_times.by_route.clear()
             self.registration = target
             self.limiter.set_slots(target.slots)
         if previous is not None and target is None:
