Let a node recognize the answer to another request of its target

Callers of nodes saw: nothing yet; found while looking for places that take an answer for the awaited one (a report of other operators). A target that wrote an earlier answer once more, where the next one was due, had it passed on as the answer to the next request.

Cause: nothing in the answer of a target to its node names the request. Change: a target may repeat the context of the request, as ContextMiddleware does; the pool discards answers with another context and waits for the awaited one. Ruled out: relays, whose targets echo the identifier; answers between nodes, which are signed with the number of the exchange.

--- a/buckthornshed/tests/test_http_client.py
+++ b/buckthornshed/tests/test_http_client.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from buckthornshed.protocol.http import CONTEXT_HEADER
 from buckthornshed.protocol.messages import Fault
 from buckthornshed.transport.http_client import ConnectionPool, ExchangeHandlers
 
@@ -141,3 +142,45 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a foreign answer at a node: a target writes an earlier answer once
+# more, where that to the next request is due.
+@pytest.mark.parametrize("copies", [1, 3])
+def test_an_answer_with_the_context_of_another_request_is_discarded(copies):
+    def answer(mark, status):
+        return b"HTTP/1.1 %d X\r\n%s: %s\r\ncontent-length: 0\r\n\r\n" % (
+            status,
+            CONTEXT_HEADER,
+            mark,
+        )
+
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", 503))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", 503) * copies + answer(b"2", 200))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(max_body_bytes=1_000, max_idle=2, clock=time.monotonic)
+        ended: asyncio.Queue = asyncio.Queue()
+        statuses = []
+        for exchange in (1, 2):
+            pool.send(
+                exchange=exchange,
+                address=f"127.0.0.1:{port}",
+                data=REQUEST,
+                head_only=False,
+                handlers=ExchangeHandlers(
+                    lambda _, answer: ended.put_nowait(answer), ended.put_nowait
+                ),
+                mark=b"%x" % exchange,
+            )
+            statuses.append((await asyncio.wait_for(ended.get(), 10)).status)
+        assert statuses == [503, 200]
+        pool.close_idle()
+        server.close()
+
+    asyncio.run(scenario())
--- a/buckthornshed/tests/test_integration.py
+++ b/buckthornshed/tests/test_integration.py
@@ -117,6 +117,11 @@
     assert current_context() is None
 
 
+def test_the_response_repeats_the_context_of_its_request(egress):
+    response = serve(ContextMiddleware(Target(egress)))
+    assert response.headers["buckthornshed-context"] == CONTEXT
+
+
 def test_concurrent_requests_keep_their_own_contexts():
     seen = []
 
--- a/buckthornshed/transport/data_path.py
+++ b/buckthornshed/transport/data_path.py
@@ -221,8 +221,9 @@
         context = action.call.context
         self.metrics.count_admitted(context.priority)
         remaining_ms = max(1, int((context.deadline - self.clock()) * 1e3))
+        mark = b"%x" % action.exchange
         extra_headers: Headers = (
-            (CONTEXT_HEADER, b"%x" % action.exchange),
+            (CONTEXT_HEADER, mark),
             (DEADLINE_HEADER, b"%d" % remaining_ms),
         )
         self._send(
@@ -231,6 +232,7 @@
             action.call,
             extra_headers,
             self.target_handlers,
+            mark,
         )
 
     def _send_peer_call(self, action: SendPeerCall) -> None:
@@ -255,6 +257,7 @@
         call: Call,
         extra_headers: Headers,
         handlers: ExchangeHandlers,
+        mark: bytes = b"",
     ) -> None:
         headers = call.headers
         key = call.context.key
@@ -267,6 +270,7 @@
             data=render_request(request, extra_headers),
             head_only=call.method == b"HEAD",
             handlers=handlers,
+            mark=mark,
         )
 
     def _cancel(self, action: CancelLocalCall | CancelPeerCall) -> None:
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ..protocol.http import CONTEXT_HEADER, get_header
 from ..protocol.messages import Fault, Headers
 from .http_parsing import (
     MAX_SKIPPED_ANSWERS,
@@ -50,6 +51,16 @@
     on_fault: Callable[[Fault], None]
 
 
+class PooledCall(NamedTuple):
+    """A request of the pool, and what is needed to recognize and handle its answer."""
+
+    exchange: int
+    data: bytes
+    head_only: bool
+    handlers: ExchangeHandlers
+    mark: bytes
+
+
 class ClientConnection(asyncio.Protocol):
     """Connection of a pool.
 
@@ -68,9 +79,10 @@
         self.exchange: int | None = None
         self.handlers: ExchangeHandlers | None = None
         self.head_only = False
+        self.mark = b""
         self.reused = False
         self.received = False
-        self.interim_answers = 0
+        self.skipped_answers = 0
         self.answer: RawAnswer | None = None
         self.reusable = False
         self.idle_since = 0.0
@@ -115,14 +127,21 @@
             self._fail("answer over the size limit")
 
     def send(
-        self, *, exchange: int, data: bytes, head_only: bool, handlers: ExchangeHandlers
+        self,
+        *,
+        exchange: int,
+        data: bytes,
+        head_only: bool,
+        handlers: ExchangeHandlers,
+        mark: bytes,
     ) -> None:
         """Send the request of an exchange."""
         self.exchange = exchange
+        self.mark = mark
         self.handlers = handlers
         self.head_only = head_only
         self.received = False
-        self.interim_answers = 0
+        self.skipped_answers = 0
         self.answer = None
         self.collector.reset()
         assert self.transport is not None
@@ -149,10 +168,10 @@
             # Data after the answer belongs to no request.
             self.reusable = False
             return
-        if status < 200:
-            self.interim_answers += 1
-            if self.interim_answers > MAX_SKIPPED_ANSWERS:
-                self._fail("interim answers without an end")
+        if status < 200 or self._answers_another():
+            self.skipped_answers += 1
+            if self.skipped_answers > MAX_SKIPPED_ANSWERS:
+                self._fail("other answers without an end")
             return
         fault = framing_fault(self.collector.headers) or self._length_fault(status)
         if fault is not None:
@@ -177,6 +196,11 @@
             self.abort()
         handlers.on_answer(exchange, answer)
 
+    def _answers_another(self) -> bool:
+        """Return whether an answer states that it belongs to another request."""
+        mark = get_header(self.collector.headers, CONTEXT_HEADER)
+        return bool(self.mark) and mark is not None and mark != self.mark
+
     def _length_fault(self, status: int) -> str | None:
         if status in BODYLESS_STATUSES or self.head_only:
             return None
@@ -225,13 +249,19 @@
         data: bytes,
         head_only: bool,
         handlers: ExchangeHandlers,
+        mark: bytes = b"",
     ) -> None:
-        """Send a request on an idle connection, or else on a new one."""
+        """Send a request on an idle connection, or else on a new one.
+
+        `mark` is the value of the request's context header. An answer that bears
+        another value, such as a copy of an earlier one, is discarded.
+        """
+        call = PooledCall(exchange, data, head_only, handlers, mark)
         connection = self._pop_idle(address)
         if connection is not None:
-            self._start(connection, exchange, data, head_only, handlers)
+            self._start(connection, call)
             return
-        coroutine = self._connect_and_send(exchange, address, data, head_only, handlers)
+        coroutine = self._connect_and_send(address, call)
         task = asyncio.get_running_loop().create_task(coroutine)
         self.connecting[exchange] = task
 
@@ -286,14 +316,9 @@
                 return connection
         return None
 
-    def _start(
-        self,
-        connection: ClientConnection,
-        exchange: int,
-        data: bytes,
-        head_only: bool,
-        handlers: ExchangeHandlers,
-    ) -> None:
+    def _start(self, connection: ClientConnection, call: PooledCall) -> None:
+        handlers = call.handlers
+
         def on_answer(ended: int, answer: RawAnswer) -> None:
             self.active.pop(ended, None)
             handlers.on_answer(ended, answer)
@@ -302,23 +327,18 @@
             self.active.pop(fault.exchange, None)
             handlers.on_fault(fault)
 
-        self.active[exchange] = connection
+        self.active[call.exchange] = connection
         connection.send(
-            exchange=exchange,
-            data=data,
-            head_only=head_only,
+            exchange=call.exchange,
+            data=call.data,
+            head_only=call.head_only,
             handlers=ExchangeHandlers(on_answer, on_fault),
+            mark=call.mark,
         )
 
-    async def _connect_and_send(
-        self,
-        exchange: int,
-        address: str,
-        data: bytes,
-        head_only: bool,
-        handlers: ExchangeHandlers,
-    ) -> None:
+    async def _connect_and_send(self, address: str, call: PooledCall) -> None:
         host, _, port = address.rpartition(":")
+        exchange = call.exchange
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -329,10 +349,14 @@
                 )
         except (OSError, TimeoutError) as error:
             self.connecting.pop(exchange, None)
-            detail = f"cannot connect to {address}: {error or 'timeout'}"
-            handlers.on_fault(Fault(exchange=exchange, maybe_sent=False, detail=detail))
+            fault = Fault(
+                exchange=exchange,
+                maybe_sent=False,
+                detail=f"cannot connect to {address}: {error or 'timeout'}",
+            )
+            call.handlers.on_fault(fault)
             return
         if self.connecting.pop(exchange, None) is None:
             connection.abort()
             return
-        self._start(connection, exchange, data, head_only, handlers)
+        self._start(connection, call)
