--- /dev/null
+++ b/buckthornshed/tests/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Relays and the store in one process, with a simulated network and virtual time."""
