Check targets that another relay tells of against the store

What callers saw: requests reach a server that was removed, for as long as it still runs (DRAIN), if the relay beside it starts around the removal.

Cause: a relay that starts has no tombstones. It reads the store, which no longer has the target, and then a relay that has not heard of the removal greets it with its view. The target counts as registered again, and as the others have closed their links to its instance, nobody ever tells of the end. Class of fault: state without a version of the store goes before what was read from the store.

Change: targets that a view of another relay adds are checked by the next read of the store that begins after that; those that it does not have are removed. A relay that only listens reads for that. A relay that cannot read keeps them.

--- a/buckthornshed/tests/simulation/fleet.py
+++ b/buckthornshed/tests/simulation/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
 from typing import Any, NamedTuple
 
@@ -280,3 +280,25 @@
         first = self.stale.get(key)
         seen = now if first is None else first.seen
         self.stale[key] = Stale(rule, instance.host, change, at, seen, now)
+
+
+def run(scenario: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a coroutine in virtual time; return its result."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+@contextlib.asynccontextmanager
+async def simulated_fleet(sizes: Iterable[int], *, seed: int = 1):
+    """Run a fleet with as many instances in each domain as `sizes` says."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    fleet = SimulatedFleet(loop, seed)
+    try:
+        await fleet.open(sizes)
+        yield fleet
+    finally:
+        await fleet.close()
--- a/buckthornshed/tests/simulation/trials.py
+++ b/buckthornshed/tests/simulation/trials.py
@@ -5,14 +5,14 @@
 from random import Random
 from typing import Any
 
-from .fleet import STORE, SimulatedFleet, Stale
-from .network import VirtualLoop
+from .fleet import STORE, SimulatedFleet, Stale, run, simulated_fleet
 
 Disturbance = Callable[[SimulatedFleet, Random], Coroutine[Any, Any, None]]
 
 DISTURBANCES: dict[str, Disturbance] = {}
 START_S = 8.0
 """Time in which the fleet starts and comes in touch."""
+CALM_S = 8.0
 CHANGE_PAUSES_S = (0.3, 1.3)
 DISTURBANCE_PAUSES_S = (0.2, 2.5)
 
@@ -27,17 +27,19 @@
     seed: int, names: list[str], *, sizes: tuple[int, ...], seconds: float
 ) -> list[Stale]:
     """Play some kinds of disturbances; return what relays in touch lacked."""
-    loop = VirtualLoop()
-    try:
-        return loop.run_until_complete(_play(loop, seed, names, sizes, seconds))
-    finally:
-        loop.close()
 
+    async def scenario():
+        async with simulated_fleet(sizes, seed=seed) as fleet:
+            await disturb(fleet, names, seconds)
+            return list(fleet.stale.values())
 
-async def _play(loop, seed, names, sizes, seconds):
-    fleet = SimulatedFleet(loop, seed)
-    rng = fleet.rng
-    await fleet.open(sizes)
+    stale: list[Stale] = run(scenario)
+    return stale
+
+
+async def disturb(fleet: SimulatedFleet, names: list[str], seconds: float) -> None:
+    """Change configurations and targets under disturbances, then wait for calm."""
+    loop, rng = fleet.loop, fleet.rng
     await asyncio.sleep(START_S)
     end = loop.now + seconds
     tasks = [
@@ -49,9 +51,7 @@
         tasks.append(loop.create_task(chosen(fleet, Random(rng.random()))))
         await asyncio.sleep(rng.uniform(*DISTURBANCE_PAUSES_S))
     await asyncio.gather(*tasks)
-    await asyncio.sleep(8.0)
-    await fleet.close()
-    return list(fleet.stale.values())
+    await asyncio.sleep(CALM_S)
 
 
 async def change_configurations(fleet, rng, end):
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -8,6 +8,7 @@
     registration_version,
 )
 from ....coordination.relay.fleet.store_readers import StoreReaders
+from ....coordination.relay.fleet.unconfirmed_targets import UnconfirmedTargets
 from ....protocol.relay_messages import FleetUpdate, ReaderReport
 from ....state.catalog import Catalog, Target
 from ...logs import log_event
@@ -48,6 +49,8 @@
         The view to which updates are applied.
     told_draining : dict
         Start of the incarnation of each draining target that was told, by name.
+    unconfirmed : UnconfirmedTargets
+        Targets from views of other relays, which the store is to confirm.
     """
 
     def __init__(
@@ -71,12 +74,13 @@
         self.reading = True
         self.told_draining: dict[str, int] = {}
         self.fleet_view = FleetView()
+        self.unconfirmed = UnconfirmedTargets()
 
     # Updates from the platform's store.
 
     def reads_store(self) -> bool:
         """Return whether this relay is to read the store; others tell it if not."""
-        reading = self.readers.should_read(self.clock())
+        reading = self.readers.should_read(self.clock()) or bool(self.unconfirmed)
         if reading != self.reading:
             self.reading = reading
             log_event("store_reader", reading=reading)
@@ -84,6 +88,8 @@
 
     def handle_store_read(self, *, succeeded: bool) -> None:
         """Tell the relays of the own failure domain whether this one can read."""
+        if succeeded:
+            self._remove_unregistered(self.unconfirmed.end_read())
         if self.readers.record_own(self.clock(), succeeded=succeeded):
             report = ReaderReport(self.readers.instance, succeeded)
             self.tell_domain(FleetUpdate(reader=report))
@@ -96,6 +102,7 @@
     def handle_targets(self, targets: list[Target]) -> None:
         """Replace all registrations by those in the store; tell all what differs."""
         view = self.fleet_view
+        self.unconfirmed.replace_registered(target.name for target in targets)
         changed = [target for target in targets if view.accept_target(target)]
         known = dict(view.targets)
         removed = view.replace_targets(self.clock(), targets)
@@ -108,6 +115,7 @@
 
     def handle_target_change(self, target: Target) -> None:
         """Apply a new or changed registration."""
+        self.unconfirmed.record_registered(target.name)
         if self.fleet_view.accept_target(target):
             _log_registration(target, "store")
             self.on_targets()
@@ -120,6 +128,11 @@
     def handle_target_deletion(self, name: str) -> None:
         """Apply the end of a registration."""
         self.told_draining.pop(name, None)
+        self.unconfirmed.record_removed(name)
+        self._remove(name, "store")
+
+    def _remove(self, name: str, source: str) -> None:
+        """Remove a target that the store does not have, and tell other relays."""
         target = self.fleet_view.targets.get(name)
         if target is None:
             self._repeat_tombstone(name)
@@ -127,10 +140,15 @@
         if not self.fleet_view.remove_target(self.clock(), name):
             self._log_kept(name)
             return
-        log_event("target_gone", target=name, source="store")
+        log_event("target_gone", target=name, source=source)
         self.on_targets()
         self._announce([], [target])
 
+    def _remove_unregistered(self, names: set[str]) -> None:
+        """Remove targets that others told of and that a later read has not found."""
+        for name in sorted(names & self.fleet_view.targets.keys()):
+            self._remove(name, "unconfirmed")
+
     def handle_store_unavailable(self, detail: str) -> None:
         """Record that the store cannot be read; `detail` is the error."""
         log_event("store_lost", detail=detail)
@@ -163,6 +181,10 @@
             self.readers.record(self.clock(), reader, succeeded=reads)
         if update.catalog is not None:
             self._apply_catalog(update.catalog, "peer")
+        if update.catalog is not None:
+            # The view of a relay may be older than what the store has now.
+            names = {target.name for target in update.targets}
+            self.unconfirmed.record_told(names - self.fleet_view.targets.keys())
         changed = [t for t in update.targets if self.fleet_view.accept_target(t)]
         removed = [
             name
