Do not take a watch on a silent connection for an outage of the store

What callers saw: requests reach a removed server for up to 5 s (DRAIN), after all connections have become silent while the store is up.

Cause: a watch that gets no answer began an outage at once, and with the next answer the grace of 2 s in which removed targets are kept. The store had answered all calls on new connections.

The new test, eight phases of the watches, fails before in all and passes after.

Change: the reader asks again with a short watch, which takes another connection, as after a cut watch. Only if this fails too the store counts as unavailable. Both take 2 s at most, and a registration lapses after about 3 s, so none can lapse unnoticed. Ruled out by test_cut_watches: that an outage of four kinds is no longer noticed.

--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -148,8 +148,9 @@
     def _handle_cut(self, error: WatchCutError) -> float:
         """Ask again at once after a cut watch, which alone is no outage.
 
-        The store may cut a watch at any time. It is unavailable only if it does not
-        answer the next, short watch either.
+        The store may cut a watch at any time, and a connection may become silent. The
+        store is unavailable only if it does not answer the next, short watch either,
+        which takes another connection. Both end before a registration can lapse.
         """
         if self.unavailable or self.confirming:
             return self._handle_failure(error)
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -45,8 +45,12 @@
     """The connection of a call ended before the answer was complete."""
 
 
+class AnswerTimeoutError(PlatformError):
+    """No answer came in time."""
+
+
 class WatchCutError(PlatformError):
-    """The store closed the connection of a watch that was still waiting."""
+    """The connection of a watch was closed early, or has become silent."""
 
 
 class Change(NamedTuple):
@@ -164,7 +168,7 @@
         Raises
         ------
         WatchCutError
-            If the connection is closed before the wait is over.
+            If the connection is closed before the wait is over, or nothing arrives.
         HistoryLostError
             If the store no longer has the changes after that revision.
         StoreRestoredError
@@ -180,6 +184,10 @@
         begun = loop.time()
         try:
             body = await self._get(query, wait + margin)
+        except AnswerTimeoutError as error:
+            raise WatchCutError(
+                subject=error.subject, found=error.found, expected=error.expected
+            ) from error
         except ConnectionEndedError as error:
             waited = loop.time() - begun
             if waited > wait:
@@ -227,7 +235,11 @@
             async with asyncio.timeout(timeout):
                 answer = await answer_future
         except TimeoutError as error:
-            raise self._error(f"nothing within {timeout} s", "an answer") from error
+            raise AnswerTimeoutError(
+                subject=f"store at {self.address}",
+                found=f"nothing within {timeout:.3f} s",
+                expected="an answer",
+            ) from error
         finally:
             # After a timeout this closes the connection, as the answer may still come.
             self.pool.cancel(exchange)
