Keep a removal that waits when another relay repeats an old registration

What callers saw: requests reach a removed server for as long as it runs (DRAIN).

Cause: a relay keeps a target whose registration ends within 2 s after an outage, and removes it then. Any message that named the target ended that wait, also one with the registration that it already had. Class of fault: an old message was taken as news, as its version was looked at only after it had had an effect.

The new test fails before.

Change: only a later registration, or one read from the store, ends the wait.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -70,9 +70,9 @@
         """
         version = registration_version(target)
         current = self.targets.get(target.name)
-        self.pending_removal.discard(target.name)
         if current is not None and registration_version(current) >= version:
             return False
+        self.pending_removal.discard(target.name)
         if current is None and self.tombstones.get(target.name, version) > version:
             return False
         if current is None and self.tombstones.get(target.name) == version:
@@ -148,6 +148,10 @@
         self._remove(current)
         return True
 
+    def confirm_registered(self, name: str) -> None:
+        """Keep a target whose removal waits, as the store has its registration."""
+        self.pending_removal.discard(name)
+
     def is_named(self, service: str) -> bool:
         """Return whether the configuration names a service; true while there is none.
 
@@ -159,6 +163,7 @@
         """Replace all registrations; return the names of the removed targets."""
         for target in targets:
             self.accept_target(target)
+            self.confirm_registered(target.name)
         present = {target.name for target in targets}
         missing = [name for name in self.targets if name not in present]
         return [name for name in missing if self.remove_target(now, name)]
--- a/buckthornshed/tests/relay/test_fleet_view.py
+++ b/buckthornshed/tests/relay/test_fleet_view.py
@@ -112,3 +112,16 @@
     fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 5))
     fleet_view.accept_tombstone("t-1", RegistrationVersion(1_000, 3))
     assert not fleet_view.accept_target(make_target(sequence=4))
+
+
+# Guards against calls to a removed target: what another relay still knew of it ended
+# the removal that waited for the end of the grace period.
+def test_an_old_registration_does_not_end_a_pending_removal():
+    fleet_view = FleetView()
+    fleet_view.accept_target(make_target(sequence=5))
+    fleet_view.mark_store_unavailable()
+    fleet_view.mark_store_available(10.0)
+    assert not fleet_view.remove_target(11.0, "t-1")
+    fleet_view.accept_target(make_target(sequence=4))
+    fleet_view.accept_target(make_target(sequence=5))
+    assert fleet_view.remove_expired(12.1) == ["t-1"]
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -116,6 +116,7 @@
     def handle_target_change(self, target: Target) -> None:
         """Apply a new or changed registration."""
         self.unconfirmed.record_registered(target.name)
+        self.fleet_view.confirm_registered(target.name)
         if self.fleet_view.accept_target(target):
             _log_registration(target, "store")
             self.on_targets()
