Take new targets from the store alone while it can be read

What callers saw: requests reach a removed server for as long as it runs (DRAIN).

Cause: a relay that has read the end of its target's registration keeps the target for the rest of the grace period. Another relay then told it of a registration that is later than the one it knew, and older than the end: that ended the removal.

The new test fails before; its twin holds what must stay, a relay that cannot read takes targets from others.

A relay that listens checks what is told of its own instance as it checks views.

--- a/buckthornshed/coordination/relay/fleet/unconfirmed_targets.py
+++ b/buckthornshed/coordination/relay/fleet/unconfirmed_targets.py
@@ -21,19 +21,22 @@
         Targets told since the last read of the store ended.
     due : set of str
         Targets told before that. The next read decides on them.
+    complete : bool
+        Whether all targets of the store have been read.
     """
 
     def __init__(self) -> None:
         self.registered: set[str] = set()
         self.told: set[str] = set()
         self.due: set[str] = set()
+        self.complete = False
 
     def __bool__(self) -> bool:
         """Return whether a read of the store is needed."""
         return bool(self.told or self.due)
 
     def record_told(self, names: Iterable[str]) -> None:
-        """Record targets that a relay has told, and that were not known before."""
+        """Record targets told by a relay, but not those that the store has."""
         self.told.update(name for name in names if name not in self.registered)
 
     def record_registered(self, name: str) -> None:
@@ -47,6 +50,7 @@
     def replace_registered(self, names: Iterable[str]) -> None:
         """Record all targets that the store has."""
         self.registered = set(names)
+        self.complete = True
 
     def end_read(self) -> set[str]:
         """Handle the end of a successful read; return the targets not registered."""
--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -53,3 +53,27 @@
     parts = ReaderParts()
     parts.updater.handle_target_deletion("t-1")
     assert [update.tombstones for update in parts.told] == [[("t-1", 1_000, 1)]]
+
+
+# Guards against calls to a removed target: what a relay is told may be later than the
+# registration that it knew and still older than the end, which it has read.
+def test_a_reader_takes_no_target_from_others_that_the_store_does_not_have():
+    updater = ReaderParts().updater
+    updater.handle_targets([make_target()])
+    updater.handle_store_read(succeeded=True)
+    updater.handle_store_unavailable("away")
+    updater.handle_store_available()
+    updater.handle_target_deletion("t-1")
+    assert updater.fleet_view.pending_removal == {"t-1"}
+    updater.apply_update(FleetUpdate(targets=[make_target(sequence=9)]))
+    assert updater.fleet_view.pending_removal == {"t-1"}
+    updater.apply_update(FleetUpdate(targets=[make_target("t-2")]))
+    assert "t-2" not in updater.fleet_view.targets
+
+
+def test_a_relay_that_cannot_read_takes_targets_from_others():
+    updater = ReaderParts().updater
+    updater.handle_targets([])
+    updater.handle_store_read(succeeded=False)
+    updater.apply_update(FleetUpdate(targets=[make_target("t-2")]))
+    assert "t-2" in updater.fleet_view.targets
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -182,11 +182,8 @@
             self.readers.record(self.clock(), reader, succeeded=reads)
         if update.catalog is not None:
             self._apply_catalog(update.catalog, "peer")
-        if update.catalog is not None:
-            # The view of a relay may be older than what the store has now.
-            names = {target.name for target in update.targets}
-            self.unconfirmed.record_told(names - self.fleet_view.targets.keys())
-        changed = [t for t in update.targets if self.fleet_view.accept_target(t)]
+        targets = self._acceptable(update)
+        changed = [t for t in targets if self.fleet_view.accept_target(t)]
         removed = [
             name
             for name, started, sequence in update.tombstones
@@ -230,6 +227,32 @@
             self.on_targets()
             self._announce([], [known[name] for name in names])
 
+    def _acceptable(self, update: FleetUpdate) -> list[Target]:
+        """Return the registrations to take over from another relay.
+
+        What it tells may be older than what the store has now. While this relay reads
+        the store, new targets come from there. Else those of a whole view, and those on
+        the own instance, are to be confirmed: nobody might tell of their end.
+        """
+        if self._reads_itself:
+            registered = self.unconfirmed.registered
+            return [target for target in update.targets if target.name in registered]
+        self.unconfirmed.record_told(
+            target.name
+            for target in update.targets
+            if update.catalog is not None or target.instance == self.readers.instance
+        )
+        return update.targets
+
+    @property
+    def _reads_itself(self) -> bool:
+        """Whether this relay has read all targets, and follows their changes."""
+        return (
+            self.reading
+            and self.unconfirmed.complete
+            and self.readers.own_report.succeeded
+        )
+
     def _note_told(self, target: Target) -> None:
         if len(self.told_draining) >= MAX_TOLD:
             self.told_draining.pop(next(iter(self.told_draining)))
