Ask again at once after any silent read, and soon during an outage

What callers saw: requests reach a removed server up to 0.5 s longer than the bound (DRAIN), after connections have become silent or a relay was cut from the store.

Change: every silent read is confirmed by a second one; during an outage the reader asks with short watches, each fourth one with more time for a slow store, and counts the time of a failed attempt as its pause; ends of graces are looked at each 0.2 s. The log event store_watch_cut is now store_read_cut.

--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -13,9 +13,9 @@
     Change,
     ChangeBatch,
     HistoryLostError,
+    ReadCutError,
     StoreClient,
     StoreRestoredError,
-    WatchCutError,
 )
 from .wire import ALL_KEYS, CATALOG_KEY, TARGET_PREFIX
 
@@ -28,8 +28,15 @@
 """Interval at which a relay that does not read checks whether it has to."""
 FIRST_WATCH_WAIT_S = 0.05
 """Wait of the first watch after a time without reading, which reports soon."""
-CONFIRMATION_MARGIN_S = 0.5
-"""Time that the watch after a cut one may take in addition to its wait time."""
+CONFIRMATION_MARGIN_S = 0.45
+"""Time that a short watch may take in addition to its wait time.
+
+The reader asks with short watches after a cut one and during an outage, to notice soon
+that the store answers.
+"""
+PATIENT_MARGIN_S = 1.2
+PATIENT_INTERVAL = 4
+"""Attempts in an outage of which one has more time, as the store may be slow."""
 CONFIRMED_DELAY_S = 0.05
 """Delay after the store has answered the watch after a cut one."""
 INITIAL_BACKOFF_S = 0.05
@@ -95,6 +102,7 @@
         self.revision: int | None = None
         self.confirming = False
         self.backoff = INITIAL_BACKOFF_S
+        self.failures = 0
 
     async def follow(self) -> None:
         """Read the store and report its changes until cancelled.
@@ -115,6 +123,8 @@
 
     async def _read_once(self) -> float:
         """Read and handle changes; return the delay before the next read."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
         try:
             batch = await self._read_changes(self.revision)
         except StoreRestoredError as error:
@@ -124,19 +134,19 @@
         except HistoryLostError:
             log_event("store_history_lost", revision=self.revision)
             return self._read_all_next()
-        except WatchCutError as error:
-            return self._handle_cut(error)
+        except ReadCutError as error:
+            return self._handle_cut(error, loop.time() - begun)
         except PlatformError as error:
-            return self._handle_failure(error)
+            return self._handle_failure(error, loop.time() - begun)
         return self._handle_batch(batch)
 
     def _read_changes(self, revision: int | None) -> Awaitable[ChangeBatch]:
         if revision is None:
             return self.client.range(ALL_KEYS)
-        if self.confirming:
-            return self.client.watch(
-                ALL_KEYS, revision, FIRST_WATCH_WAIT_S, CONFIRMATION_MARGIN_S
-            )
+        if self.confirming or self.unavailable:
+            patient = self.failures % PATIENT_INTERVAL == PATIENT_INTERVAL - 1
+            margin = PATIENT_MARGIN_S if patient else CONFIRMATION_MARGIN_S
+            return self.client.watch(ALL_KEYS, revision, FIRST_WATCH_WAIT_S, margin)
         wait = FIRST_WATCH_WAIT_S if self.standing_by else WATCH_WAIT_S
         return self.client.watch(ALL_KEYS, revision, wait)
 
@@ -145,29 +155,32 @@
         self.confirming = False
         return 0.0
 
-    def _handle_cut(self, error: WatchCutError) -> float:
-        """Ask again at once after a cut watch, which alone is no outage.
+    def _handle_cut(self, error: ReadCutError, elapsed: float) -> float:
+        """Ask again at once after a cut read, which alone is no outage.
 
         The store may cut a watch at any time, and a connection may become silent. The
-        store is unavailable only if it does not answer the next, short watch either,
-        which takes another connection. Both end before a registration can lapse.
+        store is unavailable only if it does not answer the next read either, which
+        takes another connection. Both end before a registration can lapse.
         """
         if self.unavailable or self.confirming:
-            return self._handle_failure(error)
-        log_event("store_watch_cut", revision=self.revision, error=str(error))
+            return self._handle_failure(error, elapsed)
+        log_event("store_read_cut", revision=self.revision, error=str(error))
         self.confirming = True
         return 0.0
 
-    def _handle_failure(self, error: PlatformError) -> float:
+    def _handle_failure(self, error: PlatformError, elapsed: float) -> float:
+        """Handle a read that failed after `elapsed` seconds."""
         self.confirming = False
+        self.failures += 1
         self._report_unavailable(str(error))
         self.listener.handle_store_read(succeeded=False)
         delay = self.backoff
         self.backoff = min(delay * 2, MAX_BACKOFF_S)
-        return delay
+        return max(0.0, delay - elapsed)
 
     def _handle_batch(self, batch: ChangeBatch) -> float:
         self.backoff = INITIAL_BACKOFF_S
+        self.failures = 0
         self._report_available()
         self._handle_catalog(batch.changes)
         if self.revision is None:
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -21,9 +21,9 @@
     "Change",
     "ChangeBatch",
     "HistoryLostError",
+    "ReadCutError",
     "StoreClient",
     "StoreRestoredError",
-    "WatchCutError",
 ]
 
 READ_TIMEOUT_S = 1.0
@@ -45,12 +45,8 @@
     """The connection of a call ended before the answer was complete."""
 
 
-class AnswerTimeoutError(PlatformError):
-    """No answer came in time."""
-
-
-class WatchCutError(PlatformError):
-    """The connection of a watch was closed early, or has become silent."""
+class ReadCutError(PlatformError):
+    """The connection of a watch was closed early, or that of a read became silent."""
 
 
 class Change(NamedTuple):
@@ -135,6 +131,8 @@
         ------
         StoreRestoredError
             If the store has returned from an old copy since the last answer.
+        ReadCutError
+            If nothing arrives.
         PlatformError
             If the store does not answer, or answers with an error or invalid data.
         """
@@ -167,7 +165,7 @@
 
         Raises
         ------
-        WatchCutError
+        ReadCutError
             If the connection is closed before the wait is over, or nothing arrives.
         HistoryLostError
             If the store no longer has the changes after that revision.
@@ -184,15 +182,11 @@
         begun = loop.time()
         try:
             body = await self._get(query, wait + margin)
-        except AnswerTimeoutError as error:
-            raise WatchCutError(
-                subject=error.subject, found=error.found, expected=error.expected
-            ) from error
         except ConnectionEndedError as error:
             waited = loop.time() - begun
             if waited > wait:
                 raise
-            raise WatchCutError(
+            raise ReadCutError(
                 subject=error.subject,
                 found=f"the connection closed after {waited:.3f} s",
                 expected=f"events within {wait} s",
@@ -235,7 +229,7 @@
             async with asyncio.timeout(timeout):
                 answer = await answer_future
         except TimeoutError as error:
-            raise AnswerTimeoutError(
+            raise ReadCutError(
                 subject=f"store at {self.address}",
                 found=f"nothing within {timeout:.3f} s",
                 expected="an answer",
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -279,11 +279,11 @@
             self.links.tick(now)
         if self.tick_count % TICKS_PER_STATUS == 0:
             self._broadcast_status(now)
+            self.fleet_updater.remove_expired()
             self.quotas.refresh(now)
         if self.tick_count % TICKS_PER_SWEEP == 0:
             self.listener.close_expired()
             self.local_target.pool.close_expired()
-            self.fleet_updater.remove_expired()
             self.retried_runs.divide_slack()
             self.fleet_exchange.request_view()
 
