Let a relay that hears nothing ask the store again without a pause

What callers saw: requests reach a removed server up to 0.9 s longer than the bound (DRAIN), after its relay was cut off and the others have dropped it meanwhile.

Cause: a relay whose own read has failed, and that no fresh report reaches, waited 2 s for its next attempt, so that a store that is down is not asked by all. But the others report a store that is down. This relay heard nothing, as nobody tells it anything.

The new test fails before. test_a_store_that_is_down_is_not_asked_by_all_all_the_time holds.

Change: the pause is for relays that others have told of a failed read.

--- a/buckthornshed/coordination/relay/fleet/store_readers.py
+++ b/buckthornshed/coordination/relay/fleet/store_readers.py
@@ -99,7 +99,7 @@
         delay = (not_reading - missing + 1) * TAKEOVER_STEP_S
         if now - self.missing_since < delay:
             return False
-        return self._may_try(now)
+        return self._may_try(now, ahead)
 
     def is_first(self, now: float) -> bool:
         """Return whether no relay before this one reads the store."""
@@ -107,10 +107,15 @@
             self.is_connected(each) and self._reads(now, each) for each in self.ahead
         )
 
-    def _may_try(self, now: float) -> bool:
-        """Return whether the last read succeeded, or it is time for another attempt."""
-        failed = not self.own_report.succeeded
-        return not failed or now - self.own_report.at >= RETRY_INTERVAL_S
+    def _may_try(self, now: float, ahead: list[str]) -> bool:
+        """Return whether this relay may ask the store in place of others.
+
+        A store that does not answer others either is asked at intervals.
+        """
+        down = not self.own_report.succeeded and any(
+            each in self.reports and not self.reports[each].succeeded for each in ahead
+        )
+        return not down or now - self.own_report.at >= RETRY_INTERVAL_S
 
     def _reads(self, now: float, instance: str) -> bool:
         """Return whether a relay has lately read the store."""
--- a/buckthornshed/tests/relay/test_store_readers.py
+++ b/buckthornshed/tests/relay/test_store_readers.py
@@ -224,3 +224,20 @@
 
 def standing_by(fleet):
     return sum(fleet.readers[relay].standing_by for relay in fleet.relays)
+
+
+# Guards against an old view: a relay that others no longer tell anything, as they have
+# dropped it, waited between its attempts as if the store were down for all.
+def test_a_relay_that_hears_nothing_asks_the_store_again_without_a_pause():
+    readers = StoreReaders(instance="10.1.0.9", is_connected=lambda _: True)
+    others = [f"10.1.0.{number}" for number in range(20, 40)]
+    readers.set_instances(others)
+    readers.record_own(0.0, succeeded=True)
+    assert not readers.should_read(0.1)
+    assert readers.should_read(3.0)
+    readers.record_own(3.5, succeeded=False)
+    assert readers.should_read(3.6)
+    for each in readers.ahead:
+        readers.record(3.7, each, succeeded=False)
+    assert not readers.should_read(3.8)
+    assert readers.should_read(3.5 + RETRY_INTERVAL_S)
