Tell the relay beside a removed target before its links are closed

What callers saw: requests reach a removed server 0.3 s longer than the bound (DRAIN).

On a connection that has become silent its end never arrives, and the session counts as connected until the last report on it expires. Same class of fault as there: the absence of a message carries the news.

The new test fails before.

Change: the tombstone is sent on each link, which is then closed after it, not reset. Cost: one small message of each relay for each removed target.

--- a/buckthornshed/tests/simulation/test_old_views.py
+++ b/buckthornshed/tests/simulation/test_old_views.py
@@ -50,3 +50,27 @@
             assert cut.relay.fleet_view.targets.keys() == names
 
     run(scenario)
+
+
+# Guards against calls to a removed target: the end of a link was to tell the relay
+# beside it, and the end of a connection that has become silent never arrives.
+def test_the_relay_beside_a_removed_target_is_told_before_its_links_are_closed():
+    async def scenario():
+        async with simulated_fleet([5]) as fleet:
+            await asyncio.sleep(8.0)
+            gone = next(
+                each for each in fleet.instances if not each.relay.fleet_updater.reading
+            )
+            told = []
+            apply = gone.relay.fleet_updater.apply_update
+            gone.relay.fleet_updater.apply_update = lambda update: (
+                told.extend(update.tombstones),
+                apply(update),
+            )
+            name = gone.name
+            await gone.unregister()
+            await asyncio.sleep(1.0)
+            assert name in {each[0] for each in told}
+            assert gone.relay.local_target.draining
+
+    run(scenario)
--- a/buckthornshed/transport/relay/fleet/fleet_exchange.py
+++ b/buckthornshed/transport/relay/fleet/fleet_exchange.py
@@ -90,9 +90,9 @@
         for target in targets:
             names[target.instance].append(target.name)
         instances = names.keys() - {self.instance}
-        self.links.set_instances(instances)
         for instance in self.names_by_instance.keys() - names.keys():
             self._tell_removed(instance)
+        self.links.set_instances(instances)
         self.names_by_instance = names
         in_domain = {
             target.instance
@@ -155,8 +155,8 @@
     def _tell_removed(self, instance: str) -> None:
         """Tell a relay that the targets beside it are no longer registered.
 
-        It gets no further updates, and learns that from the end of the link; but a link
-        with pending calls stays open.
+        It gets no further updates. The end of the link does not always tell it: a link
+        with pending calls stays open, and the end of a silent one does not arrive.
         """
         tombstones = self.updater.fleet_view.tombstones
         removed = [
--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -99,9 +99,10 @@
         self.counts.peer_messages["sent", type(message).__name__] += 1
         if not self.scheduled:
             self.scheduled = True
-            asyncio.get_running_loop().call_soon(self._flush, transport)
+            asyncio.get_running_loop().call_soon(self.flush, transport)
 
-    def _flush(self, transport: asyncio.Transport) -> None:
+    def flush(self, transport: asyncio.Transport) -> None:
+        """Write the messages that wait."""
         self.scheduled = False
         data = self.writer.flush()
         self.counts.peer_bytes["sent",] += len(data)
@@ -285,6 +286,14 @@
             self.pinged_at = now
             self.send(Ping())
 
+    def close(self) -> None:
+        """Close the connection after what was sent on it."""
+        transport, self.transport = self.transport, None
+        if transport is not None:
+            self.outbox.flush(transport)
+            transport.close()
+            self.links.link_closed(self)
+
     def abort(self) -> None:
         """Close the connection without sending buffered data."""
         transport, self.transport = self.transport, None
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -99,7 +99,7 @@
                 continue
             self.link_tasks.pop(instance).cancel()
             if link is not None:
-                link.abort()
+                link.close()
 
     def availability(self, instance: str) -> Availability:
         """Return whether an instance can receive calls."""
