--- a/buckthornshed/tests/simulation/test_old_views.py
+++ b/buckthornshed/tests/simulation/test_old_views.py
@@ -61,7 +61,7 @@
             gone = next(
                 each for each in fleet.instances if not each.relay.fleet_updater.reading
             )
-            told = []
+            told: list[str] = []
             apply = gone.relay.fleet_updater.apply_update
 
             def record(update):
