Pass on only what can end within the grace of a planned stop

What callers saw: in a planned stop in calm, requests sent up to 2.6 s after SIGTERM were passed on and, if they took longer than 2.8 s, answered with the relay's own 502 at 5.4 s while their server was at work, also those that may not be repeated.

Cause: the relay accepted all requests for 2.6 s, whatever time they take, with the client's deadline, which may lie beyond the end of the process.

Evidence: a planned stop in virtual time, a request each 0.1 s, servers that work 0.1 to 5 s. Before: with 2.8, 3.4, 4 and 5 s of work some that ran got no answer of their server; after, none of all eight. Refusals are 503 and none of these requests ran.

Change: from SIGTERM on a request is passed on with a deadline within the grace, so that the server's own answer comes in time, and a client's is refused as not run if the slowest server of its route has taken too long for it lately (a quarter more than its mean, the route's objective if unknown). Ruled out that this turns clients away early: with up to 2 s of work all requests sent within 2.5 s of SIGTERM are served (four more tests, which hold before as well).

--- a/buckthornshed/coordination/relay/placement/load_balancer.py
+++ b/buckthornshed/coordination/relay/placement/load_balancer.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
@@ -164,6 +164,20 @@
             if each.rate_limit is not None and each.limited
         ]
 
+    def longest_call_time(
+        self, route: str, targets: Iterable[Target], default: float
+    ) -> float:
+        """Return the call time of a route at the slowest of some targets, in seconds.
+
+        `default` is that of a route that none of them has reported.
+        """
+        times = [
+            self.records[target.name].call_times.get(route)
+            for target in targets
+            if target.name in self.records
+        ]
+        return max((time for time in times if time is not None), default=default)
+
     def choose(
         self, now: float, route: Route, candidates: list[Target]
     ) -> TargetRecord | None:
--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -144,6 +144,11 @@
     return True
 
 
+async def respond_deadline(target, request_id, writer):
+    writer.write(target.signed_answer(request_id, status=504))
+    return True
+
+
 async def respond_truncated(target, request_id, writer):
     writer.write(target.signed_answer(request_id)[:-5])
     return False
@@ -197,6 +202,7 @@
     "slow": respond_ok,
     "hang": respond_ok,
     "error": respond_error,
+    "deadline": respond_deadline,
     "truncated": respond_truncated,
     "reset": respond_reset,
     "extra": respond_extra,
--- a/buckthornshed/tests/simulation/fleet.py
+++ b/buckthornshed/tests/simulation/fleet.py
@@ -164,6 +164,8 @@
 
     Attributes
     ----------
+    listeners : list of dict
+        Hosts and their rules in each configuration from now on.
     stale : dict
         What each relay in touch lacked, by rule, host and change.
     """
@@ -175,6 +177,7 @@
         self.store = StandinStore()
         self.instances: list[Instance] = []
         self.version = 1
+        self.listeners: list[dict[str, Any]] = []
         self.configurations: list[tuple[float, int]] = []
         self.leaving: dict[Instance, tuple[float, str]] = {}
         self.stale: dict[tuple[str, str, str], Stale] = {}
@@ -214,7 +217,7 @@
         self.version += 1
         document = {
             "version": f"r{self.version}",
-            "listeners": [],
+            "listeners": self.listeners,
             "clusters": [{"name": "stalls"}],
         }
         await self.store.put("op/config", document)
--- /dev/null
+++ b/buckthornshed/tests/simulation/test_planned_stop.py
@@ -0,0 +1,134 @@
+"""Tests of requests around a planned stop of the relay that they are sent to."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+import pytest
+
+from buckthornshed.transport.relay.logs.log_buffer import LogBuffer
+from buckthornshed.transport.relay.process import RelayProcess
+
+from ..relay.fleet import HOST, configuration, read_response
+from ..relay.standin_target import StandinTarget
+from .fleet import run, simulated_fleet
+
+GRACE_S = 6.0
+INTERVAL_S = 0.1
+DEADLINE_MS = 8_000
+
+
+class Outcome(NamedTuple):
+    """A request and its answer; times are in seconds from SIGTERM."""
+
+    request_id: str
+    sent: float
+    answered: float
+    status: int
+    signed: bool
+
+
+class SlowTarget(StandinTarget):
+    """Works for `delay` seconds, at most until the deadline of the request."""
+
+    async def _run(self, headers, body, reader, writer):
+        self.time_left = int(headers["deadline-ms"]) / 1e3
+        if self.time_left < self.delay:
+            self.scripts.insert(0, "deadline")
+        return await super()._run(headers, body, reader, writer)
+
+    async def _work(self, script, request_id, reader):
+        await asyncio.sleep(min(self.delay, self.time_left))
+
+
+async def ask(fleet, instance, begun, number, path):
+    """Send a request on a new connection; return None if nothing answers."""
+    loop = fleet.loop
+    request_id = f"r-{number}"
+    sent = loop.now - begun
+    try:
+        reader, writer = await asyncio.open_connection(instance.host, 8304)
+    except OSError:
+        return None
+    writer.write(
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    answer = await read_response(reader)
+    writer.close()
+    return Outcome(
+        request_id=request_id,
+        sent=sent,
+        answered=loop.now - begun,
+        status=answer.status,
+        signed="response-seal" in answer.headers,
+    )
+
+
+async def stop(fleet, instance):
+    """Stop a relay as SIGTERM does."""
+    relay = instance.relay
+    process = RelayProcess(
+        relay=relay,
+        reader=instance.reader,
+        read_settings=lambda: relay.settings,
+        ready_path=b"/ready",
+        log_buffer=LogBuffer(descriptor=2),
+    )
+    await process._drain()
+    instance.stop()
+
+
+async def start_targets(fleet, work):
+    targets = []
+    for each in fleet.instances:
+        target = SlowTarget(each.name)
+        target.delay = work
+        await fleet.network.run_on(each.host, target.open(each.host, 8301))
+        targets.append(target)
+    return targets
+
+
+async def play(work) -> tuple[list[Outcome], set[str]]:
+    """Send requests around a planned stop; return their ends, and which ones ran."""
+    async with simulated_fleet([3]) as fleet:
+        fleet.listeners = configuration(timeout=DEADLINE_MS / 1e3)["listeners"]
+        await fleet.publish()
+        targets = await start_targets(fleet, work)
+        await asyncio.sleep(5.0)
+        stopped = fleet.instances[0]
+        loop, begun = fleet.loop, fleet.loop.now + 2 * GRACE_S
+        asked: list[asyncio.Task[Any]] = []
+
+        async def send_requests(until):
+            while loop.now < until:
+                request = ask(fleet, stopped, begun, len(asked), "/book/1")
+                asked.append(fleet.network.run_on(stopped.host, request))
+                await asyncio.sleep(INTERVAL_S)
+
+        await send_requests(begun)
+        stopping = fleet.network.run_on("", stop(fleet, stopped))
+        await send_requests(begun + GRACE_S)
+        outcomes = await asyncio.gather(*asked)
+        await stopping
+        ran = {request_id for target in targets for request_id in target.ran}
+        return [each for each in outcomes if each is not None], ran
+
+
+# Guards against cut requests: late ones were passed on and could not end in time.
+@pytest.mark.parametrize("work", [0.1, 0.5, 1.0, 2.0, 2.8, 3.4, 4.0, 5.0])
+def test_each_request_that_a_stopping_relay_passes_on_gets_its_answer(work):
+    outcomes, ran = run(lambda: play(work))
+    during = [each for each in outcomes if each.sent >= 0.0]
+    assert during
+    passed_on = [each for each in during if each.request_id in ran]
+    assert all(each.signed and each.answered < GRACE_S for each in passed_on)
+    others = [each for each in during if each.request_id not in ran]
+    assert {each.status for each in others} <= {503}
+
+
+# Guards against refusals of requests that could end in time.
+@pytest.mark.parametrize("work", [0.1, 0.5, 1.0, 2.0])
+def test_a_stopping_relay_serves_clients_until_they_have_left(work):
+    outcomes, _ = run(lambda: play(work))
+    early = [each for each in outcomes if 0.0 <= each.sent < 2.5]
+    assert {each.status for each in early} == {200}
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -5,6 +5,7 @@
 
 from ....coordination.relay.dispatch_messages import RoutedRequest
 from ....coordination.relay.fleet.fleet_view import FleetView
+from ....coordination.relay.placement.load_balancer import LoadBalancer
 from ....coordination.workspaces.identity import identify
 from ....protocol.http import Request, get_header
 from ....protocol.relay_messages import CallMessage, HeaderNames
@@ -21,6 +22,8 @@
 DRAINING_RETRY_AFTER_S = 0.2
 UNAUTHORIZED_STATUS = 401
 ENDED_PARENT_RETRY_AFTER_S = 0.5
+CALL_TIME_FACTOR = 1.25
+"""Factor on the mean time of a call, for one that has to end before the process."""
 CLIENT_TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a client's own timeout at which it gets its final answer."""
 
@@ -47,11 +50,16 @@
         Counters of the relay.
     service : str
         Service of the local target.
+    load_balancer : LoadBalancer
+        Knows how long calls take.
 
     Attributes
     ----------
     refusing : bool
         Whether new requests of clients are refused, as the process is about to end.
+    ends_at : float or None
+        Time in a planned stop at which all answers must have come. Requests end before
+        it, and those of clients that would probably last longer are refused.
     """
 
     def __init__(
@@ -62,8 +70,11 @@
         local_target: LocalTarget,
         counts: RelayCounts,
         service: str,
+        load_balancer: LoadBalancer,
     ) -> None:
         self.names = names
+        self.load_balancer = load_balancer
+        self.ends_at: float | None = None
         self.fleet_view = fleet_view
         self.local_target = local_target
         self.counts = counts
@@ -94,7 +105,7 @@
         # A request with a key is a client's, whatever its identifier looks like.
         is_client = bool(keys and catalog.workspaces)
         parent = None if is_client else self.local_target.find_parent(request_id)
-        if parent is None and self.refusing:
+        if parent is None and self._outlasts_process(now, route):
             # The request might not complete before the process ends.
             log_event("request_refused_stopping", request=request_id.decode("latin-1"))
             return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
@@ -102,6 +113,22 @@
             return self._nested(now, request, route, parent)
         return self._of_client(now, request, route, catalog, keys)
 
+    def _outlasts_process(self, now: float, route: Route) -> bool:
+        """Return whether a new request might not end before the process does."""
+        if self.refusing or self.ends_at is None:
+            return self.refusing
+        usable = self.fleet_view.usable
+        call_time = self.load_balancer.longest_call_time(
+            route.name,
+            [
+                target
+                for destination in route.destinations
+                for target in usable.get(destination.service, ())
+            ],
+            route.objective,
+        )
+        return now + CALL_TIME_FACTOR * call_time > self.ends_at
+
     def _of_client(
         self,
         now: float,
@@ -148,6 +175,10 @@
         self, now: float, request: Request, route: Route, *, rank: int, workspace: str
     ) -> RoutedRequest:
         catalog = self.fleet_view.catalog
+        deadline = now + self._timeout(request, route)
+        if self.ends_at is not None:
+            # A target stops at the deadline, so its answer comes in time.
+            deadline = min(deadline, self.ends_at)
         has_keys = bool(workspace) or bool(catalog and catalog.workspaces)
         return RoutedRequest(
             route=route,
@@ -160,7 +191,7 @@
             ),
             body=request.body,
             arrived=now,
-            deadline=now + self._timeout(request, route),
+            deadline=deadline,
             rank=rank,
             workspace=workspace,
         )
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -57,6 +57,8 @@
 
 A message is copied a few times on its way, and all others need memory as well.
 """
+ANSWER_MARGIN_S = 0.1
+"""Time that the answer of a target that stopped at a deadline takes, at most."""
 TICKS_PER_STATUS = 8
 """Ticks between two status reports on the local target."""
 TICKS_PER_LINK_CHECK = 2
@@ -180,6 +182,7 @@
             local_target=self.local_target,
             counts=self.counts,
             service=settings.target_service,
+            load_balancer=self.load_balancer,
         )
         self.dispatcher = Dispatcher(
             fleet_view=self.fleet_view,
@@ -244,6 +247,7 @@
         due before `ends_at`, as it would be missed by the others.
         """
         self.responses.draining = True
+        self.router.ends_at = ends_at - ANSWER_MARGIN_S
         self.local_target.limiter.ends_at = ends_at
 
     def refuse_new_requests(self) -> None:
