Read again after a told target was ignored

The new test fails before the change and is certain.

Change: what is ignored counts as a gap, which the next read makes up for.

--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -77,3 +77,21 @@
     updater.handle_store_read(succeeded=False)
     updater.apply_update(FleetUpdate(targets=[make_target("t-2")]))
     assert "t-2" in updater.fleet_view.targets
+
+
+# Guards against a target that only some relays use: one that leaves reading to others
+# had ignored what it was told just before.
+def test_a_reader_reads_again_after_it_has_ignored_a_target():
+    updater = ReaderParts().updater
+    updater.handle_targets([make_target()])
+    updater.handle_store_read(succeeded=True)
+    readers = updater.readers
+    readers.set_instances([f"10.0.0.{number}" for number in range(20, 120)])
+    for each in readers.ahead:
+        readers.record(10.0, each, succeeded=True)
+    assert not readers.should_read(10.0)
+    updater.apply_update(FleetUpdate(targets=[make_target("t-2")]))
+    assert updater.reads_store()
+    updater.handle_target_change(make_target("t-2"))
+    updater.handle_store_read(succeeded=True)
+    assert not updater.reads_store()
--- a/buckthornshed/tests/simulation/fleet.py
+++ b/buckthornshed/tests/simulation/fleet.py
@@ -245,6 +245,16 @@
         instance.sequence = 0
         await instance.register()
 
+    def check_all(self) -> None:
+        """Record what any relay lacks of the store's contents, or has in addition."""
+        registered = {each.name for each in self.instances if each.registered}
+        for instance in self.instances:
+            view = instance.relay.fleet_view
+            for name in sorted(view.targets.keys() ^ registered):
+                self._record("TARGETS", instance, name, self.loop.now)
+            if view.catalog is None or view.catalog.generation < self.version:
+                self._record("CONFIG", instance, f"r{self.version}", self.loop.now)
+
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(SAMPLE_S)
--- a/buckthornshed/tests/simulation/trials.py
+++ b/buckthornshed/tests/simulation/trials.py
@@ -52,6 +52,7 @@
         await asyncio.sleep(rng.uniform(*DISTURBANCE_PAUSES_S))
     await asyncio.gather(*tasks)
     await asyncio.sleep(CALM_S)
+    fleet.check_all()
 
 
 async def change_configurations(fleet, rng, end):
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -236,7 +236,11 @@
         """
         if self._reads_itself:
             registered = self.unconfirmed.registered
-            return [target for target in update.targets if target.name in registered]
+            known = [each for each in update.targets if each.name in registered]
+            if len(known) < len(update.targets):
+                # This relay may be about to leave reading to others.
+                self.readers.record_gap()
+            return known
         self.unconfirmed.record_told(
             target.name
             for target in update.targets
