Let targets write at intervals in the soak, and remove one as its relay starts

The soak's targets wrote their registration once, so readers of the store were always waiting in a watch and learned a removal at once. Real ones write every 1.5 s, and a reader pauses for half a second after each answer.

New disturbance: the registration of a target ends just before the relay beside it, killed a moment ago, reads the store. The target must get nothing once 5 s have passed.

--- a/buckthornshed/tests/relay/standin_store.py
+++ b/buckthornshed/tests/relay/standin_store.py
@@ -16,6 +16,8 @@
         ``reset`` (connection aborted) or ``silent`` (no response).
     era : int
         Number of the copy that the store runs from, sent in all its responses.
+    before_range : coroutine function or None
+        Awaited before the answer to each read of a range.
     """
 
     def __init__(self):
@@ -27,6 +29,7 @@
         self.page_size = 500
         self.calls = []
         self.era = 1
+        self.before_range = None
         self.changed = asyncio.Condition()
         self.waiting = set()
         self.server: asyncio.Server | None = None
@@ -124,6 +127,8 @@
             name: values[0] for name, values in parse_qs(parts.query, True).items()
         }
         if parts.path == "/kv-range":
+            if self.before_range is not None:
+                await self.before_range()
             return 200, self._range(query)
         return await self._watch(query)
 
--- a/buckthornshed/tests/soak/disturbances.py
+++ b/buckthornshed/tests/soak/disturbances.py
@@ -14,6 +14,8 @@
 Disturbance = Callable[[System, Random], Coroutine[Any, Any, None]]
 
 DEADLY_REQUESTS = 10
+DRAIN_S = 2.0
+"""Time after which a removed target gets no requests."""
 IN_FORCE_S = 3.0
 """Time after which a configuration is in force at relays without disturbance."""
 LOUD_REQUESTS = 200
@@ -95,6 +97,41 @@
     await instance.start_target()
 
 
+@disturbance
+async def remove_target_as_relay_starts(system, rng):
+    """End a registration just before the relay beside its target reads the store.
+
+    The target goes on, and must get no requests once its relay is in touch.
+    """
+    instance, store, begin = (
+        rng.choice(system.instances),
+        system.store,
+        time.monotonic(),
+    )
+    target = instance.target
+    if instance.restarting or target.extra_headers or store.before_range is not None:
+        return
+
+    async def remove():
+        store.before_range = None
+        await instance.unregister(target)
+
+    store.before_range = remove
+    await instance.stop_relay(signal.SIGKILL)
+    stops = instance.stops
+    await asyncio.sleep(STABLE_S + DRAIN_S)
+    ran = len(target.ran)
+    await asyncio.sleep(1.0)
+    is_removed = (
+        instance.target is target and f"servers/{target.name}" not in store.items
+    )
+    is_calm = system.history.store_disturbed_at < begin and instance.stops == stops
+    if is_removed and is_calm and len(target.ran) > ran:
+        system.history.faults.append(f"{target.name} got requests after its removal")
+    if is_removed:
+        await instance.start_target()
+
+
 @disturbance
 async def crash_target(system, rng):
     rng.choice(system.instances).crash_target()
--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -21,6 +21,8 @@
 CLIENT_TIMEOUT_S = 8.0
 """Time after which a client counts a request as unanswered."""
 RUN_S = 0.02
+BEAT_S = 1.5
+"""Interval at which a target writes its registration."""
 
 
 @lru_cache(maxsize=1)
@@ -71,6 +73,7 @@
         self.target: Any = None
         self.incarnation = 0
         self.sequence = 0
+        self.state = "ready"
         self.killed = False
         self.restarting = False
         self.starting_target = asyncio.Lock()
@@ -127,6 +130,7 @@
 
     async def register(self, state="ready"):
         """Write the registration of the target."""
+        self.state = state
         self.sequence += 1
         entry = {
             "service": "stalls",
@@ -140,6 +144,14 @@
         }
         await self.system.store.put(f"servers/{self.target.name}", entry)
 
+    async def beat(self):
+        """Write the registration again and again while the store has one."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            store = self.system.store
+            if store.mode == "up" and f"servers/{self.target.name}" in store.items:
+                await self.register(self.state)
+
     async def unregister(self, target):
         """End the registration of a target, which may have ended before."""
         key = f"servers/{target.name}"
@@ -217,6 +229,7 @@
         self.client_port, self.ready_port, *internal_ports = allocate_ports()
         self.internal_ports = sorted(internal_ports)
         self.instances: list[Instance] = []
+        self.beats: list[asyncio.Task[None]] = []
         self.version = 1
         self.sent = 0
 
@@ -226,8 +239,11 @@
         self.instances = [Instance(self, number) for number in range(count)]
         await asyncio.gather(*(each.open() for each in self.instances))
         await asyncio.gather(*(each.until_ready() for each in self.instances))
+        self.beats = [asyncio.create_task(each.beat()) for each in self.instances]
 
     async def close(self):
+        for task in self.beats:
+            task.cancel()
         await asyncio.gather(*(each.close() for each in self.instances))
         self.store.close()
 
