--- a/buckthornshed/tests/simulation/trials.py
+++ b/buckthornshed/tests/simulation/trials.py
@@ -24,13 +24,17 @@
 
 
 def play(
-    seed: int, names: list[str], *, sizes: tuple[int, ...], seconds: float
+    seed: int,
+    names: list[str] | None = None,
+    *,
+    sizes: tuple[int, ...],
+    seconds: float,
 ) -> list[Stale]:
-    """Play some kinds of disturbances; return what relays in touch lacked."""
+    """Play disturbances, by default all kinds; return what relays in touch lacked."""
 
     async def scenario():
         async with simulated_fleet(sizes, seed=seed) as fleet:
-            await disturb(fleet, names, seconds)
+            await disturb(fleet, names or list(DISTURBANCES), seconds)
             return list(fleet.stale.values())
 
     stale: list[Stale] = run(scenario)
@@ -46,7 +50,7 @@
         loop.create_task(change_configurations(fleet, Random(rng.random()), end)),
         loop.create_task(change_targets(fleet, Random(rng.random()), end)),
     ]
-    while loop.now < end and names:
+    while loop.now < end:
         chosen = DISTURBANCES[rng.choice(names)]
         tasks.append(loop.create_task(chosen(fleet, Random(rng.random()))))
         await asyncio.sleep(rng.uniform(*DISTURBANCE_PAUSES_S))
