Write the requests of the planned-stop test once, and explain two constants

The test had the same request head and the same outcome in three functions. A constant of the reader gets its own sentence.

--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -35,8 +35,9 @@
 that the store answers.
 """
 PATIENT_MARGIN_S = 1.2
+"""Time that some of the short watches may take, as the store may be slow."""
 PATIENT_INTERVAL = 4
-"""Attempts in an outage of which one has more time, as the store may be slow."""
+"""Attempts in an outage of which one has that time."""
 CONFIRMED_DELAY_S = 0.05
 """Delay after the store has answered the watch after a cut one."""
 INITIAL_BACKOFF_S = 0.05
--- a/buckthornshed/tests/simulation/test_planned_stop.py
+++ b/buckthornshed/tests/simulation/test_planned_stop.py
@@ -17,6 +17,7 @@
 INTERVAL_S = 0.1
 DEADLINE_MS = 8_000
 BODY_S = 1.0
+BODY_PARTS = 10
 
 
 class Outcome(NamedTuple):
@@ -29,6 +30,24 @@
     signed: bool
 
 
+def request_bytes(request_id, path, *, length=0):
+    """Return the head of a request, and its body unless that follows."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+def outcome_of(request_id, answer, sent, answered):
+    return Outcome(
+        request_id=request_id,
+        sent=sent,
+        answered=answered,
+        status=answer.status,
+        signed="response-seal" in answer.headers,
+    )
+
+
 class SlowTarget(StandinTarget):
     """Works for `delay` seconds, at most until the deadline of the request."""
 
@@ -51,19 +70,10 @@
         reader, writer = await asyncio.open_connection(instance.host, 8304)
     except OSError:
         return None
-    writer.write(
-        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n".encode()
-    )
+    writer.write(request_bytes(request_id, path))
     answer = await read_response(reader)
     writer.close()
-    return Outcome(
-        request_id=request_id,
-        sent=sent,
-        answered=loop.now - begun,
-        status=answer.status,
-        signed="response-seal" in answer.headers,
-    )
+    return outcome_of(request_id, answer, sent, loop.now - begun)
 
 
 async def ask_slowly(fleet, instance, begun, number, path):
@@ -74,12 +84,9 @@
         reader, writer = await asyncio.open_connection(instance.host, 8304)
     except OSError:
         return None
-    writer.write(
-        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 10\r\n\r\n".encode()
-    )
-    for _ in range(10):
-        await asyncio.sleep(BODY_S / 10)
+    writer.write(request_bytes(request_id, path, length=BODY_PARTS))
+    for _ in range(BODY_PARTS):
+        await asyncio.sleep(BODY_S / BODY_PARTS)
         writer.write(b"x")
     sent = loop.now - begun
     try:
@@ -90,13 +97,7 @@
         assert instance.ended_at <= begun + sent
         return None
     writer.close()
-    return Outcome(
-        request_id=request_id,
-        sent=sent,
-        answered=loop.now - begun,
-        status=answer.status,
-        signed="response-seal" in answer.headers,
-    )
+    return outcome_of(request_id, answer, sent, loop.now - begun)
 
 
 async def ask_pipelined(fleet, instance, begun, number, path):
@@ -112,10 +113,7 @@
         return None
     names = [f"r-{number}", f"r-{number}-b", f"r-{number}-c"]
     for request_id in names:
-        writer.write(
-            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-            f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n".encode()
-        )
+        writer.write(request_bytes(request_id, path))
     answers: list[Response] = []
     with contextlib.suppress(asyncio.IncompleteReadError):
         while len(answers) < len(names):
@@ -129,13 +127,7 @@
         if "response-seal" not in each.headers
     )
     writer.close()
-    return Outcome(
-        request_id=names[0],
-        sent=sent,
-        answered=loop.now - begun,
-        status=answers[0].status,
-        signed="response-seal" in answers[0].headers,
-    )
+    return outcome_of(names[0], answers[0], sent, loop.now - begun)
 
 
 async def stop(fleet, instance):
