Play calls of the targets in a planned stop

Six more cases: targets that make a call through their own relay, beside the stopping relay and elsewhere, asked through either. Each client gets its target's answer, and each call is answered. They hold without a change; no behaviour changes.

--- a/buckthornshed/tests/simulation/test_planned_stop.py
+++ b/buckthornshed/tests/simulation/test_planned_stop.py
@@ -61,6 +61,31 @@
         await asyncio.sleep(min(self.delay, self.time_left))
 
 
+class CallingTarget(SlowTarget):
+    """Makes a call through its own relay while it runs a request of a client.
+
+    Attributes
+    ----------
+    statuses : list of int
+        Statuses of the answers to its calls.
+    """
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.statuses = []
+
+    async def _work(self, script, request_id, reader):
+        await super()._work(script, request_id, reader)
+        if "." in request_id:
+            return
+        host = self.address.rpartition(":")[0]
+        nested_reader, writer = await asyncio.open_connection(host, 8304)
+        writer.write(request_bytes(f"{request_id}.1", "/book/1"))
+        answer = await read_response(nested_reader)
+        writer.close()
+        self.statuses.append(answer.status)
+
+
 async def ask(fleet, instance, begun, number, path):
     """Send a request on a new connection; return None if nothing answers."""
     loop = fleet.loop
@@ -145,17 +170,19 @@
     instance.stop()
 
 
-async def start_targets(fleet, work):
+async def start_targets(fleet, work, make_target):
     targets = []
     for each in fleet.instances:
-        target = SlowTarget(each.name)
+        target = make_target(each.name)
         target.delay = work
         await fleet.network.run_on(each.host, target.open(each.host, 8301))
         targets.append(target)
     return targets
 
 
-async def play(work, *, send=ask, entry=0) -> tuple[list[Outcome], set[str]]:
+async def play(
+    work, *, send=ask, entry=0, make_target=SlowTarget
+) -> tuple[list[Outcome], set[str]]:
     """Send requests around a planned stop; return their ends, and which ones ran.
 
     Instance 0 is stopped, and the requests are sent to instance `entry`.
@@ -164,7 +191,7 @@
         fleet.dropped = set()
         fleet.listeners = configuration(timeout=DEADLINE_MS / 1e3)["listeners"]
         await fleet.publish()
-        targets = await start_targets(fleet, work)
+        targets = await start_targets(fleet, work, make_target)
         await asyncio.sleep(5.0)
         stopped, asked_one = fleet.instances[0], fleet.instances[entry]
         loop, begun = fleet.loop, fleet.loop.now + 2 * GRACE_S
@@ -216,6 +243,23 @@
     assert all(each.status == 200 for each in during)
 
 
+@pytest.mark.parametrize("entry", [0, 1])
+@pytest.mark.parametrize("work", [0.1, 0.5, 1.0])
+def test_calls_of_targets_are_not_cut_by_a_stop(work, entry):
+    targets = []
+
+    def make_target(name):
+        targets.append(CallingTarget(name))
+        return targets[-1]
+
+    outcomes, ran = run(lambda: play(work, entry=entry, make_target=make_target))
+    if entry == 0:
+        check_ends(outcomes, ran)
+    else:
+        assert {each.status for each in outcomes} == {200}
+    assert all(set(each.statuses) == {200} for each in targets)
+
+
 # Guards against refusals of requests that could end in time.
 @pytest.mark.parametrize("work", [0.1, 0.5, 1.0, 2.0])
 def test_a_stopping_relay_serves_clients_until_they_have_left(work):
