Say with each 404 from whom a relay has its configuration, and what confirms it

route_missing has the host and its number of routes, the source and age of the configuration, and who said last that there is no newer one, and when.

Ruled out: a line for each report in the log, one a second and reader; the dump has the latest report of each.

No decision is changed.

--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -1,7 +1,7 @@
 """``buckthornshed trace``: explain from relay logs how a request ended and why."""
 
 import re
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,8 +20,9 @@
 SEPARATOR = "."
 LOST_REASONS = frozenset({"lost", "crashed"})
 """Reasons logged for a request that was sent and got no usable answer."""
+NO_ROUTE_REASON = "no_route"
 REFUSED_EVENTS = frozenset(
-    {"request_given_up", "request_over_quota", "request_unauthorized"}
+    {"request_given_up", "request_over_quota", "request_unauthorized", "route_missing"}
 )
 """Events of requests that a relay answered itself."""
 END_EVENTS = REFUSED_EVENTS | {"request_answered"}
@@ -30,6 +31,7 @@
 CAUSES = {
     "over_quota": "the quota of its workspace was used up",
     "unauthorized": "it had no key that a workspace holds",
+    "no_route": "no route of its configuration matched",
     "not_admitted": "a service that it depends on was saturated",
     "overload": "the target was overloaded and could not start it in time",
     "rate_limited": "the limit that its target states was used up",
@@ -158,6 +160,8 @@
     if end.event in REFUSED_EVENTS:
         reason = end.fields.get("reason", "")
         cause = CAUSES.get(reason, reason) + _locate_fault(reason, request, lines)
+        if reason == NO_ROUTE_REASON:
+            cause += _describe_configuration(end)
         return (
             f"{request}: answered with status {status} by relay {end.source}: {cause}"
         )
@@ -195,6 +199,17 @@
     return " (no relay logged a target fault: a connection between relays was lost)"
 
 
+def _describe_configuration(line: LogLine) -> str:
+    """Return which configuration a relay had, from whom, and what confirmed it."""
+    fields = defaultdict(lambda: "?", line.fields)
+    return (
+        f" (generation {fields['generation']}, {fields['age']} s old, from "
+        f"{fields['source']}; {fields['host_routes']} routes of host {fields['host']}; "
+        f"last confirmed {fields['confirmed_age']} s before, by "
+        f"{fields['confirmed_by']})"
+    )
+
+
 def _cause_rank(line: LogLine) -> tuple[int, bool]:
     """Return the key by which a failure is picked: depth, then having a reason."""
     return line.request.count(SEPARATOR), "reason" in line.fields
--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ....state.catalog import Catalog, Target
+from .configuration_news import ConfigurationNews
 
 __all__ = ["FleetView", "RegistrationVersion"]
 
@@ -31,6 +32,8 @@
     ----------
     catalog : Catalog or None
         The configuration in force.
+    news : ConfigurationNews
+        Where the configuration is from, and what confirms it.
     targets : dict
         Registered targets by name.
     usable : dict
@@ -44,6 +47,7 @@
 
     def __init__(self) -> None:
         self.catalog: Catalog | None = None
+        self.news = ConfigurationNews()
         self.named_services: frozenset[str] = frozenset()
         self.targets: dict[str, Target] = {}
         self.tombstones: dict[str, RegistrationVersion] = {}
--- a/buckthornshed/tests/relay/test_relay_process.py
+++ b/buckthornshed/tests/relay/test_relay_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 from typing import Any
@@ -230,6 +231,16 @@
     run(scenario, tmp_path)
 
 
+def test_the_state_is_served_as_json(tmp_path):
+    async def scenario(relay):
+        response = await relay.get("metrics", "/dump")
+        state = json.loads(response.body)
+        assert state["configuration"]["generation"] == 1
+        assert state["configuration"]["confirmed_by"] == "store"
+
+    run(scenario, tmp_path)
+
+
 def test_invalid_settings_end_the_process_with_a_log_line(tmp_path):
     async def scenario():
         path = tmp_path / "node.conf"
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -21,6 +21,7 @@
 NO_CATALOG_RETRY_AFTER_S = 0.5
 DRAINING_RETRY_AFTER_S = 0.2
 UNAUTHORIZED_STATUS = 401
+NO_ROUTE_STATUS = 404
 ENDED_PARENT_RETRY_AFTER_S = 0.5
 CALL_TIME_FACTOR = 1.25
 """Factor on the mean time of a call, for one that has to end before the process."""
@@ -95,12 +96,8 @@
         path = request.path.decode("latin-1")
         route = catalog.match(host.partition(":")[0].lower(), path)
         if route is None:
-            log_event(
-                "route_missing",
-                request=request_id.decode("latin-1"),
-                generation=catalog.generation,
-            )
-            return UnroutedRequest(404, None)
+            self._log_missing_route(now, request_id, host, catalog)
+            return UnroutedRequest(NO_ROUTE_STATUS, None)
         keys = [v for n, v in request.headers if n == self.names.credential]
         # A request with a key is a client's, whatever its identifier looks like.
         is_client = bool(keys and catalog.workspaces)
@@ -113,6 +110,26 @@
             return self._nested(now, request, route, parent)
         return self._of_client(now, request, route, catalog, keys)
 
+    def _log_missing_route(
+        self, now: float, request_id: bytes, host: str, catalog: Catalog
+    ) -> None:
+        """Log what decided that a request has no route, and how old that is."""
+        news = self.fleet_view.news
+        host = host.partition(":")[0].lower()
+        log_event(
+            "route_missing",
+            request=request_id.decode("latin-1"),
+            status=NO_ROUTE_STATUS,
+            reason="no_route",
+            host=host,
+            host_routes=len(catalog.routes.get(host, ())),
+            generation=catalog.generation,
+            source=news.origin.source or "-",
+            age=news.origin.age(now),
+            confirmed_by=news.confirmation.source or "-",
+            confirmed_age=news.confirmation.age(now),
+        )
+
     def _outlasts_process(self, now: float, route: Route) -> bool:
         """Return whether a new request might not end before the process does."""
         if self.refusing or self.ends_at is None:
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -55,6 +55,10 @@
         Requests that wait for the owner of their quota.
     quotas_owned : int
         Quotas that this relay keeps an account of.
+    configuration_age : float
+        Seconds since the configuration came into force; -1 before the first.
+    confirmed_age : float
+        Seconds since a reader of the store last said that there is no newer one.
     """
 
     generation: int
@@ -72,6 +76,8 @@
     workspaces: int = 0
     quota_questions: int = 0
     quotas_owned: int = 0
+    configuration_age: float = -1.0
+    confirmed_age: float = -1.0
 
 
 class LatencyHistogram:
--- a/buckthornshed/transport/relay/fleet/fleet_exchange.py
+++ b/buckthornshed/transport/relay/fleet/fleet_exchange.py
@@ -104,11 +104,11 @@
             self.domain_peers, registered=self.instance in names
         )
 
-    def apply(self, update: FleetUpdate) -> None:
-        """Apply an update of another relay, except for the limits."""
+    def apply(self, update: FleetUpdate, sender: str = "") -> None:
+        """Apply an update of the relay on instance `sender`, except for the limits."""
         for instance in update.silent:
             self.links.check(instance, self.clock())
-        self.updater.apply_update(update)
+        self.updater.apply_update(update, sender)
 
     def greet(self, instance: str, targets: Collection[str]) -> None:
         """Tell a newly connected relay what it may not know.
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ....coordination.relay.fleet.configuration_news import STORE
 from ....coordination.relay.fleet.fleet_view import (
     FleetView,
     RegistrationVersion,
@@ -90,13 +91,14 @@
         """Tell the relays of the own failure domain whether this one can read."""
         if succeeded:
             self._remove_unregistered(self.unconfirmed.end_read())
+            self.fleet_view.news.record_confirmation(STORE, self.clock())
         if self.readers.record_own(self.clock(), succeeded=succeeded):
             report = ReaderReport(self.readers.instance, succeeded)
             self.tell_domain(FleetUpdate(reader=report))
 
     def handle_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration from the store."""
-        if self._apply_catalog(catalog, "store"):
+        if self._apply_catalog(catalog, STORE):
             self._forward(FleetUpdate(catalog=catalog))
 
     def handle_targets(self, targets: list[Target]) -> None:
@@ -175,13 +177,12 @@
 
     # Updates from other relays.
 
-    def apply_update(self, update: FleetUpdate) -> None:
-        """Apply an update of another relay."""
-        if update.reader is not None:
-            reader, reads = update.reader
-            self.readers.record(self.clock(), reader, succeeded=reads)
+    def apply_update(self, update: FleetUpdate, sender: str = "") -> None:
+        """Apply an update of another relay; `sender` is its instance."""
         if update.catalog is not None:
-            self._apply_catalog(update.catalog, "peer")
+            self._apply_catalog(update.catalog, "peer", sender)
+        if update.reader is not None:
+            self._apply_report(update.reader)
         targets = self._acceptable(update)
         changed = [t for t in targets if self.fleet_view.accept_target(t)]
         removed = [
@@ -203,6 +204,13 @@
         if changed or removed or leaving:
             self.on_targets()
 
+    def _apply_report(self, report: ReaderReport) -> None:
+        """Record whether another relay reads the store."""
+        now = self.clock()
+        self.readers.record(now, report.instance, succeeded=report.reads)
+        if report.reads:
+            self.fleet_view.news.record_confirmation(report.instance, now)
+
     def snapshot(self) -> FleetUpdate:
         """Return the whole fleet view, for a relay that has just connected."""
         return FleetUpdate(
@@ -301,11 +309,15 @@
             log_event("target_leaving", target=name, started=started, source=source)
         return marked
 
-    def _apply_catalog(self, catalog: Catalog, source: str) -> bool:
+    def _apply_catalog(self, catalog: Catalog, source: str, sender: str = "") -> bool:
         if not self.fleet_view.accept_catalog(catalog):
             return False
+        self.fleet_view.news.record_origin(sender or source, self.clock())
         log_event(
-            "configuration_in_force", generation=catalog.generation, source=source
+            "configuration_in_force",
+            generation=catalog.generation,
+            source=source,
+            peer=sender or "-",
         )
         self.on_catalog()
         return True
--- a/buckthornshed/transport/relay/gauges.py
+++ b/buckthornshed/transport/relay/gauges.py
@@ -34,4 +34,6 @@
         workspaces=0 if catalog is None else len(catalog.workspaces),
         quota_questions=len(relay.quotas.questions),
         quotas_owned=len(relay.quotas.ledger.accounts),
+        configuration_age=relay.fleet_view.news.origin.age(relay.clock()),
+        confirmed_age=relay.fleet_view.news.confirmation.age(relay.clock()),
     )
--- a/buckthornshed/transport/relay/metrics_handler.py
+++ b/buckthornshed/transport/relay/metrics_handler.py
@@ -1,14 +1,16 @@
-"""HTTP endpoint for the metrics of a relay."""
+"""HTTP endpoint for the metrics and the state of a relay."""
 
 import asyncio
 from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio.to_thread
+import msgspec
 
 from ...protocol.http import Request
 from .clients.client_listener import Exchange
 from .gauges import read_gauges
+from .relay_dump import dump_relay
 
 if TYPE_CHECKING:
     from .metrics import RelayMetrics
@@ -17,15 +19,18 @@
 __all__ = ["MetricsHandler"]
 
 METRICS_PATH = b"/metrics"
+DUMP_PATH = b"/dump"
+TEXT_TYPE = b"text/plain; version=0.0.4"
+JSON_TYPE = b"application/json"
 
 
 class MetricsHandler:
-    """Serves the metrics of a relay on ``/metrics``.
+    """Serves the metrics of a relay on ``/metrics`` and its state on ``/dump``.
 
     Parameters
     ----------
     relay : Relay
-        The relay whose metrics are served.
+        The relay whose metrics and state are served.
     """
 
     def __init__(self, *, relay: "Relay") -> None:
@@ -35,7 +40,12 @@
 
     def handle_request(self, exchange: Exchange, request: Request) -> None:
         """Answer a request; the first one for metrics waits for the libraries."""
-        if request.path.partition(b"?")[0] != METRICS_PATH:
+        path = request.path.partition(b"?")[0]
+        if path == DUMP_PATH:
+            state = msgspec.json.encode(dump_relay(self.relay))
+            _respond(exchange, b"200 OK", state, JSON_TYPE)
+            return
+        if path != METRICS_PATH:
             _respond(exchange, b"404 Not Found", b"")
             return
         if self.metrics is not None:
@@ -69,9 +79,13 @@
         )
 
 
-def _respond(exchange: Exchange, status: bytes, body: bytes) -> None:
-    data = (
-        b"HTTP/1.1 %s\r\ncontent-type: text/plain; version=0.0.4\r\n"
-        b"content-length: %d\r\n\r\n%s" % (status, len(body), body)
+def _respond(
+    exchange: Exchange, status: bytes, body: bytes, content_type: bytes = TEXT_TYPE
+) -> None:
+    data = b"HTTP/1.1 %s\r\ncontent-type: %s\r\ncontent-length: %d\r\n\r\n%s" % (
+        status,
+        content_type,
+        len(body),
+        body,
     )
     exchange.connection.respond(exchange, data, close=False)
--- a/buckthornshed/transport/relay/peers/peer_messages.py
+++ b/buckthornshed/transport/relay/peers/peer_messages.py
@@ -143,8 +143,8 @@
         self.relay.target_reports.record_status(now, status)
         self.relay.statuses.receive(now, session.name, status)
 
-    def _apply_update(self, _: PeerSession, update: FleetUpdate) -> None:
-        self.relay.fleet_exchange.apply(update)
+    def _apply_update(self, session: PeerSession, update: FleetUpdate) -> None:
+        self.relay.fleet_exchange.apply(update, session.instance)
         self.relay.target_reports.learn_limits(update.limits)
 
     def _end_call(self, outcome: CallOutcome) -> None:
