Let readers report what they know, so that a relay that lacks something reads

A relay that counts on readers took their reports that they read for a sign that it had everything: whatever was lost on the way was never told again.

A report has the store's revision, the generation and a digest of the registrations now. ViewComparison decides: a report later than what is covered, with a later generation or another digest, means that something is missing, and the relay reads at once. A difference that an own read has not ended (registrations kept after an outage) is not read for again. Heartbeats do not count, so calm costs no read. Other failure domains get the summary after what they were told, or they would take it for a gap. The field is the last one of FleetUpdate: earlier versions ignore it.

Ruled out: numbering what each reader tells, as relays take the first copy from any of them; telling twice, which a longer loss defeats.

Evidence: test_lost_messages.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -9,6 +9,7 @@
 
 from ....state.catalog import Catalog, Target
 from .configuration_news import ConfigurationNews
+from .view_comparison import RegistrationsDigest
 
 __all__ = ["FleetView", "RegistrationVersion"]
 
@@ -36,6 +37,8 @@
         Where the configuration is from, and what confirms it.
     targets : dict
         Registered targets by name.
+    digest : RegistrationsDigest
+        Digest of these registrations.
     usable : dict
         Targets that accept work, by service.
     outdated : set of str
@@ -50,6 +53,7 @@
         self.news = ConfigurationNews()
         self.named_services: frozenset[str] = frozenset()
         self.targets: dict[str, Target] = {}
+        self.digest = RegistrationsDigest()
         self.tombstones: dict[str, RegistrationVersion] = {}
         self.usable: dict[str, tuple[Target, ...]] = {}
         self.store_unavailable = False
@@ -89,6 +93,7 @@
         if current is None or current._replace(sequence=0) != target._replace(
             sequence=0
         ):
+            self.digest.put(target)
             self._rebuild_index()
             return True
         return False
@@ -198,6 +203,7 @@
 
     def _remove(self, target: Target) -> None:
         del self.targets[target.name]
+        self.digest.discard(target.name)
         self.pending_removal.discard(target.name)
         self.outdated.discard(target.name)
         self._add_tombstone(target.name, registration_version(target))
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -50,8 +50,11 @@
     def reads_store(self) -> bool:
         """Return whether the store is to be read, or changes come from elsewhere."""
 
-    def handle_store_read(self, *, succeeded: bool) -> None:
-        """Handle the end of each read, after its changes were reported."""
+    def handle_store_read(self, *, succeeded: bool, revision: int = 0) -> None:
+        """Handle the end of each read, after its changes were reported.
+
+        `revision` is the store's one up to which it was read, 0 after a failure.
+        """
 
     def handle_catalog(self, catalog: Catalog) -> None:
         """Handle a configuration."""
@@ -190,7 +193,7 @@
             self._handle_target_changes(batch.changes)
         self.revision = batch.revision
         self.standing_by = False
-        self.listener.handle_store_read(succeeded=True)
+        self.listener.handle_store_read(succeeded=True, revision=batch.revision)
         if batch.changes:
             delay = COALESCING_DELAY_S
         else:
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -27,6 +27,7 @@
     "StatedLimit",
     "Status",
     "ViewRequest",
+    "ViewSummary",
 ]
 
 FAILED_STATUS = 500
@@ -267,6 +268,24 @@
     reads: bool
 
 
+class ViewSummary(msgspec.Struct, array_like=True):
+    """What a relay knows of the fleet after a read of the store.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store up to which it has read.
+    generation : int
+        Generation of its configuration; 0 if it has none.
+    targets : int
+        Digest of the registrations that it knows.
+    """
+
+    revision: int
+    generation: int
+    targets: int
+
+
 class FleetUpdate(msgspec.Struct, array_like=True, tag=8):
     """Configuration and registrations that the receiver may not know yet.
 
@@ -286,6 +305,9 @@
         Whether the sender can read the store and tells what it reads.
     silent : list of str
         Instances whose relays do not answer the sender.
+    summary : ViewSummary or None
+        What the sender knows after this and earlier updates, if it has just read the
+        store. Versions before this field ignore it.
     """
 
     catalog: Catalog | None = None
@@ -295,6 +317,7 @@
     leaving: list[tuple[str, int]] = []
     reader: ReaderReport | None = None
     silent: list[str] = []
+    summary: ViewSummary | None = None
 
 
 RelayMessage = (
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -10,7 +10,8 @@
 )
 from ....coordination.relay.fleet.store_readers import StoreReaders
 from ....coordination.relay.fleet.unconfirmed_targets import UnconfirmedTargets
-from ....protocol.relay_messages import FleetUpdate, ReaderReport
+from ....coordination.relay.fleet.view_comparison import ViewComparison
+from ....protocol.relay_messages import FleetUpdate, ReaderReport, ViewSummary
 from ....state.catalog import Catalog, Target
 from ...logs import log_event
 
@@ -52,6 +53,10 @@
         Start of the incarnation of each draining target that was told, by name.
     unconfirmed : UnconfirmedTargets
         Targets from views of other relays, which the store is to confirm.
+    comparison : ViewComparison
+        Finds out from what readers report whether something told was lost.
+    told_other_domains : bool
+        Whether something was told to other failure domains since the last read.
     """
 
     def __init__(
@@ -76,6 +81,8 @@
         self.told_draining: dict[str, int] = {}
         self.fleet_view = FleetView()
         self.unconfirmed = UnconfirmedTargets()
+        self.comparison = ViewComparison()
+        self.told_other_domains = False
 
     # Updates from the platform's store.
 
@@ -87,14 +94,30 @@
             log_event("store_reader", reading=reading)
         return reading
 
-    def handle_store_read(self, *, succeeded: bool) -> None:
-        """Tell the relays of the own failure domain whether this one can read."""
+    def handle_store_read(self, *, succeeded: bool, revision: int = 0) -> None:
+        """Tell the relays of the own failure domain whether this one can read.
+
+        `revision` is that of the store after a successful read.
+        """
+        summary = None
         if succeeded:
             self._remove_unregistered(self.unconfirmed.end_read())
             self.fleet_view.news.record_confirmation(STORE, self.clock())
+            summary = self._summarize(revision)
+            self.comparison.record_read(summary)
         if self.readers.record_own(self.clock(), succeeded=succeeded):
             report = ReaderReport(self.readers.instance, succeeded)
-            self.tell_domain(FleetUpdate(reader=report))
+            self.tell_domain(FleetUpdate(reader=report, summary=summary))
+        if self.told_other_domains and summary is not None:
+            # They need not take what they were told early for something lost.
+            self.told_other_domains = False
+            self.tell_other_domains(FleetUpdate(summary=summary))
+
+    def _summarize(self, revision: int) -> ViewSummary:
+        """Return what this relay knows, for others that may lack something of it."""
+        view = self.fleet_view
+        generation = 0 if view.catalog is None else view.catalog.generation
+        return ViewSummary(revision, generation, view.digest.value)
 
     def handle_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration from the store."""
@@ -182,7 +205,8 @@
         if update.catalog is not None:
             self._apply_catalog(update.catalog, "peer", sender)
         if update.reader is not None:
-            self._apply_report(update.reader)
+            instance, reads = update.reader
+            self.readers.record(self.clock(), instance, succeeded=reads)
         targets = self._acceptable(update)
         changed = [t for t in targets if self.fleet_view.accept_target(t)]
         removed = [
@@ -203,13 +227,25 @@
             log_event("target_gone", target=name, source="peer")
         if changed or removed or leaving:
             self.on_targets()
-
-    def _apply_report(self, report: ReaderReport) -> None:
-        """Record whether another relay reads the store."""
-        now = self.clock()
-        self.readers.record(now, report.instance, succeeded=report.reads)
-        if report.reads:
-            self.fleet_view.news.record_confirmation(report.instance, now)
+        if update.summary is not None:
+            self._compare(update.summary, sender)
+
+    def _compare(self, reported: ViewSummary, sender: str) -> None:
+        """Read the store if a reader knows something that this relay lacks."""
+        own = self._summarize(0)
+        if not self.comparison.is_behind(sender, reported, own):
+            if reported.generation <= own.generation:
+                self.fleet_view.news.record_confirmation(sender, self.clock())
+            return
+        self.readers.record_gap()
+        log_event(
+            "view_behind",
+            peer=sender,
+            revision=reported.revision,
+            told_generation=reported.generation,
+            generation=own.generation,
+            targets_differ=reported.targets != own.targets,
+        )
 
     def snapshot(self) -> FleetUpdate:
         """Return the whole fleet view, for a relay that has just connected."""
@@ -301,6 +337,7 @@
         """Tell other relays what was read from the store."""
         self.tell_domain(update)
         if self.readers.is_first(self.clock()):
+            self.told_other_domains = True
             self.tell_other_domains(update)
 
     def _mark_leaving(self, name: str, started: int, source: str) -> bool:
