Keep ended registrations only after outages in which they can lapse

Each outage of the store, however short, began a grace of 2 s in which ended registrations are kept. Readers that were cut for 3.4 s kept a target that had been removed meanwhile, and their domain relied on them; so did relays whose connections became silent twice within the time of a read.

A registration lapses after three heartbeats of silence. StoreOutage begins no grace if less than two heartbeats have passed since this relay, or any that reports to it, read the store. An outage that follows another one within a heartbeat, or in a grace, continues it. The heartbeat comes from the settings (beatS); where it is not stated each outage counts, as before. store_found says how long the outage was and whether a grace follows.

Ruled out: no grace at all, as registrations do lapse in long outages (test_outages); counting from the own reads only, as a relay that left reading to others has read long ago.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -9,12 +9,11 @@
 
 from ....state.catalog import Catalog, Target
 from .configuration_news import ConfigurationNews
+from .outage import StoreOutage
 from .view_comparison import RegistrationsDigest
 
 __all__ = ["FleetView", "RegistrationVersion"]
 
-STORE_RECOVERY_GRACE_S = 2.0
-"""Time after a store outage for which registrations that ended meanwhile are kept."""
 MAX_TOMBSTONES = 2_048
 MAX_LEAVING = 2_048
 
@@ -29,6 +28,11 @@
 class FleetView:
     """Configuration and registered targets as one relay knows them.
 
+    Parameters
+    ----------
+    heartbeat : float
+        Interval at which targets renew their registrations, in seconds; 0 if unknown.
+
     Attributes
     ----------
     catalog : Catalog or None
@@ -43,12 +47,14 @@
         Targets that accept work, by service.
     outdated : set of str
         Targets at whose address another one has answered since they registered.
+    outage : StoreOutage
+        Whether a registration may have ended only because the store was unavailable.
     leaving : dict
         Start of the incarnation of each target that has stated that it is leaving,
         whatever its registration says.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, heartbeat: float = 0.0) -> None:
         self.catalog: Catalog | None = None
         self.news = ConfigurationNews()
         self.named_services: frozenset[str] = frozenset()
@@ -56,8 +62,7 @@
         self.digest = RegistrationsDigest()
         self.tombstones: dict[str, RegistrationVersion] = {}
         self.usable: dict[str, tuple[Target, ...]] = {}
-        self.store_unavailable = False
-        self.grace_until = 0.0
+        self.outage = StoreOutage(heartbeat=heartbeat)
         self.pending_removal: set[str] = set()
         self.outdated: set[str] = set()
         self.leaving: dict[str, int] = {}
@@ -129,14 +134,15 @@
     def remove_target(self, now: float, name: str) -> bool:
         """Handle the end of a registration; return whether the target was removed.
 
-        During a store outage and shortly after it, the target is kept unless it is
-        leaving: registrations expire then although their targets are alive.
+        During a store outage, and shortly after one in which registrations may have
+        lapsed although their targets are alive, the target is kept unless it is
+        leaving.
         """
         current = self.targets.get(name)
         if current is None:
             return False
         leaves = current.draining or self.is_leaving(current)
-        if (self.store_unavailable or now < self.grace_until) and not leaves:
+        if self.outage.covers(now) and not leaves:
             self.pending_removal.add(name)
             return False
         self._remove(current)
@@ -177,23 +183,31 @@
         missing = [name for name in self.targets if name not in present]
         return [name for name in missing if self.remove_target(now, name)]
 
+    @property
+    def store_unavailable(self) -> bool:
+        """Whether this relay cannot read the store."""
+        return self.outage.active
+
+    @property
+    def grace_until(self) -> float:
+        """Time until which registrations that end are kept."""
+        return self.outage.grace_until
+
     def mark_store_unavailable(self) -> None:
         """Record that the store cannot be read."""
-        self.store_unavailable = True
+        self.outage.begin()
 
     def mark_store_available(self, now: float) -> None:
-        """Record that the store answers again and start the grace period."""
-        if self.store_unavailable:
-            self.store_unavailable = False
-            self.grace_until = now + STORE_RECOVERY_GRACE_S
+        """Record that the store answers again."""
+        self.outage.end(now)
 
     def mark_store_restored(self, now: float) -> None:
         """Record that the store lacks recent registrations; start the grace period."""
-        self.grace_until = now + STORE_RECOVERY_GRACE_S
+        self.outage.start_grace(now)
 
     def remove_expired(self, now: float) -> list[str]:
         """Remove targets not renewed within the grace period; return their names."""
-        if not self.pending_removal or self.store_unavailable or now < self.grace_until:
+        if not self.pending_removal or self.outage.covers(now):
             return []
         names = [name for name in self.pending_removal if name in self.targets]
         self.pending_removal.clear()
--- a/buckthornshed/platform/settings.py
+++ b/buckthornshed/platform/settings.py
@@ -68,6 +68,7 @@
         ),
         descriptors=_parse_number(fields, "limits.maxFds", int),
         memory=int(_parse_number(fields, "limits.memoryMb", float) * BYTES_PER_MB),
+        heartbeat=_parse_heartbeat(fields),
     )
 
 
@@ -101,6 +102,16 @@
     return number
 
 
+def _parse_heartbeat(fields: Mapping[str, str]) -> float:
+    """Return the interval of registrations, 0 if the file does not state it."""
+    if not fields.get("beatS"):
+        return 0.0
+    heartbeat = _parse_number(fields, "beatS", float)
+    if heartbeat < 0.0:
+        _reject("beatS", fields["beatS"], "a time of 0 or more")
+    return heartbeat
+
+
 def _parse_address(fields: Mapping[str, str], name: str) -> str:
     value = _get_required(fields, name)
     host, _, port = value.rpartition(":")
--- a/buckthornshed/state/relay_settings.py
+++ b/buckthornshed/state/relay_settings.py
@@ -49,6 +49,8 @@
         Maximum number of open file descriptors.
     memory : int
         Maximum memory of the process, in bytes.
+    heartbeat : float
+        Interval at which targets renew their registrations, in seconds; 0 if unknown.
     """
 
     name: str
@@ -64,6 +66,7 @@
     retry_limits: RetryLimits
     descriptors: int
     memory: int
+    heartbeat: float = 0.0
 
     @property
     def peer_port(self) -> int:
--- a/buckthornshed/tests/simulation/fleet.py
+++ b/buckthornshed/tests/simulation/fleet.py
@@ -156,6 +156,7 @@
             retry_limits=RetryLimits(ratio=0.2, window=10.0, slack=49.0),
             descriptors=1_000,
             memory=200_000_000,
+            heartbeat=BEAT_S,
         )
 
 
--- a/buckthornshed/transport/relay/fleet/fleet_exchange.py
+++ b/buckthornshed/transport/relay/fleet/fleet_exchange.py
@@ -40,6 +40,8 @@
         Returns seconds of the monotonic clock.
     rng : random.Random
         Chooses the relay that is asked for its view.
+    heartbeat : float
+        Interval at which targets renew their registrations, in seconds; 0 if unknown.
 
     Attributes
     ----------
@@ -62,6 +64,7 @@
         on_targets: Callable[[], None],
         clock: Callable[[], float],
         rng: "Random",
+        heartbeat: float = 0.0,
     ) -> None:
         self.instance = instance
         self.failure_domain = failure_domain
@@ -82,6 +85,7 @@
             readers=self.store_readers,
             tell_domain=self.tell_domain,
             tell_other_domains=self.tell_other_domains,
+            heartbeat=heartbeat,
         )
 
     def update_peers(self, targets: Collection[Target]) -> None:
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -44,6 +44,8 @@
         Sends an update to the relays of the own failure domain.
     tell_other_domains : callable
         Sends an update to the relays of the other failure domains.
+    heartbeat : float
+        Interval at which targets renew their registrations, in seconds; 0 if unknown.
 
     Attributes
     ----------
@@ -69,6 +71,7 @@
         readers: StoreReaders,
         tell_domain: Callable[[FleetUpdate], None],
         tell_other_domains: Callable[[FleetUpdate], None],
+        heartbeat: float = 0.0,
     ) -> None:
         self.clock = clock
         self.on_catalog = on_catalog
@@ -79,7 +82,7 @@
         self.tell_other_domains = tell_other_domains
         self.reading = True
         self.told_draining: dict[str, int] = {}
-        self.fleet_view = FleetView()
+        self.fleet_view = FleetView(heartbeat=heartbeat)
         self.unconfirmed = UnconfirmedTargets()
         self.comparison = ViewComparison()
         self.told_other_domains = False
@@ -107,6 +110,7 @@
         if succeeded:
             self._remove_unregistered(self.unconfirmed.end_read())
             self.fleet_view.news.record_confirmation(STORE, self.clock())
+            self.fleet_view.outage.note_read(self.clock())
             summary = self._summarize(revision)
             self.comparison.record_read(summary)
         if self.readers.record_own(self.clock(), succeeded=succeeded):
@@ -186,8 +190,11 @@
 
     def handle_store_available(self) -> None:
         """Record that the store answers again."""
-        log_event("store_found")
-        self.fleet_view.mark_store_available(self.clock())
+        now = self.clock()
+        outage = self.fleet_view.outage
+        lasted = round(now - outage.began_at, 3)
+        self.fleet_view.mark_store_available(now)
+        log_event("store_found", lasted=lasted, grace=outage.covers(now))
 
     def handle_store_restored(self) -> None:
         """Record that the store has returned from an old copy."""
@@ -211,6 +218,8 @@
         if update.reader is not None:
             instance, reads = update.reader
             self.readers.record(self.clock(), instance, succeeded=reads)
+            if reads:
+                self.fleet_view.outage.note_read(self.clock())
         targets = self._acceptable(update)
         changed = [t for t in targets if self.fleet_view.accept_target(t)]
         removed = [
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -119,6 +119,7 @@
             on_targets=self._targets_changed,
             clock=clock,
             rng=rng,
+            heartbeat=settings.heartbeat,
         )
         self.fleet_updater = self.fleet_exchange.updater
         self.fleet_view = self.fleet_updater.fleet_view
