Refuse requests in a planned stop whose route has given no answer for long

It is so with the first requests of a route: no call of it has ended, so the mean age of those that run counts as the time of a call, which is half of what has passed at most.

While no request of a route has been answered since the oldest pending one arrived, a call is expected to take twice that time.

Ruled out: the route's timeout for an unknown route, which refuses all of them from the signal on; twice the oldest age always, which refuses known routes as soon as one call is stuck.

--- a/buckthornshed/tests/simulation/test_planned_stop.py
+++ b/buckthornshed/tests/simulation/test_planned_stop.py
@@ -181,11 +181,12 @@
 
 
 async def play(
-    work, *, send=ask, entry=0, make_target=SlowTarget
+    work, *, send=ask, entry=0, make_target=SlowTarget, before=2 * GRACE_S
 ) -> tuple[list[Outcome], set[str]]:
     """Send requests around a planned stop; return their ends, and which ones ran.
 
-    Instance 0 is stopped, and the requests are sent to instance `entry`.
+    Instance 0 is stopped, and the requests are sent to instance `entry`, the first one
+    `before` seconds before the stop.
     """
     async with simulated_fleet([3]) as fleet:
         fleet.dropped = set()
@@ -194,7 +195,7 @@
         targets = await start_targets(fleet, work, make_target)
         await asyncio.sleep(5.0)
         stopped, asked_one = fleet.instances[0], fleet.instances[entry]
-        loop, begun = fleet.loop, fleet.loop.now + 2 * GRACE_S
+        loop, begun = fleet.loop, fleet.loop.now + before
         asked: list[asyncio.Task[Any]] = []
 
         async def send_requests(until):
@@ -229,6 +230,15 @@
     check_ends(*run(lambda: play(work)))
 
 
+# Guards against answers at the deadline that the stop sets: the first requests of a
+# route are passed on although they cannot end by then.
+@pytest.mark.parametrize("work", [0.1, 1.0, 2.8, 3.4])
+def test_the_first_requests_of_a_route_are_not_cut_by_the_deadline_of_a_stop(work):
+    outcomes, ran = run(lambda: play(work, before=0.0))
+    check_ends(outcomes, ran)
+    assert all(each.status == 200 for each in outcomes if each.request_id in ran)
+
+
 @pytest.mark.parametrize("work", [0.1, 1.0, 2.8, 3.4, 5.0])
 @pytest.mark.parametrize("send", [ask_slowly, ask_pipelined])
 def test_slow_bodies_and_pipelined_requests_are_not_cut_either(work, send):
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -1,6 +1,7 @@
 """Matching of complete requests to routes, before they are dispatched."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ....coordination.relay.dispatch_messages import RoutedRequest
@@ -25,6 +26,8 @@
 ENDED_PARENT_RETRY_AFTER_S = 0.5
 CALL_TIME_FACTOR = 1.25
 """Factor on the mean time of a call, for one that has to end before the process."""
+UNFINISHED_FACTOR = 2.0
+"""Expected time of a call over that for which its route has given no answer."""
 CLIENT_TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a client's own timeout at which it gets its final answer."""
 
@@ -53,6 +56,8 @@
         Service of the local target.
     load_balancer : LoadBalancer
         Knows how long calls take.
+    unanswered_time : callable
+        Returns for how long requests of a route have got no answer, in seconds.
 
     Attributes
     ----------
@@ -72,8 +77,10 @@
         counts: RelayCounts,
         service: str,
         load_balancer: LoadBalancer,
+        unanswered_time: Callable[[float, str], float],
     ) -> None:
         self.names = names
+        self.unanswered_time = unanswered_time
         self.load_balancer = load_balancer
         self.ends_at: float | None = None
         self.fleet_view = fleet_view
@@ -144,7 +151,8 @@
             ],
             route.objective,
         )
-        return now + CALL_TIME_FACTOR * call_time > self.ends_at
+        unanswered = UNFINISHED_FACTOR * self.unanswered_time(now, route.name)
+        return now + CALL_TIME_FACTOR * max(call_time, unanswered) > self.ends_at
 
     def _of_client(
         self,
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -184,6 +184,9 @@
             counts=self.counts,
             service=settings.target_service,
             load_balancer=self.load_balancer,
+            unanswered_time=lambda now, route: self.dispatcher.unanswered_time(
+                now, route
+            ),
         )
         self.dispatcher = Dispatcher(
             fleet_view=self.fleet_view,
@@ -311,7 +314,7 @@
         assert catalog is not None
         self.listener.limits = catalog.limits
         names = {route.name for routes in catalog.routes.values() for route in routes}
-        self.dispatcher.weighted_split.retain(names)
+        self.dispatcher.retain_routes(names)
         self.admission.configure(catalog)
         self.quotas.configure(catalog)
         self.target_reports.update_local_target()
