Send calls again that the other relay has not received

A request that may run once was not repeated, others used up the budget.

A relay answers Hello with a Welcome now: its start, and the number of the last call that it has received from that relay. It ends the earlier connections of the caller first and reads no more from them. Numbers rise on each connection, so calls with a higher number have not arrived and never will: they are refused as not run and sent again without budget. Another incarnation of the receiver does not know what the one before had received, so its calls count as lost. Only a Hello that says so is answered, so the last landing gets none.

Ruled out: a shorter silence before a link counts as failed, which slow processes would not keep; a question for each call, as the order of the connection answers for all.

--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -213,9 +213,20 @@
         self, now: float, exchanges: list[int]
     ) -> list[DispatchAction]:
         """Handle the loss of the connection that carried some calls as refusals."""
+        return self._refuse(now, exchanges, RefusalReason.LOST)
+
+    def handle_unreceived(
+        self, now: float, exchanges: list[int]
+    ) -> list[DispatchAction]:
+        """Send calls again that the other relay has not received and never will."""
+        return self._refuse(now, exchanges, RefusalReason.UNREACHABLE)
+
+    def _refuse(
+        self, now: float, exchanges: list[int], reason: RefusalReason
+    ) -> list[DispatchAction]:
         actions: list[DispatchAction] = []
         for exchange in exchanges:
-            refusal = RefusalMessage(exchange, RefusalReason.LOST, 0.0, 0.0)
+            refusal = RefusalMessage(exchange, reason, 0.0, 0.0)
             actions += self.handle_refusal(now, refusal)
         return actions
 
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -28,6 +28,7 @@
     "Status",
     "ViewRequest",
     "ViewSummary",
+    "Welcome",
 ]
 
 FAILED_STATUS = 500
@@ -123,12 +124,26 @@
     """First message on a connection: introduces the relay that opened it.
 
     `name` is the name of its instance, `started` the time of its start in Unix
-    milliseconds, `instance` the IP address of its instance.
+    milliseconds, `instance` the IP address of its instance. `expects_welcome` is
+    whether it understands a `Welcome`, which versions before this field do not.
     """
 
     name: str
     started: int
     instance: str = ""
+    expects_welcome: bool = False
+
+
+class Welcome(msgspec.Struct, array_like=True, tag=16):
+    """Answers a `Hello` that expects it.
+
+    `started` is the start of the sender of this message in Unix milliseconds.
+    `last_exchange` is the highest number of the calls that it has received from the
+    other relay on earlier connections. It has closed these and reads no more from them.
+    """
+
+    started: int
+    last_exchange: int
 
 
 class CallMessage(msgspec.Struct, array_like=True, tag=1):
@@ -332,6 +347,7 @@
     | FleetUpdate
     | Status
     | ViewRequest
+    | Welcome
     | CrashNotice
     | QuotaUse
     | QuotaQuestion
--- a/buckthornshed/tests/relay/frame_samples.py
+++ b/buckthornshed/tests/relay/frame_samples.py
@@ -36,6 +36,7 @@
     StatedLimit,
     Status,
     ViewRequest,
+    Welcome,
 )
 from buckthornshed.state.catalog import (
     Catalog,
@@ -126,3 +127,5 @@
     print(
         json.dumps([MESSAGE_ENCODER.encode(each).hex() for each in SAMPLES], indent=1)
     )
+NEW_SAMPLES = (Welcome(1_700_000_000_000, 7),)
+"""Messages that the last landing does not know, and that it is not sent."""
--- a/buckthornshed/tests/relay/test_frame_compatibility.py
+++ b/buckthornshed/tests/relay/test_frame_compatibility.py
@@ -13,6 +13,7 @@
 from buckthornshed.protocol.relay_frames import MESSAGE_DECODER, MESSAGE_ENCODER
 from buckthornshed.protocol.relay_messages import (
     FleetUpdate,
+    Hello,
     ReaderReport,
     RelayMessage,
     StatedLimit,
@@ -20,7 +21,7 @@
 )
 from buckthornshed.state.catalog import Catalog, Target
 
-from .frame_samples import SAMPLES
+from .frame_samples import NEW_SAMPLES, SAMPLES
 
 FRAMES = Path(__file__).parents[1] / "data" / "frames.json"
 
@@ -34,6 +35,14 @@
     assert decoded == list(SAMPLES)
 
 
+class LastHello(msgspec.Struct, array_like=True, tag=0):
+    """`Hello` with the fields that the last landing knows."""
+
+    name: str
+    started: int
+    instance: str = ""
+
+
 class LastFleetUpdate(msgspec.Struct, array_like=True, tag=8):
     """`FleetUpdate` with the fields that the last landing knows."""
 
@@ -49,7 +58,7 @@
 def without_new_fields(message):
     """Return the frame of a message as the last landing would write it."""
     frame = MESSAGE_ENCODER.encode(message)
-    if isinstance(message, FleetUpdate):
+    if isinstance(message, FleetUpdate | Hello):
         return MESSAGE_ENCODER.encode(msgspec.msgpack.decode(frame)[:-1])
     return frame
 
@@ -70,10 +79,26 @@
             assert getattr(read, field) == getattr(update, field)
 
 
+def test_the_last_landing_reads_the_first_message_of_this_version():
+    hello = Hello("instance-1", 1_700, "10.0.0.1", True)
+    read = msgspec.msgpack.decode(MESSAGE_ENCODER.encode(hello), type=LastHello)
+    assert read == LastHello("instance-1", 1_700, "10.0.0.1")
+
+
+# It would end the connection on a message that it does not know.
+def test_a_relay_of_the_last_landing_expects_no_welcome():
+    frame = MESSAGE_ENCODER.encode(LastHello("instance-1", 1_700, "10.0.0.1"))
+    hello = MESSAGE_DECODER.decode(frame)
+    assert isinstance(hello, Hello) and not hello.expects_welcome
+
+
 def test_a_summary_is_read_as_it_was_written():
     update = FleetUpdate(summary=ViewSummary(2**62, 3, 2**55))
     assert MESSAGE_DECODER.decode(MESSAGE_ENCODER.encode(update)) == update
 
 
 def test_each_kind_of_message_is_compared():
-    assert {type(each) for each in SAMPLES} == set(get_args(RelayMessage))
+    samples = (*SAMPLES, *NEW_SAMPLES)
+    assert {type(each) for each in samples} == set(get_args(RelayMessage))
+    for each in NEW_SAMPLES:
+        assert MESSAGE_DECODER.decode(MESSAGE_ENCODER.encode(each)) == each
--- a/buckthornshed/tests/relay/test_peer_link_cost.py
+++ b/buckthornshed/tests/relay/test_peer_link_cost.py
@@ -73,6 +73,9 @@
     def handle_link_loss(self, instance, exchanges):
         pass
 
+    def handle_lost_calls(self, instance, resolution):
+        pass
+
 
 class Loop:
     """Runs what a link schedules at once."""
--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from ....coordination.relay.retries.unresolved_calls import Resolution
 from ....errors import PeerError
 from ....protocol.relay_frames import FrameReader, FrameWriter
 from ....protocol.relay_messages import (
@@ -18,6 +19,7 @@
     Ping,
     RefusalMessage,
     RelayMessage,
+    Welcome,
 )
 from ...logs import log_event
 from ..counts import RelayCounts
@@ -65,6 +67,9 @@
         `exchanges` identifies the calls that were pending on it.
         """
 
+    def handle_lost_calls(self, instance: str, resolution: Resolution) -> None:
+        """Handle the end of calls on a connection that has ended."""
+
 
 class ConnectionRegistry(Protocol):
     """What a connection needs to know and to tell of all connections of its relay."""
@@ -78,6 +83,15 @@
     def count_session(self, instance: str, change: int) -> None:
         """Count the begin or the end of a session of an instance."""
 
+    def replace_sessions(self, session: "PeerSession") -> int:
+        """End the earlier sessions of the same relay; return its last call on them."""
+
+    def record_call(self, session: "PeerSession", exchange: int) -> None:
+        """Record that a call has arrived on a session."""
+
+    def resolve_calls(self, link: "PeerLink", welcome: Welcome) -> None:
+        """Decide on the calls of an earlier link to the same instance."""
+
     def retry_now(self, instance: str) -> None:
         """Retry the link to an instance at once, because its relay is known to run."""
 
@@ -139,6 +153,10 @@
         Name of the other relay's instance, empty until its `Hello` has arrived.
     instance : str
         IP address of the other relay's instance, empty until then.
+    started : int
+        Start of the other relay in Unix milliseconds, 0 until then.
+    replaced : bool
+        Whether the other relay has connected again, so that nothing more is read.
     """
 
     def __init__(self, *, links: ConnectionRegistry, number: int) -> None:
@@ -146,6 +164,8 @@
         self.number = number
         self.name = ""
         self.instance = ""
+        self.started = 0
+        self.replaced = False
         self.reader = FrameReader()
         self.outbox = Outbox(counts=links.counts)
         self.transport: asyncio.Transport | None = None
@@ -168,6 +188,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode received data and handle the complete messages."""
+        if self.replaced:
+            return
         try:
             messages = read_messages(self.reader, data, self.links.counts)
         except PeerError as error:
@@ -178,15 +200,28 @@
         for message in messages:
             if isinstance(message, Hello):
                 self._introduce(message)
-            else:
-                self.links.handler.handle_session_message(self, message)
+                continue
+            if isinstance(message, CallMessage):
+                self.links.record_call(self, message.exchange)
+            self.links.handler.handle_session_message(self, message)
 
     def _introduce(self, hello: Hello) -> None:
         self.name = hello.name
-        if not self.instance:
-            self.instance = hello.instance
-            self.links.count_session(self.instance, 1)
-            self.links.handler.handle_new_session(self.instance)
+        if self.instance:
+            return
+        self.instance = hello.instance
+        self.started = hello.started
+        self.links.count_session(self.instance, 1)
+        if hello.expects_welcome:
+            last = self.links.replace_sessions(self)
+            self.send(Welcome(self.links.hello.started, last))
+        self.links.handler.handle_new_session(self.instance)
+
+    def replace(self) -> None:
+        """End the connection at once, as the other relay uses another one."""
+        self.replaced = True
+        if self.transport is not None:
+            self.transport.abort()
 
     def send(self, message: RelayMessage) -> None:
         """Send a message, unless the connection has ended."""
@@ -205,6 +240,8 @@
         Whether the other relay has sent a `DrainNotice`.
     reported_silent : bool
         Whether another relay has said that this one does not answer.
+    peer_started : int or None
+        Start of the other relay in Unix milliseconds; None until its `Welcome`.
     """
 
     def __init__(self, *, links: ConnectionRegistry, instance: str) -> None:
@@ -218,6 +255,7 @@
         self.pinged_at: float | None = None
         self.draining = False
         self.reported_silent = False
+        self.peer_started: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the `Hello` of this relay."""
@@ -244,6 +282,10 @@
             self.abort()
             return
         for message in messages:
+            if isinstance(message, Welcome):
+                self.peer_started = message.started
+                self.links.resolve_calls(self, message)
+                continue
             if isinstance(message, AnswerMessage | RefusalMessage):
                 if message.exchange not in self.exchanges:
                     log_event(
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -10,7 +10,12 @@
 from functools import partial
 
 from ....coordination.relay.placement.load_balancer import Availability
-from ....protocol.relay_messages import Hello, RelayMessage
+from ....coordination.relay.retries.unresolved_calls import (
+    ReceivedCalls,
+    Resolution,
+    UnresolvedCalls,
+)
+from ....protocol.relay_messages import Hello, RelayMessage, Welcome
 from ..counts import RelayCounts
 from ..supervision import keep_running
 from .peer_connections import PING_AFTER_S, PeerHandler, PeerLink, PeerSession
@@ -48,6 +53,13 @@
         Returns seconds of the monotonic clock.
     counts : RelayCounts
         Counts the messages and their bytes.
+
+    Attributes
+    ----------
+    unresolved : UnresolvedCalls
+        Calls on links that have ended, which may or may not have arrived.
+    received : ReceivedCalls
+        The last call of each other relay.
     """
 
     def __init__(
@@ -70,6 +82,8 @@
         self.link_tasks: dict[str, asyncio.Task[None]] = {}
         self.closed_events: dict[str, asyncio.Event] = {}
         self.retry_events: dict[str, asyncio.Event] = {}
+        self.unresolved = UnresolvedCalls()
+        self.received = ReceivedCalls()
         self.last_session_number = 0
         self.last_tick_at = clock()
         self.next_recipient = 0
@@ -113,6 +127,25 @@
         if instance:
             self.sessions_by_instance[instance] += change
 
+    def record_call(self, session: PeerSession, exchange: int) -> None:
+        """Record that a call has arrived on a session."""
+        self.received.record(session.instance, session.started, exchange)
+
+    def replace_sessions(self, session: PeerSession) -> int:
+        """End the earlier sessions of the same relay; return its last call on them."""
+        sender = session.instance, session.started
+        for other in list(self.sessions):
+            if other is not session and (other.instance, other.started) == sender:
+                other.replace()
+        return self.received.last(*sender)
+
+    def resolve_calls(self, link: PeerLink, welcome: Welcome) -> None:
+        """Decide on the calls of an earlier link to the same instance."""
+        resolution = self.unresolved.resolve(
+            link.instance, welcome.started, welcome.last_exchange
+        )
+        self._end_calls(link.instance, resolution)
+
     def is_connected(self, instance: str) -> bool:
         """Return whether an instance has a session here and answers this relay."""
         return (
@@ -189,6 +222,8 @@
 
     def tick(self, now: float) -> None:
         """Check all links for a failed connection."""
+        for instance, lost in self.unresolved.take_expired(now).items():
+            self._end_calls(instance, Resolution(lost, []))
         paused = now - self.last_tick_at > PAUSE_THRESHOLD_S
         self.last_tick_at = now
         idle_interval = max(PING_AFTER_S, len(self.links) / MAX_IDLE_PINGS_PER_S)
@@ -218,6 +253,20 @@
         exchanges = sorted(link.exchanges)
         link.exchanges.clear()
         self.handler.handle_link_loss(link.instance, exchanges)
+        self._hold_calls(link, exchanges)
+
+    def _hold_calls(self, link: PeerLink, exchanges: list[int]) -> None:
+        """Ask the other relay on a new link which calls it has received, if it can."""
+        instance = link.instance
+        if link.peer_started is None or instance not in self.link_tasks:
+            self._end_calls(instance, Resolution(exchanges, []))
+        elif exchanges:
+            started = link.peer_started
+            self.unresolved.hold(self.clock(), instance, started, exchanges)
+
+    def _end_calls(self, instance: str, resolution: Resolution) -> None:
+        if resolution.lost or resolution.unreceived:
+            self.handler.handle_lost_calls(instance, resolution)
 
     def _accept(self) -> asyncio.Protocol:
         self.last_session_number += 1
@@ -237,6 +286,8 @@
                         self.port,
                     )
             except (OSError, TimeoutError):
+                lost = self.unresolved.give_up(instance)
+                self._end_calls(instance, Resolution(lost, []))
                 await self._wait_before_retry(instance, delay)
                 delay = min(delay * 2, MAX_BACKOFF_S)
                 continue
@@ -244,7 +295,8 @@
             self.links[instance] = link
             self.handler.handle_new_link(instance)
             await closed.wait()
-            await self._wait_before_retry(instance, delay)
+            if instance not in self.unresolved.by_instance:
+                await self._wait_before_retry(instance, delay)
 
     async def _wait_before_retry(self, instance: str, seconds: float) -> None:
         retry = asyncio.Event()
--- a/buckthornshed/transport/relay/peers/peer_messages.py
+++ b/buckthornshed/transport/relay/peers/peer_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from ....coordination.relay.retries.unresolved_calls import Resolution
 from ....protocol.crash_messages import CrashNotice
 from ....protocol.quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 from ....protocol.relay_messages import (
@@ -111,8 +112,14 @@
     def handle_link_loss(self, instance: str, exchanges: list[int]) -> None:
         """Handle the loss of a connection with calls in progress."""
         log_event("peer_lost", peer=instance, calls=len(exchanges))
-        relay = self.relay
-        relay.execute(relay.dispatcher.handle_connection_loss(relay.clock(), exchanges))
+
+    def handle_lost_calls(self, instance: str, resolution: Resolution) -> None:
+        """End calls on a connection that has ended, or send them again."""
+        lost, unreceived = resolution
+        log_event("calls_lost", peer=instance, lost=len(lost), again=len(unreceived))
+        now, dispatcher = self.relay.clock(), self.relay.dispatcher
+        self.relay.execute(dispatcher.handle_connection_loss(now, lost))
+        self.relay.execute(dispatcher.handle_unreceived(now, unreceived))
 
     def handle_silent_link(self, instance: str) -> None:
         """Tell others of a relay that does not answer."""
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -101,7 +101,7 @@
         self.access_log = AccessLog(counts=self.counts)
         self.peer_messages = PeerMessages(relay=self)
         self.links = PeerLinks(
-            hello=Hello(settings.name, int(wall() * 1e3), self.instance),
+            hello=Hello(settings.name, int(wall() * 1e3), self.instance, True),
             port=settings.peer_port,
             handler=self.peer_messages,
             clock=clock,
