--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -168,7 +168,8 @@
         ReadCutError
             If the connection is closed before the wait is over, or nothing arrives.
         HistoryLostError
-            If the store no longer has the changes after that revision.
+            If the store no longer has the changes after that revision, or leaves
+            them out.
         StoreRestoredError
             If the store has returned from an old copy since the last answer.
         PlatformError
@@ -200,6 +201,13 @@
                 found=f"events up to revision {events.at}",
                 expected=f"events after revision {after}",
             )
+        if not prefix and not events.events and events.at > after:
+            # Each revision is a change of some key, so this answer lacks changes.
+            raise HistoryLostError(
+                subject=f"store at {self.address}",
+                found=f"no events up to revision {events.at}",
+                expected=f"events after revision {after}",
+            )
         return ChangeBatch(tuple(_read_items(events.events)), events.at)
 
     async def _get(self, query: str, timeout: float) -> bytes:
