--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -41,6 +41,7 @@
     TARGET_FAILURE_REASONS,
 )
 from .retries.retry_budget import RetryBudget
+from .route_answers import RouteAnswers
 
 if TYPE_CHECKING:
     from random import Random
@@ -107,7 +108,7 @@
         self.weighted_split = WeightedRoundRobin()
         self.pending: dict[int, PendingRequest] = {}
         self.exchanges: dict[int, PendingRequest] = {}
-        self.answered_at: dict[str, float] = {}
+        self.answers = RouteAnswers()
         self.next_exchange = 1
 
     def submit(
@@ -134,25 +135,6 @@
         self.pending[token] = pending
         return self._send(now, pending)
 
-    def unanswered_time(self, now: float, route: str) -> float:
-        """Return for how long requests of a route have got no answer, in seconds.
-
-        It is the age of the oldest one, if no other was answered since its arrival.
-        """
-        arrivals = (
-            each.request.arrived
-            for each in self.pending.values()
-            if each.request.route.name == route
-        )
-        oldest = min(arrivals, default=now)
-        return 0.0 if self.answered_at.get(route, -math.inf) >= oldest else now - oldest
-
-    def retain_routes(self, names: set[str]) -> None:
-        """Forget what concerns routes that no longer exist."""
-        self.weighted_split.retain(names)
-        for route in self.answered_at.keys() - names:
-            del self.answered_at[route]
-
     def client_disconnected(self, now: float, token: int) -> list[DispatchAction]:
         """Cancel the call of a request whose client has disconnected."""
         pending = self.pending.pop(token, None)
@@ -173,7 +155,7 @@
         self.load_balancer.record_outcome(now, record, failed=answer.failed)
         route = pending.request.route.name
         record.call_times[route] = answer.call_time
-        self.answered_at[route] = now
+        self.answers.record(now, route)
         record.rate_limit = answer.rate_limit
         if answer.leaving:
             self.fleet_view.mark_leaving(record.target.name, record.target.started)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -184,9 +184,7 @@
             counts=self.counts,
             service=settings.target_service,
             load_balancer=self.load_balancer,
-            unanswered_time=lambda now, route: self.dispatcher.unanswered_time(
-                now, route
-            ),
+            unanswered_time=self._unanswered_time,
         )
         self.dispatcher = Dispatcher(
             fleet_view=self.fleet_view,
@@ -314,11 +312,16 @@
         assert catalog is not None
         self.listener.limits = catalog.limits
         names = {route.name for routes in catalog.routes.values() for route in routes}
-        self.dispatcher.retain_routes(names)
+        self.dispatcher.weighted_split.retain(names)
+        self.dispatcher.answers.retain(names)
         self.admission.configure(catalog)
         self.quotas.configure(catalog)
         self.target_reports.update_local_target()
 
+    def _unanswered_time(self, now: float, route: str) -> float:
+        pending = self.dispatcher.pending.values()
+        return self.dispatcher.answers.unanswered_time(now, route, pending)
+
     def _targets_changed(self) -> None:
         targets = self.fleet_view.targets
         self.fleet_exchange.update_peers(targets.values())
