Count calls that a relay no longer remembers as received

A relay remembered the last call by instance alone. A late call of an earlier incarnation of the caller, or a full table, made it forget the present one and state 0, by which calls that had run would have been sent again (TWICE).

The last call is kept by instance and start, and what is not known counts as received, so its calls end as lost. A connection whose first message comes after that of a later connection ends, in place of replacing the later one.

Ruled out: calls of a connection without a Welcome, which were never held, so a late first message cannot lead to a second run.

--- a/buckthornshed/coordination/relay/retries/unresolved_calls.py
+++ b/buckthornshed/coordination/relay/retries/unresolved_calls.py
@@ -8,11 +8,13 @@
 
 from typing import NamedTuple
 
-__all__ = ["ReceivedCalls", "Resolution", "UnresolvedCalls"]
+__all__ = ["ALL_RECEIVED", "ReceivedCalls", "Resolution", "UnresolvedCalls"]
 
 HOLD_S = 0.3
 """Time for which calls wait until their receiver is connected again."""
 MAX_SENDERS = 8_192
+ALL_RECEIVED = 2**63 - 1
+"""Number that is not lower than that of any call."""
 
 
 class Resolution(NamedTuple):
@@ -77,20 +79,29 @@
 
 
 class ReceivedCalls:
-    """The highest number of the calls that each relay has sent to this one."""
+    """The highest number of the calls that each relay has sent to this one.
+
+    Attributes
+    ----------
+    last_by_sender : dict
+        That number by the instance and the start of the sender. What it does not have,
+        such as the oldest entries of a full table, counts as received.
+    """
 
     def __init__(self) -> None:
-        self.last_by_sender: dict[str, tuple[int, int]] = {}
+        self.last_by_sender: dict[tuple[str, int], int] = {}
 
-    def record(self, instance: str, started: int, exchange: int) -> None:
-        """Record a call of an incarnation of a relay."""
-        last = max(exchange, self.last(instance, started))
-        is_new = instance not in self.last_by_sender
-        if is_new and len(self.last_by_sender) >= MAX_SENDERS:
+    def greet(self, instance: str, started: int) -> int:
+        """Return the highest number from a relay that connects, and remember it."""
+        sender = instance, started
+        last = self.last_by_sender.pop(sender, None)
+        if len(self.last_by_sender) >= MAX_SENDERS:
             self.last_by_sender.pop(next(iter(self.last_by_sender)))
-        self.last_by_sender[instance] = started, last
+        self.last_by_sender[sender] = 0 if last is None else last
+        return ALL_RECEIVED if last is None else last
 
-    def last(self, instance: str, started: int) -> int:
-        """Return the highest number received from an incarnation, 0 without one."""
-        known, last = self.last_by_sender.get(instance, (started, 0))
-        return last if known == started else 0
+    def record(self, instance: str, started: int, exchange: int) -> None:
+        """Record a call of a relay that has connected."""
+        sender = instance, started
+        if sender in self.last_by_sender:
+            self.last_by_sender[sender] = max(exchange, self.last_by_sender[sender])
--- a/buckthornshed/tests/properties/test_unresolved_calls_machine.py
+++ b/buckthornshed/tests/properties/test_unresolved_calls_machine.py
@@ -1,9 +1,11 @@
 """State machine of calls over connections that end, become silent and are replaced."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from buckthornshed.coordination.relay.retries import unresolved_calls
 from buckthornshed.coordination.relay.retries.unresolved_calls import (
     HOLD_S,
     ReceivedCalls,
@@ -32,6 +34,7 @@
         self.unresolved = UnresolvedCalls()
         self.receiver_started = 1
         self.received = ReceivedCalls()
+        self.received.greet(CALLER, CALLER_STARTED)
         self.arrived = set()
         self.unreceived = set()
         self.ended = set()
@@ -61,6 +64,17 @@
             self.arrived.add(exchange)
         del connection.on_the_way[:count]
 
+    @rule(others=st.integers(1, 3))
+    def forget(self, others):
+        """Let the receiver's table overflow by other callers."""
+        for number in range(others):
+            self.received.greet(f"10.0.1.{number}", self.next_exchange)
+
+    @rule(started=st.integers(2, 3), exchange=st.integers(1, 50))
+    def call_of_another_incarnation(self, started, exchange):
+        self.received.greet(CALLER, started)
+        self.received.record(CALLER, started, exchange)
+
     @rule()
     def restart_receiver(self):
         self.receiver_started += 1
@@ -83,7 +97,7 @@
         lost, unreceived = self.unresolved.resolve(
             RECEIVER,
             self.receiver_started,
-            self.received.last(CALLER, CALLER_STARTED),
+            self.received.greet(CALLER, CALLER_STARTED),
         )
         self.ended |= set(lost)
         self.unreceived |= set(unreceived)
@@ -105,5 +119,32 @@
         assert not self.unreceived & self.ended
 
 
+@pytest.fixture(autouse=True)
+def small_table(monkeypatch):
+    monkeypatch.setattr(unresolved_calls, "MAX_SENDERS", 3)
+
+
 CallsMachine.TestCase.settings = settings(max_examples=200, stateful_step_count=30)
 TestCalls = CallsMachine.TestCase
+
+
+# Guards against a second run: what is no longer remembered may have been received.
+def test_what_is_not_remembered_counts_as_received():
+    received = ReceivedCalls()
+    assert received.greet(CALLER, CALLER_STARTED) == unresolved_calls.ALL_RECEIVED
+    received.record(CALLER, CALLER_STARTED, 7)
+    assert received.greet(CALLER, CALLER_STARTED) == 7
+    for number in range(unresolved_calls.MAX_SENDERS):
+        received.greet(f"10.0.2.{number}", 1)
+    received.record(CALLER, CALLER_STARTED, 8)
+    assert received.greet(CALLER, CALLER_STARTED) == unresolved_calls.ALL_RECEIVED
+
+
+# Guards against a second run: bytes of an earlier incarnation may come late.
+def test_a_call_of_an_earlier_incarnation_hides_none_of_the_present_one():
+    received = ReceivedCalls()
+    for started in (CALLER_STARTED, CALLER_STARTED + 1):
+        received.greet(CALLER, started)
+    received.record(CALLER, CALLER_STARTED + 1, 7)
+    received.record(CALLER, CALLER_STARTED, 3)
+    assert received.greet(CALLER, CALLER_STARTED + 1) == 7
--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -200,6 +200,8 @@
         for message in messages:
             if isinstance(message, Hello):
                 self._introduce(message)
+                if self.replaced:
+                    return
                 continue
             if isinstance(message, CallMessage):
                 self.links.record_call(self, message.exchange)
@@ -214,6 +216,8 @@
         self.links.count_session(self.instance, 1)
         if hello.expects_welcome:
             last = self.links.replace_sessions(self)
+            if self.replaced:
+                return
             self.send(Welcome(self.links.hello.started, last))
         self.links.handler.handle_new_session(self.instance)
 
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -132,12 +132,17 @@
         self.received.record(session.instance, session.started, exchange)
 
     def replace_sessions(self, session: PeerSession) -> int:
-        """End the earlier sessions of the same relay; return its last call on them."""
+        """End the earlier sessions of the same relay; return its last call on them.
+
+        If its first message has come late, the session itself is the earlier one.
+        """
         sender = session.instance, session.started
-        for other in list(self.sessions):
-            if other is not session and (other.instance, other.started) == sender:
-                other.replace()
-        return self.received.last(*sender)
+        same = [s for s in self.sessions if (s.instance, s.started) == sender]
+        latest = max(each.number for each in (session, *same))
+        for each in same:
+            if each.number < latest:
+                each.replace()
+        return self.received.greet(*sender)
 
     def resolve_calls(self, link: PeerLink, welcome: Welcome) -> None:
         """Decide on the calls of an earlier link to the same instance."""
