--- a/buckthornshed/tests/soak/disturbances.py
+++ b/buckthornshed/tests/soak/disturbances.py
@@ -9,7 +9,7 @@
 
 from .history import STABLE_S
 from .system import System
-from .workspaces import UNKNOWN_KEY
+from .workspaces import STEADY_KEY, UNKNOWN_KEY
 
 Disturbance = Callable[[System, Random], Coroutine[Any, Any, None]]
 
@@ -19,6 +19,8 @@
 IN_FORCE_S = 3.0
 """Time after which a configuration is in force at relays without disturbance."""
 LOUD_REQUESTS = 200
+ROUTE_REQUESTS = 12
+ROUTE_INTERVAL_S = 0.5
 NESTED = b'{"notes": %s1%s}' % (b"[" * 5_000, b"]" * 5_000)
 """A registration that a decoder with a limited stack cannot read."""
 
@@ -68,6 +70,40 @@
     await system.publish([f"p{system.version}"])
 
 
+@disturbance
+async def add_route(system, rng):
+    """Add a route that stays; no relay without disturbance may refuse it once due."""
+    path = f"kept{len(system.kept_paths)}"
+    system.kept_paths.append(path)
+    system.version += 1
+    await system.publish()
+    written = time.monotonic()
+    await asyncio.sleep(IN_FORCE_S)
+    for _ in range(ROUTE_REQUESTS):
+        await asyncio.gather(
+            *(
+                expect_route(system, each, f"/{path}/1", written)
+                for each in system.instances
+            )
+        )
+        await asyncio.sleep(ROUTE_INTERVAL_S)
+
+
+async def expect_route(system, instance, path, written):
+    """Check that a relay has a route, unless it or the store was disturbed."""
+    history = system.history
+    status = await system.ask(instance, STEADY_KEY, path)
+    disturbed = max(
+        history.store_disturbed_at, history.disturbed_at.get(instance.number, 0.0)
+    )
+    calm = disturbed < written - STABLE_S and not instance.restarting
+    if status == 404 and calm and system.store.mode == "up":
+        age = time.monotonic() - written
+        history.faults.append(
+            f"relay {instance.number} refused {path} {age:.1f} s after it was added"
+        )
+
+
 @disturbance
 async def state_limit(system, rng):
     target = rng.choice(system.instances).target
--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -218,6 +218,11 @@
     """All instances and the store of one soak.
 
     `old` is the folder of the version that all relays run at first, None for this one.
+
+    Attributes
+    ----------
+    kept_paths : list of str
+        Paths of the routes that were added and stay.
     """
 
     def __init__(self, folder: Path, old: Path | None = None):
@@ -231,6 +236,7 @@
         self.instances: list[Instance] = []
         self.beats: list[asyncio.Task[None]] = []
         self.version = 1
+        self.kept_paths: list[str] = []
         self.sent = 0
 
     async def open(self, count):
@@ -249,10 +255,11 @@
 
     async def publish(self, extra_paths=()):
         """Write the configuration to the store."""
-        document = self.workspaces.document(self.version, extra_paths)
+        paths = [*self.kept_paths, *extra_paths]
+        document = self.workspaces.document(self.version, paths)
         await self.store.put("op/config", document)
 
-    async def ask(self, instance, key):
+    async def ask(self, instance, key, path="/avail/1"):
         """Send one request with a key; return its status, None without an answer."""
         self.sent += 1
         request_id = f"k-{self.sent}"
@@ -263,7 +270,7 @@
                 reader, writer = await asyncio.open_connection(
                     instance.address, self.client_port
                 )
-                writer.write(make_request(request_id, "GET /avail/1", key))
+                writer.write(make_request(request_id, f"GET {path}", key))
                 response = await read_response(reader)
                 writer.close()
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
