Log once that a relay is behind, until it has read

A relay that cannot read the store logged view_behind for each report of each reader, up to five a second, from the budget of lines that the changes of the view are kept in. It is logged for the first report, and again after a read.

Evidence: test_a_relay_that_is_behind_says_so_once_until_it_has_read failed before (it counts two lines before the read).

--- a/buckthornshed/coordination/relay/fleet/store_readers.py
+++ b/buckthornshed/coordination/relay/fleet/store_readers.py
@@ -104,6 +104,11 @@
         """
         self.gaps += 1
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether no read has made up yet for what may have been lost."""
+        return self.gaps > self.gaps_covered
+
     def record_own(self, now: float, *, succeeded: bool) -> bool:
         """Record a read of this relay; return whether the others are to be told."""
         if succeeded:
@@ -115,7 +120,7 @@
     def should_read(self, now: float) -> bool:
         """Return whether this relay is to read the store, which it then does."""
         self.gaps_before_read = self.gaps
-        if self.gaps > self.gaps_covered and self._may_try(now, self.ahead):
+        if self.has_gap and self._may_try(now, self.ahead):
             return True
         if not self.registered:
             # Relays tell only those beside registered targets of changes.
--- a/buckthornshed/tests/relay/test_configuration_news.py
+++ b/buckthornshed/tests/relay/test_configuration_news.py
@@ -8,10 +8,12 @@
 from buckthornshed.cli.dump import render_dump
 from buckthornshed.cli.main import main
 from buckthornshed.cli.trace import explain_end, read_lines
+from buckthornshed.protocol.relay_messages import FleetUpdate, ViewSummary
 from buckthornshed.transport.relay.gauges import read_gauges
 from buckthornshed.transport.relay.relay_dump import dump_relay
 
 from .fleet import fleet_of, until
+from .test_told_twice import ReaderParts
 
 SIZE = 6
 
@@ -122,3 +124,24 @@
 def test_trace_prints_what_the_line_of_a_missing_route_says(log, capsys):
     main(["trace", "one", str(log)])
     assert "confirmed_age=0.6" in capsys.readouterr().out
+
+
+def test_a_relay_that_is_behind_says_so_once_until_it_has_read(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        "buckthornshed.transport.relay.fleet.fleet_updater.log_event",
+        lambda event, **_: logged.append(event),
+    )
+    updater = ReaderParts().updater
+
+    def report(revision):
+        summary = ViewSummary(revision, 2, 7)
+        updater.apply_update(FleetUpdate(summary=summary), "10.0.0.3")
+
+    report(20)
+    report(21)
+    assert logged.count("view_behind") == 1
+    assert updater.reads_store()
+    updater.handle_store_read(succeeded=True, revision=30)
+    report(31)
+    assert logged.count("view_behind") == 2
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -250,7 +250,10 @@
             if reported.generation <= own.generation:
                 self.fleet_view.news.record_confirmation(sender, self.clock())
             return
+        was_known = self.readers.has_gap
         self.readers.record_gap()
+        if was_known:
+            return
         log_event(
             "view_behind",
             peer=sender,
--- a/buckthornshed/transport/relay/relay_dump.py
+++ b/buckthornshed/transport/relay/relay_dump.py
@@ -109,7 +109,7 @@
         if readers.own_report.at
         else NO_AGE,
         grace_left=round(max(0.0, view.grace_until - now), 3),
-        gap=readers.gaps > readers.gaps_covered,
+        gap=readers.has_gap,
     )
 
 
