Let only summaries of the own failure domain make a relay read

Cause: the first reader of a domain sends its summary to other domains after it has told them something. The summary also covers changes that only its own domain has been told of, for example by another reader there that saw them a moment earlier. Relays of other domains took the difference for a lack, and all of them read.

Change: such a summary covers older reports if it is equal to the own view, as before. It shows no lack any more: that is for the reports of the own domain's readers.

test_a_relay_that_is_behind_says_so_once_until_it_has_read sent its summary without a reader, which is the form of another domain; it now sends a reader's report, with the same assertions.

Ruled out: a summary that leaves out what was not told to others; the reader cannot know which changes their own readers have read.

--- a/buckthornshed/tests/relay/test_configuration_news.py
+++ b/buckthornshed/tests/relay/test_configuration_news.py
@@ -8,7 +8,11 @@
 from buckthornshed.cli.dump import render_dump
 from buckthornshed.cli.main import main
 from buckthornshed.cli.trace import explain_end, read_lines
-from buckthornshed.protocol.relay_messages import FleetUpdate, ViewSummary
+from buckthornshed.protocol.relay_messages import (
+    FleetUpdate,
+    ReaderReport,
+    ViewSummary,
+)
 from buckthornshed.transport.relay.gauges import read_gauges
 from buckthornshed.transport.relay.relay_dump import dump_relay
 
@@ -135,8 +139,10 @@
     updater = ReaderParts().updater
 
     def report(revision):
-        summary = ViewSummary(revision, 2, 7)
-        updater.apply_update(FleetUpdate(summary=summary), "10.0.0.3")
+        update = FleetUpdate(
+            reader=ReaderReport("10.0.0.3", True), summary=ViewSummary(revision, 2, 7)
+        )
+        updater.apply_update(update, "10.0.0.3")
 
     report(20)
     report(21)
--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -1,7 +1,11 @@
 """Tests of what a reader of the store tells after another relay told it first."""
 
 from buckthornshed.coordination.relay.fleet.store_readers import StoreReaders
-from buckthornshed.protocol.relay_messages import FleetUpdate
+from buckthornshed.protocol.relay_messages import (
+    FleetUpdate,
+    ReaderReport,
+    ViewSummary,
+)
 from buckthornshed.transport.relay.fleet.fleet_updater import FleetUpdater
 
 from .makers import make_target
@@ -95,3 +99,30 @@
     updater.handle_target_change(make_target("t-2"))
     updater.handle_store_read(succeeded=True)
     assert not updater.reads_store()
+
+
+# Guards against reads by all relays of one failure domain for what only those of
+# another one have been told yet.
+def test_a_summary_of_another_domain_does_not_make_a_relay_read():
+    updater = ReaderParts().updater
+    digest = updater.fleet_view.digest.value
+    for summary in (ViewSummary(20, 2, digest), ViewSummary(21, 0, digest + 1)):
+        updater.apply_update(FleetUpdate(summary=summary), "10.1.0.1")
+        assert not updater.readers.has_gap
+    report = ReaderReport("10.0.0.3", True)
+    updater.apply_update(FleetUpdate(reader=report, summary=summary), "10.0.0.3")
+    assert updater.readers.has_gap
+
+
+def test_a_summary_of_another_domain_covers_older_reports():
+    updater = ReaderParts().updater
+    digest = updater.fleet_view.digest.value
+    covering = ViewSummary(20, 0, digest)
+    updater.apply_update(FleetUpdate(summary=covering), "10.1.0.1")
+    for revision, has_gap in ((20, False), (21, True)):
+        update = FleetUpdate(
+            reader=ReaderReport("10.0.0.3", True),
+            summary=ViewSummary(revision, 0, digest + 1),
+        )
+        updater.apply_update(update, "10.0.0.3")
+        assert updater.readers.has_gap is has_gap
--- a/buckthornshed/tests/simulation/test_lost_messages.py
+++ b/buckthornshed/tests/simulation/test_lost_messages.py
@@ -153,3 +153,26 @@
             assert asked == readers
 
     run(scenario)
+
+
+# Guards against reads by relays of one domain for what is told only in another one.
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_relays_of_several_domains_that_lack_nothing_miss_nothing(seed):
+    async def scenario():
+        async with simulated_fleet((8, 8, 8), seed=seed) as fleet:
+            await asyncio.sleep(START_S)
+            readers = {e.host: e.relay.fleet_updater.readers for e in fleet.instances}
+            gaps = {host: each.gaps for host, each in readers.items()}
+            tasks = []
+            for number in range(12):
+                await fleet.publish()
+                await asyncio.sleep(STEP_S)
+                if number % 2 == 0:
+                    leave = fleet.leave(fleet.instances[number], tells=False)
+                    tasks.append(fleet.loop.create_task(leave))
+                await asyncio.sleep(STEP_S)
+            for task in tasks:
+                task.cancel()
+            assert gaps == {host: each.gaps for host, each in readers.items()}
+
+    run(scenario)
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -241,14 +241,19 @@
         if changed or removed or leaving:
             self.on_targets()
         if update.summary is not None:
-            self._compare(update.summary, sender)
+            own_domain = update.reader is not None
+            self._compare(update.summary, sender, own_domain=own_domain)
 
-    def _compare(self, reported: ViewSummary, sender: str) -> None:
-        """Read the store if a reader knows something that this relay lacks."""
+    def _compare(self, reported: ViewSummary, sender: str, *, own_domain: bool) -> None:
+        """Read the store if a reader of the own domain knows what this relay lacks.
+
+        One of another domain has not told this one all that it knows.
+        """
         own = self._summarize(0)
-        if not self.comparison.is_behind(sender, reported, own):
-            if reported.generation <= own.generation:
-                self.fleet_view.news.record_confirmation(sender, self.clock())
+        behind = self.comparison.is_behind(sender, reported, own)
+        if not behind and reported.generation <= own.generation:
+            self.fleet_view.news.record_confirmation(sender, self.clock())
+        if not behind or not own_domain:
             return
         was_known = self.readers.has_gap
         self.readers.record_gap()
