--- a/buckthornshed/coordination/relay/dispatcher.py
+++ b/buckthornshed/coordination/relay/dispatcher.py
@@ -6,7 +6,6 @@
 complete answer or with a refusal that states correctly whether it may have run.
 """
 
-import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -16,8 +15,7 @@
     RefusalMessage,
     RefusalReason,
 )
-from ...state.catalog import Route, Target
-from ...state.workspaces import route_part
+from ...state.catalog import Target
 from .admission.controller import AdmissionController
 from .crashes.crash_suspects import CrashSuspects
 from .dispatch_messages import (
@@ -35,13 +33,9 @@
 from .placement.load_balancer import Availability, LoadBalancer, TargetRecord
 from .placement.target_choice import TargetChoice
 from .placement.weighted_round_robin import WeightedRoundRobin
-from .refusal_reasons import (
-    EJECTION_REASONS,
-    FINAL_REASONS,
-    FREE_RETRY_REASONS,
-    TARGET_FAILURE_REASONS,
-)
+from .refusal_reasons import EJECTION_REASONS, TARGET_FAILURE_REASONS
 from .retries.retry_budget import RetryBudget
+from .retries.retry_rules import RetryRules
 from .route_answers import RouteAnswers
 
 if TYPE_CHECKING:
@@ -51,11 +45,7 @@
 
 TIMEOUT_MARGIN_S = 0.02
 """Time after its deadline for which a request still waits for an answer."""
-MIN_RETRY_TIME_S = 0.02
-"""Time to the deadline below which a request is not retried."""
 RETRY_JITTER = 0.5
-MAX_CRASHED_ATTEMPTS = 2
-"""Targets that one request may crash; further attempts could end the whole service."""
 NO_TARGET_RETRY_AFTER_S = 0.5
 
 
@@ -105,6 +95,9 @@
             suspects=suspects,
             fingerprint=fingerprint,
         )
+        self.retry_rules = RetryRules(
+            budget=budget, admission=admission, target_choice=self.target_choice
+        )
         self.rng = rng
         self.weighted_split = WeightedRoundRobin()
         self.pending: dict[int, PendingRequest] = {}
@@ -160,7 +153,9 @@
         record.rate_limit = answer.rate_limit
         if answer.leaving:
             self.fleet_view.mark_leaving(record.target.name, record.target.started)
-        if answer.failed and self._retries_answer(now, pending, answer):
+        if answer.failed and self.retry_rules.take_retry_of_answer(
+            now, pending, answer
+        ):
             pending.may_have_run = True
             pending.failed_answer = answer
             return self._send(now, pending)
@@ -208,11 +203,7 @@
             pending = self.exchanges.get(exchange)
             if pending is None:
                 continue
-            if (
-                pending.request.route.idempotent
-                and self.budget.has_token(now, pending.service)
-                and self._may_send_again(now, pending, RefusalReason.LOST)
-            ):
+            if self.retry_rules.may_retry_lost(now, pending):
                 retried.actions.extend(self.handle_connection_loss(now, [exchange]))
             else:
                 retried.waiting.append(exchange)
@@ -272,51 +263,11 @@
         reason: RefusalReason,
         retry_after: float,
     ) -> list[DispatchAction]:
-        route = pending.request.route
-        retry_safe = route.idempotent or not pending.may_have_run
-        if (
-            retry_safe
-            and self._may_send_again(now, pending, reason)
-            and (
-                reason in FREE_RETRY_REASONS or self._spend_token(now, pending, reason)
-            )
-        ):
+        if self.retry_rules.take_retry(now, pending, reason):
             return self._send(now, pending)
         del self.pending[pending.token]
         return [self._give_up(pending, reason, retry_after)]
 
-    def _may_send_again(
-        self, now: float, pending: PendingRequest, reason: RefusalReason
-    ) -> bool:
-        """Return whether attempts, time and a target are left for another send."""
-        return (
-            reason not in FINAL_REASONS
-            and len(pending.attempts)
-            < self._max_attempts(pending.request.route, reason)
-            and _crashed_attempts(pending) < MAX_CRASHED_ATTEMPTS
-            and pending.request.deadline - now > MIN_RETRY_TIME_S
-            and bool(self.target_choice.candidates(now, pending))
-        )
-
-    def _retries_answer(
-        self, now: float, pending: PendingRequest, answer: AnswerMessage
-    ) -> bool:
-        """Return whether a request that a target failed is sent to another one.
-
-        It needs the time of another call. While requests are shed, its capacity would
-        be missing for requests that have not run yet.
-        """
-        route = pending.request.route
-        shed = self.admission.sheds(route.name, pending.service)
-        return (
-            route.idempotent
-            and not shed
-            and len(pending.tried_targets) < route.attempts
-            and pending.request.deadline - now > answer.call_time
-            and bool(self.target_choice.candidates(now, pending))
-            and self.budget.spend(now, pending.service)
-        )
-
     def _deliver(self, pending: PendingRequest, answer: AnswerMessage) -> DeliverAnswer:
         attempts = tuple(pending.attempts)
         return DeliverAnswer(pending.token, pending.request, answer, attempts)
@@ -340,29 +291,6 @@
             pending, RefusalReason.UNREACHABLE, NO_TARGET_RETRY_AFTER_S
         )
 
-    def _spend_token(
-        self, now: float, pending: PendingRequest, reason: RefusalReason
-    ) -> bool:
-        """Take a token for a retry.
-
-        A target that rejects a part of all calls uses up the tokens. Requests that are
-        nearly complete and of high priority then get the last ones.
-        """
-        request, reserve = pending.request, 0.0
-        if reason is RefusalReason.TARGET_FULL:
-            reserve = 1.0 - 1.0 / (request.calls_left + route_part(request.rank))
-        return self.budget.spend(now, pending.service, reserve=reserve)
-
-    def _max_attempts(self, route: Route, reason: RefusalReason) -> float:
-        """Return the allowed attempts.
-
-        A refusal by a relay allows one more. A call that a target has rejected may be
-        sent as often as the budget allows, as rejections are random and cost no work.
-        """
-        if reason is RefusalReason.TARGET_FULL:
-            return math.inf
-        return route.attempts + (1 if reason in FREE_RETRY_REASONS else 0)
-
     def _send(self, now: float, pending: PendingRequest) -> list[DispatchAction]:
         request = pending.request
         record = self.target_choice.choose(now, pending)
@@ -417,8 +345,3 @@
             retry_after=max(retry_after, 0.05) * jitter,
             attempts=tuple(pending.attempts),
         )
-
-
-def _crashed_attempts(pending: PendingRequest) -> int:
-    """Return the number of targets that ended while they ran a request."""
-    return sum(each.reason is RefusalReason.CRASHED for each in pending.attempts)
