Prefer targets whose relays answer pings at once

Callers saw 502 or 504 to requests that reached no target, when a failure domain was cut off.

Cause: a link counts as failed 0.9 s after the last data, and until then gets calls as any other. Calls that may run once are lost by that, and the others take the retry budget.

Change: a link that leaves a ping unanswered for 0.15 s (three of its round trips on slow networks) is silent: its target gets calls only while no other is up. It fails after 0.6 s as before. Who reads the store, and who accounts for a quota, depend on failed links only, as before.

Ruled out: a shorter time to failure, as a paused process would lose its connections; pings after less than 0.3 s, which cost messages in calm.

--- a/buckthornshed/coordination/relay/placement/load_balancer.py
+++ b/buckthornshed/coordination/relay/placement/load_balancer.py
@@ -45,8 +45,10 @@
     """Whether the relay beside a target accepts calls."""
 
     UP = "up"
+    SILENT = "silent"
+    """The relay has not answered for a moment; used only if no other target is up."""
     DRAINING = "draining"
-    """The relay is about to stop; used only if no other target is up."""
+    """The relay is about to stop; used only if no other target is left."""
     DOWN = "down"
 
 
--- a/buckthornshed/coordination/relay/placement/target_choice.py
+++ b/buckthornshed/coordination/relay/placement/target_choice.py
@@ -48,7 +48,7 @@
         self.fingerprint = fingerprint
 
     def candidates(self, now: float, pending: PendingRequest) -> list[Target]:
-        """Return the untried targets; draining ones only if no other is up.
+        """Return the untried targets; silent or draining ones only if none is up.
 
         Targets that only rejected the call are returned if no other is left.
         """
@@ -65,7 +65,9 @@
         for target in untried or rejected:
             by_availability[self.availability(target)].append(target)
         return (
-            by_availability[Availability.UP] or by_availability[Availability.DRAINING]
+            by_availability[Availability.UP]
+            or by_availability[Availability.SILENT]
+            or by_availability[Availability.DRAINING]
         )
 
     def choose(self, now: float, pending: PendingRequest) -> TargetRecord | None:
--- a/buckthornshed/tests/relay/makers.py
+++ b/buckthornshed/tests/relay/makers.py
@@ -96,7 +96,9 @@
     )
 
 
-def make_dispatcher(targets=(), *, unreachable=(), draining=(), limits=None, seed=1):
+def make_dispatcher(
+    targets=(), *, unreachable=(), draining=(), silent=(), limits=None, seed=1
+):
     fleet_view = FleetView()
     for target in targets:
         fleet_view.accept_target(target)
@@ -110,6 +112,8 @@
         availability=lambda target: (
             Availability.DOWN
             if target.name in unreachable
+            else Availability.SILENT
+            if target.name in silent
             else Availability.DRAINING
             if target.name in draining
             else Availability.UP
--- a/buckthornshed/tests/relay/test_dispatcher.py
+++ b/buckthornshed/tests/relay/test_dispatcher.py
@@ -121,6 +121,16 @@
     assert send.target.name == "t-1"
 
 
+def test_a_target_with_a_silent_relay_is_used_only_if_no_other_is_up():
+    dispatcher = make_dispatcher(THREE, silent={"t-1"}, draining={"t-2"})
+    for token in range(20):
+        (send,) = dispatcher.submit(0.0, token, make_request())
+        assert send.target.name == "t-3"
+    alone = make_dispatcher(TWO, silent={"t-1"}, draining={"t-2"})
+    (send,) = alone.submit(0.0, 1, make_request())
+    assert send.target.name == "t-1"
+
+
 def test_a_weighted_split_keeps_its_weights_when_a_service_has_no_target():
     dispatcher = make_dispatcher(TWO)
     destinations = (
--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -36,6 +36,12 @@
 """Time without received data after which a ping is sent."""
 PING_TIMEOUT_S = 0.6
 """Time without received data after a ping at which a link counts as failed."""
+SILENT_AFTER_S = 0.15
+"""Time without received data after a ping at which other targets are preferred."""
+SILENT_ROUND_TRIPS = 3.0
+"""The same, in round trips of the link, on slow networks."""
+ROUND_TRIP_DECAY = 0.9
+"""Part of an earlier, longer round trip that still counts at the next one."""
 
 
 class PeerHandler(Protocol):
@@ -249,6 +255,8 @@
         Whether another relay has said that this one does not answer.
     peer_started : int or None
         Start of the other relay in Unix milliseconds; None until its `Welcome`.
+    round_trip : float
+        Time from a ping to the next data of the other relay, in seconds.
     """
 
     def __init__(self, *, links: ConnectionRegistry, instance: str) -> None:
@@ -263,6 +271,7 @@
         self.draining = False
         self.reported_silent = False
         self.peer_started: int | None = None
+        self.round_trip = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the `Hello` of this relay."""
@@ -280,6 +289,9 @@
     def data_received(self, data: bytes) -> None:
         """Decode received data and handle the complete messages."""
         self.last_received_at = self.links.clock()
+        if self.pinged_at is not None:
+            measured = self.last_received_at - self.pinged_at
+            self.round_trip = max(measured, ROUND_TRIP_DECAY * self.round_trip)
         self.pinged_at = None
         self.reported_silent = False
         try:
@@ -333,6 +345,13 @@
         elif now - self.last_received_at > ping_after:
             self.ping(now)
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether the other relay leaves a ping unanswered for a moment."""
+        if self.pinged_at is None:
+            return False
+        allowed = max(SILENT_AFTER_S, SILENT_ROUND_TRIPS * self.round_trip)
+        return now - self.pinged_at > allowed
+
     def ping(self, now: float) -> None:
         """Send a ping, unless one is unanswered."""
         if self.transport is not None and self.pinged_at is None:
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -120,7 +120,15 @@
         link = self.links.get(instance)
         if link is None:
             return Availability.DOWN
-        return Availability.DRAINING if link.draining else Availability.UP
+        if link.draining:
+            return Availability.DRAINING
+        silent = link.is_silent(self.clock())
+        return Availability.SILENT if silent else Availability.UP
+
+    def has_link(self, instance: str) -> bool:
+        """Return whether there is a link to an instance that is not draining."""
+        link = self.links.get(instance)
+        return link is not None and not link.draining
 
     def count_session(self, instance: str, change: int) -> None:
         """Count the begin or the end of a session of an instance."""
@@ -153,10 +161,7 @@
 
     def is_connected(self, instance: str) -> bool:
         """Return whether an instance has a session here and answers this relay."""
-        return (
-            self.sessions_by_instance[instance] > 0
-            and self.availability(instance) is Availability.UP
-        )
+        return self.sessions_by_instance[instance] > 0 and self.has_link(instance)
 
     def retry_now(self, instance: str) -> None:
         """Retry the link to an instance at once, because its relay is known to run."""
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -158,7 +158,7 @@
         self.quotas = QuotaExchange(
             instance=self.instance,
             links=self.links,
-            is_reachable=lambda each: self.links.availability(each) is Availability.UP,
+            is_reachable=self.links.has_link,
             clock=clock,
         )
         self.responses = ClientResponses(
