Let the first read after an outage not shorten it for other relays

Callers got 503 from a service whose running targets no relay knew any more, after a failure domain had been cut off for some seconds.

A read of another relay in the outage moved its begin to that read. When a whole domain was cut off, the first of its relays to read again thus made the outages of the others look short. They removed the targets that had lapsed, which had registered again by then, and told all others.

Change: a read of another relay after a gap in which registrations can lapse counts as a lapse.

--- a/buckthornshed/coordination/relay/fleet/outage.py
+++ b/buckthornshed/coordination/relay/fleet/outage.py
@@ -30,7 +30,9 @@
     last_read : float
         When this relay or one that reports to it last read the store, in seconds.
     began_at : float
-        Time of the last read before the outage, in seconds.
+        Time of the last read before the outage, or of any relay in it, in seconds.
+    lapsed : bool
+        Whether registrations may have lapsed between two reads in the outage.
     grace_until : float
         Time until which ended registrations are kept.
     """
@@ -41,6 +43,7 @@
         self.last_read = -math.inf
         self.began_at = -math.inf
         self.ended_at = -math.inf
+        self.lapsed = False
         self.grace_until = 0.0
 
     def begin(self) -> None:
@@ -54,14 +57,17 @@
         self.active = True
         if self.last_read > self.ended_at + self.heartbeat:
             self.began_at = self.last_read
+            self.lapsed = False
 
     def note_read(self, now: float) -> None:
         """Record that this relay or another one has read the store.
 
-        During an outage it shows that the store answered, and targets with it.
+        During an outage it shows that the store answers from then on. Before, it may
+        not have answered any of them.
         """
         self.last_read = now
         if self.active:
+            self.lapsed = self.lapsed or self._may_lapse(now)
             self.began_at = now
 
     def end(self, now: float) -> None:
@@ -70,14 +76,26 @@
             return
         self.active = False
         self.ended_at = now
-        lapse = SHORTEST_LAPSE_HEARTBEATS * self.heartbeat
-        if now - self.began_at >= lapse or self.grace_until > self.began_at:
+        if (
+            self.lapsed
+            or now - self.began_at >= self._lapse
+            or self.grace_until > self.began_at
+        ):
             self.start_grace(now)
 
     def start_grace(self, now: float) -> None:
         """Keep ended registrations from now on until targets have renewed theirs."""
         self.grace_until = now + RECOVERY_GRACE_S
 
+    @property
+    def _lapse(self) -> float:
+        """Seconds without a read in which a registration may lapse."""
+        return SHORTEST_LAPSE_HEARTBEATS * self.heartbeat
+
+    def _may_lapse(self, now: float) -> bool:
+        """Return whether registrations this relay knew may have lapsed until a read."""
+        return math.isfinite(self.began_at) and now - self.began_at >= self._lapse
+
     def covers(self, now: float) -> bool:
         """Return whether registrations that end now may belong to running targets."""
         return self.active or now < self.grace_until
--- a/buckthornshed/tests/relay/test_outage_length.py
+++ b/buckthornshed/tests/relay/test_outage_length.py
@@ -70,6 +70,26 @@
     assert outage.covers(18.0)
 
 
+# Guards against the removal of running targets whose domain was cut off as a whole:
+# the first of its relays that reads again ends no outage of the others.
+@pytest.mark.parametrize(("seconds", "kept"), [(2.9, False), (3.0, True), (20.0, True)])
+def test_a_first_read_of_another_relay_does_not_shorten_an_outage(seconds, kept):
+    outage = StoreOutage(heartbeat=HEARTBEAT_S)
+    outage.note_read(10.0)
+    outage.begin()
+    outage.note_read(10.0 + seconds)
+    outage.end(10.1 + seconds)
+    assert outage.covers(10.2 + seconds) is kept
+
+
+def test_a_lapse_counts_for_its_own_outage_only():
+    outage = outage_of(10.0, 14.0)
+    outage.note_read(30.0)
+    outage.begin()
+    outage.end(31.0)
+    assert not outage.covers(31.1)
+
+
 # A relay that was cut from the store must not keep what others have seen end.
 def test_a_read_of_another_relay_shows_that_the_store_answered():
     outage = StoreOutage(heartbeat=HEARTBEAT_S)
--- a/buckthornshed/tests/simulation/test_cut_domains.py
+++ b/buckthornshed/tests/simulation/test_cut_domains.py
@@ -7,13 +7,19 @@
 import pytest
 
 from ..relay.fleet import configuration
-from .fleet import run, simulated_fleet
+from .fleet import BEAT_S, STORE, run, simulated_fleet
 from .test_planned_stop import SlowTarget, start_targets
 from .test_silent_calls import INTERVAL_S, PATHS, TIMEOUT_S, WORK_S, ask
 
 CUT_S = 2.0
 NOTICED_S = 0.6
 """Time after which no more calls are sent into a cut."""
+LAPSE_S = 3 * BEAT_S
+"""Time without a write after which the store removes a registration."""
+SLOW_STORE_S = 0.2
+"""Greatest delay of the store after a cut, later than what other relays tell."""
+RETURN_S = 4.0
+"""Time after a cut in which all relays know all targets again."""
 
 
 class End(NamedTuple):
@@ -78,3 +84,45 @@
     late = [each for each in ends if each.sent > NOTICED_S]
     assert late and {each.status for each in late} == {200}
     assert max(each.runs for each in ends) == 1 or path == PATHS["idempotent"]
+
+
+async def cut_off(fleet, domain, seconds):
+    """Cut a domain off from all others and the store, which removes its targets.
+
+    They register again as soon as they can.
+    """
+    inside = [each for each in fleet.instances if each.domain == domain]
+    outside = [e.host for e in fleet.instances if e.domain != domain] + [STORE]
+    paths = [(each.host, other) for each in inside for other in outside]
+    for path in paths:
+        fleet.network.cut(*path)
+    await asyncio.sleep(LAPSE_S)
+    for each in inside:
+        await fleet.store.delete(f"servers/{each.name}")
+    await asyncio.sleep(seconds - LAPSE_S)
+    for each in inside:
+        for path in ((each.host, STORE), (STORE, each.host)):
+            fleet.network.delays[path] = fleet.rng.uniform(0.0, SLOW_STORE_S)
+    for path in paths:
+        fleet.network.heal(*path)
+    for each in inside:
+        await each.register()
+
+
+# Guards against the loss of running targets: relays of a domain that was cut off told
+# all others of the end of registrations that had been renewed since. What renews a
+# registration here does not change it, so nothing else tells of it again.
+@pytest.mark.parametrize("seed", range(1, 9))
+@pytest.mark.parametrize("sizes", [(4, 4), (6, 5, 5)])
+def test_targets_of_a_domain_that_was_cut_off_are_known_again(sizes, seed):
+    async def scenario():
+        async with simulated_fleet(sizes, seed=seed) as fleet:
+            await asyncio.sleep(8.0)
+            for task in fleet.background[:-1]:
+                task.cancel()
+            await cut_off(fleet, "b", LAPSE_S + fleet.rng.uniform(0.1, 1.5))
+            await asyncio.sleep(RETURN_S)
+            fleet.check_all()
+            return list(fleet.stale.values())
+
+    assert run(scenario) == []
