Let the end of a registration not end a later one

Callers got 503 from a service whose running targets no relay knew any more.

Cause: a reader that comes back from an outage reads the history of the store in order: the end of a registration, then the new one. Meanwhile others may have told it of the new one already. The end removed that, and the relay told all others so, with the version of the new registration. A registration with the version of an ended one is not accepted again, so the new one was rejected everywhere until something changed it.

Change: a reader remembers the version of each registration that it has read. The end of an earlier version than the known one removes nothing; the next read decides on that one, as on other targets that the store has not confirmed. Logged as target_renewed.

Ruled out: to leave out the end if the same answer has the new registration; they may be in two answers.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -12,7 +12,7 @@
 from .outage import StoreOutage
 from .view_comparison import RegistrationsDigest
 
-__all__ = ["FleetView", "RegistrationVersion"]
+__all__ = ["FleetView", "RegistrationVersion", "registration_version"]
 
 MAX_TOMBSTONES = 2_048
 MAX_LEAVING = 2_048
--- a/buckthornshed/coordination/relay/fleet/unconfirmed_targets.py
+++ b/buckthornshed/coordination/relay/fleet/unconfirmed_targets.py
@@ -3,10 +3,16 @@
 A relay that has just started knows no removals. Another one that has not heard of a
 removal would tell it of the removed target, and nobody would ever tell it of the end.
 A read of the store that begins later than that shows whether the target is registered.
+
+Reads of the store may be late, too: the end of a registration that has been renewed
+since says nothing of the renewed one, which others may have told already.
 """
 
 from collections.abc import Iterable
 
+from ....state.catalog import Target
+from .fleet_view import RegistrationVersion, registration_version
+
 __all__ = ["UnconfirmedTargets"]
 
 
@@ -15,8 +21,9 @@
 
     Attributes
     ----------
-    registered : set of str
-        Names of the targets that the own reads of the store have found.
+    registered : dict
+        Versions of the registrations that the own reads of the store have found, by
+        name.
     told : set of str
         Targets told since the last read of the store ended.
     due : set of str
@@ -26,7 +33,7 @@
     """
 
     def __init__(self) -> None:
-        self.registered: set[str] = set()
+        self.registered: dict[str, RegistrationVersion] = {}
         self.told: set[str] = set()
         self.due: set[str] = set()
         self.complete = False
@@ -39,22 +46,30 @@
         """Record targets told by a relay, but not those that the store has."""
         self.told.update(name for name in names if name not in self.registered)
 
-    def record_registered(self, name: str) -> None:
+    def record_registered(self, target: Target) -> None:
         """Record that the store has a target."""
-        self.registered.add(name)
+        self.registered[target.name] = registration_version(target)
+
+    def record_end(self, name: str, known: Target | None) -> bool:
+        """Record that the store has a target no longer.
 
-    def record_removed(self, name: str) -> None:
-        """Record that the store has a target no longer."""
-        self.registered.discard(name)
+        Returns whether that is the end of the registration `known` here. If others have
+        told of a later one, the next read decides.
+        """
+        ended = self.registered.pop(name, None)
+        if ended is None or known is None or registration_version(known) <= ended:
+            return True
+        self.told.add(name)
+        return False
 
-    def replace_registered(self, names: Iterable[str]) -> None:
+    def replace_registered(self, targets: Iterable[Target]) -> None:
         """Record all targets that the store has."""
-        self.registered = set(names)
+        self.registered = {each.name: registration_version(each) for each in targets}
         self.complete = True
 
     def end_read(self) -> set[str]:
         """Handle the end of a successful read; return the targets not registered."""
-        missing = self.due - self.registered
-        self.due = self.told - self.registered
+        missing = self.due - self.registered.keys()
+        self.due = self.told - self.registered.keys()
         self.told = set()
         return missing
--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -75,6 +75,39 @@
     assert "t-2" not in updater.fleet_view.targets
 
 
+# Guards against the loss of a running target: the store's history ends its registration
+# and begins it again, while others have told of the new one already.
+def test_the_end_of_an_earlier_registration_does_not_end_a_later_one():
+    parts = ReaderParts()
+    updater = parts.updater
+    updater.handle_targets([make_target()])
+    updater.handle_store_read(succeeded=True, revision=10)
+    renewed = make_target(sequence=2)
+    updater.apply_update(FleetUpdate(targets=[renewed]))
+    parts.told.clear()
+    updater.handle_target_deletion("t-1")
+    updater.handle_target_change(renewed)
+    for revision in (12, 13, 14):
+        updater.handle_store_read(succeeded=True, revision=revision)
+    assert updater.fleet_view.targets == {"t-1": renewed}
+    assert not updater.unconfirmed
+    assert not any(update.tombstones for update in parts.told)
+
+
+def test_a_later_registration_that_the_store_does_not_have_ends_with_the_next_read():
+    parts = ReaderParts()
+    updater = parts.updater
+    updater.handle_targets([make_target()])
+    updater.handle_store_read(succeeded=True, revision=10)
+    updater.apply_update(FleetUpdate(targets=[make_target(sequence=2)]))
+    updater.handle_target_deletion("t-1")
+    updater.handle_store_read(succeeded=True, revision=12)
+    assert updater.reads_store() and "t-1" in updater.fleet_view.targets
+    updater.handle_store_read(succeeded=True, revision=13)
+    assert not updater.fleet_view.targets
+    assert parts.told[-2].tombstones == [("t-1", 1_000, 2)]
+
+
 def test_a_relay_that_cannot_read_takes_targets_from_others():
     updater = ReaderParts().updater
     updater.handle_targets([])
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -135,7 +135,7 @@
     def handle_targets(self, targets: list[Target]) -> None:
         """Replace all registrations by those in the store; tell all what differs."""
         view = self.fleet_view
-        self.unconfirmed.replace_registered(target.name for target in targets)
+        self.unconfirmed.replace_registered(targets)
         changed = [target for target in targets if view.accept_target(target)]
         known = dict(view.targets)
         removed = view.replace_targets(self.clock(), targets)
@@ -148,7 +148,7 @@
 
     def handle_target_change(self, target: Target) -> None:
         """Apply a new or changed registration."""
-        self.unconfirmed.record_registered(target.name)
+        self.unconfirmed.record_registered(target)
         self.fleet_view.confirm_registered(target.name)
         if self.fleet_view.accept_target(target):
             _log_registration(target, "store")
@@ -161,8 +161,11 @@
 
     def handle_target_deletion(self, name: str) -> None:
         """Apply the end of a registration."""
+        known = self.fleet_view.targets.get(name)
+        if not self.unconfirmed.record_end(name, known):
+            log_event("target_renewed", target=name)
+            return
         self.told_draining.pop(name, None)
-        self.unconfirmed.record_removed(name)
         self._remove(name, "store")
 
     def _remove(self, name: str, source: str) -> None:
