Let a list of all targets not end registrations from after it

Callers got 503 from a service whose running targets a whole failure domain did not know any more.

Cause: a relay that has just started reads all targets. A target that registers while that read is under way is not in the list, but another relay may have told of it already. The list removed it, and with its version all others of the domain were told; a registration with the version of an ended one is not accepted again.

Change: what others have told since the last read ended is kept when a list does not have it; the next read decides, as on other targets that the store has not confirmed.

Ruled out: to keep only what was told since the read began; the reader does not say so, and the difference is one read.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -5,6 +5,7 @@
 a target's registration only by a later one of the same or of a later incarnation.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from ....state.catalog import Catalog, Target
@@ -174,12 +175,17 @@
         """
         return self.catalog is None or service in self.named_services
 
-    def replace_targets(self, now: float, targets: list[Target]) -> list[str]:
-        """Replace all registrations; return the names of the removed targets."""
+    def replace_targets(
+        self, now: float, targets: list[Target], *, kept: Collection[str] = ()
+    ) -> list[str]:
+        """Replace all registrations but those in `kept`.
+
+        Returns the names of the removed targets.
+        """
         for target in targets:
             self.accept_target(target)
             self.confirm_registered(target.name)
-        present = {target.name for target in targets}
+        present = {target.name for target in targets}.union(kept)
         missing = [name for name in self.targets if name not in present]
         return [name for name in missing if self.remove_target(now, name)]
 
--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -108,6 +108,40 @@
     assert parts.told[-2].tombstones == [("t-1", 1_000, 2)]
 
 
+# Guards against the loss of a running target that registers while a relay that has just
+# started reads all targets.
+def test_a_list_from_before_a_registration_does_not_end_it():
+    parts = ReaderParts()
+    updater = parts.updater
+    parts.told.clear()
+    updater.handle_targets([])
+    updater.handle_store_read(succeeded=True, revision=10)
+    assert "t-1" in updater.fleet_view.targets
+    updater.handle_target_change(make_target())
+    for revision in (12, 13, 14):
+        updater.handle_store_read(succeeded=True, revision=revision)
+    assert "t-1" in updater.fleet_view.targets and not updater.unconfirmed
+    assert not any(update.tombstones for update in parts.told)
+
+
+def test_a_target_told_before_all_were_read_ends_with_the_next_read():
+    parts = ReaderParts()
+    updater = parts.updater
+    updater.handle_targets([])
+    updater.handle_store_read(succeeded=True, revision=10)
+    assert updater.reads_store()
+    updater.handle_store_read(succeeded=True, revision=11)
+    assert not updater.fleet_view.targets
+    assert parts.told[-2].tombstones == [("t-1", 1_000, 1)]
+
+
+def test_a_target_told_before_the_read_before_ends_with_the_list():
+    updater = ReaderParts().updater
+    updater.handle_store_read(succeeded=True, revision=10)
+    updater.handle_targets([])
+    assert not updater.fleet_view.targets
+
+
 def test_a_relay_that_cannot_read_takes_targets_from_others():
     updater = ReaderParts().updater
     updater.handle_targets([])
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -135,10 +135,10 @@
     def handle_targets(self, targets: list[Target]) -> None:
         """Replace all registrations by those in the store; tell all what differs."""
         view = self.fleet_view
-        self.unconfirmed.replace_registered(targets)
+        later = self.unconfirmed.replace_registered(targets)
         changed = [target for target in targets if view.accept_target(target)]
         known = dict(view.targets)
-        removed = view.replace_targets(self.clock(), targets)
+        removed = view.replace_targets(self.clock(), targets, kept=later)
         self.on_targets()
         self._announce(changed, [known[name] for name in removed])
         for name in removed:
@@ -224,6 +224,7 @@
             if reads:
                 self.fleet_view.outage.note_read(self.clock())
         targets = self._acceptable(update)
+        self.unconfirmed.record_recent(targets)
         changed = [t for t in targets if self.fleet_view.accept_target(t)]
         removed = [
             name
