Tell of kept targets that have registered again

Callers got 503 or slower answers: after an outage of the store a relay forgot running targets until their registrations changed, for good in calm.

Cause: registrations that end in an outage are kept for 2 s, for the targets to register again. Relays that stopped reading in these 2 s depend on what readers tell, but a reader that had kept the target too took the new registration for a heartbeat, as only its version had changed, and told nobody. The target lapsed at the others. A report of a reader with another digest did not make them read, as an equal report at the same revision of the store had come before the lapse.

Change: a reader tells its failure domain that a kept target has registered again. After a lapse, reports are compared anew, so a relay whose view has changed by itself reads the store if it differs.

--- a/buckthornshed/coordination/relay/fleet/view_comparison.py
+++ b/buckthornshed/coordination/relay/fleet/view_comparison.py
@@ -70,6 +70,14 @@
         self.covered = own.revision
         self.settled = _differing(self.latest, own)
 
+    def record_lapse(self) -> None:
+        """Record that the own view has changed without news.
+
+        Reports that agreed with it may not agree any more.
+        """
+        self.covered = 0
+        self.settled = {}
+
     def is_behind(self, sender: str, reported: ViewSummary, own: ViewSummary) -> bool:
         """Return whether a summary shows that the own view lacks something."""
         previous = self.latest.pop(sender, reported)
--- a/buckthornshed/tests/relay/test_told_twice.py
+++ b/buckthornshed/tests/relay/test_told_twice.py
@@ -142,6 +142,42 @@
     assert not updater.fleet_view.targets
 
 
+# Guards against the loss of running targets at relays that no longer read: they have
+# read the end of a registration that lapsed in an outage, and wait for the next one.
+def test_a_reader_tells_that_a_kept_target_has_registered_again():
+    parts = ReaderParts()
+    updater = parts.updater
+    updater.handle_store_unavailable("away")
+    updater.handle_store_available()
+    updater.handle_target_deletion("t-1")
+    renewed = make_target(sequence=2)
+    updater.handle_target_change(renewed)
+    updater.handle_target_change(make_target(sequence=3))
+    assert [update.targets for update in parts.told] == [[renewed]]
+
+
+# Guards against the same if that message is lost and nothing else changes.
+def test_a_relay_whose_targets_have_lapsed_compares_its_view_again():
+    now = [10.0]
+    parts = ReaderParts()
+    updater = parts.updater
+    updater.clock = lambda: now[0]
+    updater.handle_store_unavailable("away")
+    updater.handle_store_available()
+    updater.handle_target_deletion("t-1")
+    digest = updater.fleet_view.digest.value
+    report = FleetUpdate(
+        reader=ReaderReport("10.0.0.3", True), summary=ViewSummary(20, 0, digest)
+    )
+    updater.apply_update(report, "10.0.0.3")
+    assert not updater.readers.has_gap
+    now[0] += 5.0
+    updater.remove_expired()
+    assert not updater.fleet_view.targets
+    updater.apply_update(report, "10.0.0.3")
+    assert updater.readers.has_gap
+
+
 def test_a_relay_that_cannot_read_takes_targets_from_others():
     updater = ReaderParts().updater
     updater.handle_targets([])
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -148,13 +148,14 @@
 
     def handle_target_change(self, target: Target) -> None:
         """Apply a new or changed registration."""
+        was_kept = target.name in self.fleet_view.pending_removal
         self.unconfirmed.record_registered(target)
         self.fleet_view.confirm_registered(target.name)
         if self.fleet_view.accept_target(target):
             _log_registration(target, "store")
             self.on_targets()
             self._announce([target], [])
-        elif target.draining and self.told_draining.get(target.name) != target.started:
+        elif was_kept or self._tells_draining(target):
             self.tell_domain(FleetUpdate(targets=[target]))
         if target.draining:
             self._note_told(target)
@@ -293,6 +294,7 @@
         for name in names:
             log_event("target_gone", target=name, source="lapse")
         if names:
+            self.comparison.record_lapse()
             self.on_targets()
             self._announce([], [known[name] for name in names])
 
@@ -326,6 +328,10 @@
             and self.readers.own_report.succeeded
         )
 
+    def _tells_draining(self, target: Target) -> bool:
+        """Return whether the own domain is to be told that a target is draining."""
+        return target.draining and self.told_draining.get(target.name) != target.started
+
     def _note_told(self, target: Target) -> None:
         if len(self.told_draining) >= MAX_TOLD:
             self.told_draining.pop(next(iter(self.told_draining)))
