Remember the version that has ended, not the one that was known

Callers' requests may have gone to a removed target, and got 502, 503 or 504.

Cause: a relay that is told of the end of a registration remembers it, so that nothing older is accepted later. It remembered the version that it had known itself, which may be an earlier one, as relays do not tell each other of heartbeats. A relay that reads old history after a while tells of the registrations in between, and they were accepted as new.

Change: it remembers the version that has ended.

--- a/buckthornshed/coordination/relay/fleet/fleet_view.py
+++ b/buckthornshed/coordination/relay/fleet/fleet_view.py
@@ -162,6 +162,7 @@
         if registration_version(current) > version:
             return False
         self._remove(current)
+        self._add_tombstone(name, version)
         return True
 
     def confirm_registered(self, name: str) -> None:
--- a/buckthornshed/tests/relay/test_fleet_view.py
+++ b/buckthornshed/tests/relay/test_fleet_view.py
@@ -125,3 +125,14 @@
     fleet_view.accept_target(make_target(sequence=4))
     fleet_view.accept_target(make_target(sequence=5))
     assert fleet_view.remove_expired(12.1) == ["t-1"]
+
+
+# Guards against calls to a removed target: a relay that reads old history after a
+# while tells of registrations in between.
+def test_no_registration_up_to_the_ended_one_is_accepted_after_its_end():
+    view = FleetView()
+    assert view.accept_target(make_target(sequence=2))
+    assert view.accept_tombstone("t-1", RegistrationVersion(1_000, 7))
+    for sequence in (3, 6, 7):
+        assert not view.accept_target(make_target(sequence=sequence))
+    assert view.accept_target(make_target(sequence=8))
