--- a/review/rig/clients.py
+++ b/review/rig/clients.py
@@ -1,6 +1,7 @@
 """Stand-in for a client."""
 
 import asyncio
+import contextlib
 import socket
 import time
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_CHUNK_BYTES = 65_536
+WRITE_CHUNK_BYTES = 65_536
 SMALL_WINDOW_BYTES = 32_768
 DEADLINE_MARGIN_S = 0.5
 
@@ -36,13 +38,20 @@
         Host and port of the relay.
     read_bytes_per_s : float
         Speed at which the body of an answer is read; 0 for full speed.
+    write_bytes_per_s : float
+        Speed at which requests are sent; 0 for full speed.
     """
 
     def __init__(
-        self, address: tuple[str, int], *, read_bytes_per_s: float = 0.0
+        self,
+        address: tuple[str, int],
+        *,
+        read_bytes_per_s: float = 0.0,
+        write_bytes_per_s: float = 0.0,
     ) -> None:
         self.address = address
         self.read_bytes_per_s = read_bytes_per_s
+        self.write_bytes_per_s = write_bytes_per_s
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
@@ -105,11 +114,27 @@
         seconds = time.monotonic() - begun
         return Outcome(request_id, status, answer_headers, answer, "", seconds)
 
+    async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        with contextlib.suppress(OSError):
+            if not self.write_bytes_per_s:
+                writer.write(data)
+                await writer.drain()
+                return
+            begun = time.monotonic()
+            for begin in range(0, len(data), WRITE_CHUNK_BYTES):
+                due = begun + begin / self.write_bytes_per_s
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                writer.write(data[begin : begin + WRITE_CHUNK_BYTES])
+                await writer.drain()
+
     async def _exchange(self, data: bytes) -> tuple[int, dict[str, str], bytes]:
         reader, writer = await self._open()
-        writer.write(data)
-        await writer.drain()
-        head = await read_head(reader)
+        sending = asyncio.get_running_loop().create_task(self._send(writer, data))
+        try:
+            # An answer may come before the request has been sent.
+            head = await read_head(reader)
+        finally:
+            sending.cancel()
         left, parts = head.length, []
         while left:
             part = await reader.read(min(left, READ_CHUNK_BYTES))
