--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -57,7 +57,7 @@
 
 def find_ports(hosts: list[str], count: int) -> int:
     """Return the first of `count` consecutive ports that are free on all hosts."""
-    for first in range(21_000 + os.getpid() % 5_000, 32_000, count):
+    for first in range(21_000 + os.getpid() % 500 * count, 32_000, count):
         ports = range(first, first + count)
         if all(is_free(host, port) for host in hosts for port in ports):
             return first
