--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,93 +1,119 @@
-"""Uploads within the limits of the configuration, of which more come at once."""
+"""A configuration that withdraws a key and adds a tenant whose name has a space."""
 
 import asyncio
-import random
 import sys
 import time
 from collections import Counter
 from pathlib import Path
 
 from rig.case import run_case
-from rig.clients import Connection, Outcome
+from rig.clients import Connection
 from rig.fleet import Fleet
 from rig.servers import AppServer
 
+FIRST_TENANT = "riders"
+FIRST_KEY = "kq7m2x9f4hzt"
+SECOND_KEY = "m3p8zq6dvt1r"
+"""Key that takes the place of the first one."""
+NEW_TENANT = "lakeside yards"
+NEW_TENANT_WITHOUT_TROUBLE = "lakeside"
+NEW_KEY = "t4vd81nwq0bc"
+SETTLE_S = 6.0
+WATCHED_S = 10.0
+REQUEST_GAP_S = 0.2
+CONFIG_S = 2.5
+"""`configS` of the deployment that has tenants."""
 HOST = "app.example"
-UPLOAD_BYTES = 5_000_000
-"""The limit of the configuration, `maxBodyBytes`, is 67,108,864 bytes."""
-CLIENT_BYTES_PER_S = 2_500_000.0
-"""A client takes 2 s to send an upload; `headerTimeoutS` is 3 s."""
-UPLOADS_PER_S = 6.0
-BURST_FACTOR = 1.8
-CALM_S = 4.0
-BURST_S = 8.0
-DEADLINE_MS = 5_000
-SETTLE_S = 5.0
-ALLOWED = 5
-ALLOWED_PART = 1 / 500
-EXCUSED = (408, 421, 429)
+REFUSED_STATUSES = (401, 403, 404)
+SERVED_STATUS = 200
 
 
 def make_fleet() -> Fleet:
-    """Return two machines in one zone, with one server of the same service each."""
+    """Return three machines in one zone with servers of one service."""
     servers = [
-        AppServer(name=f"i-{number}", service="svc-photos", slots=80)
-        for number in range(2)
+        AppServer(name=f"i-{number}", service="svc-stables", slots=55)
+        for number in range(3)
     ]
-    return Fleet(servers, ["z1", "z1"])
+    return Fleet(servers, ["z1", "z1", "z1"])
+
+
+def make_tenant(name: str, key: str) -> dict[str, object]:
+    """Return a tenant with one key and a quota that is never reached."""
+    return {
+        "name": name,
+        "apiKeys": [key],
+        "priority": 1,
+        "ratePerS": 500,
+        "burst": 500,
+    }
 
 
 async def check(fleet: Fleet, trouble: bool) -> list[str]:
-    """Send uploads to one relay, for a while at a higher rate."""
+    """Change the tenants, and send requests with the added and the withdrawn key."""
     rule = {
-        "name": "r-upload",
-        "kind": "non_idempotent",
-        "sloS": 3,
-        "priority": 0,
-        "match": {"prefix": "/upload/"},
-        "action": {"service": "svc-photos", "timeoutS": 5, "attempts": 2},
+        "name": "r-stall",
+        "kind": "idempotent",
+        "sloS": 0.5,
+        "priority": 1,
+        "public": False,
+        "match": {"prefix": "/stall/"},
+        "action": {"service": "svc-stables", "timeoutS": 1, "attempts": 2},
     }
-    fleet.configure([rule])
+    fleet.configure([rule], tenants=[make_tenant(FIRST_TENANT, FIRST_KEY)])
     await fleet.start()
     await asyncio.sleep(SETTLE_S)
-    body = random.Random(1).randbytes(UPLOAD_BYTES)
-    address = fleet.outbound(fleet.machines[0])
-    tasks: list[asyncio.Task[Outcome]] = []
-    begun = time.monotonic()
-    while (elapsed := time.monotonic() - begun) < CALM_S + BURST_S + CALM_S:
-        connection = Connection(address, write_bytes_per_s=CLIENT_BYTES_PER_S)
-        request = connection.request(
-            "POST",
-            "/upload/1",
-            HOST,
-            f"upload-{len(tasks)}",
-            deadline_ms=DEADLINE_MS,
-            body=body,
-        )
-        tasks.append(asyncio.create_task(request))
-        in_burst = trouble and CALM_S <= elapsed < CALM_S + BURST_S
-        rate = UPLOADS_PER_S * (BURST_FACTOR if in_burst else 1.0)
-        await asyncio.sleep(1.0 / rate)
-    outcomes = await asyncio.gather(*tasks)
-    return judge(fleet, outcomes)
+    name = NEW_TENANT if trouble else NEW_TENANT_WITHOUT_TROUBLE
+    fleet.configure(
+        [rule],
+        tenants=[
+            make_tenant(FIRST_TENANT, SECOND_KEY),
+            make_tenant(name, NEW_KEY),
+        ],
+    )
+    acknowledged = time.monotonic()
+    fleet.note(f"r{fleet.version} acknowledged: a tenant {name!r} with a key")
+    return await watch(fleet, acknowledged)
 
 
-def judge(fleet: Fleet, outcomes: list[Outcome]) -> list[str]:
-    """Return whether too many proper requests were ended with a 4xx."""
-    ran = {run.request_id for m in fleet.machines for run in m.server.runs}
-    statuses = Counter(outcome.status or outcome.detail for outcome in outcomes)
-    fleet.note(f"{len(outcomes)} uploads: {dict(statuses)}; {len(ran)} ran")
-    denied = [
-        outcome
-        for outcome in outcomes
-        if 300 <= outcome.status < 500 and outcome.status not in EXCUSED
+async def watch(fleet: Fleet, acknowledged: float) -> list[str]:
+    """Send requests to all relays; return those handled by the older version."""
+    connections = [Connection(fleet.outbound(m)) for m in fleet.machines]
+    refused: Counter[int] = Counter()
+    served: Counter[int] = Counter()
+    turn = 0
+    while (after_s := time.monotonic() - acknowledged) < WATCHED_S:
+        turn += 1
+        added = await send_to_all(connections, f"added{turn}", NEW_KEY)
+        withdrawn = await send_to_all(connections, f"withdrawn{turn}", FIRST_KEY)
+        fleet.note(f"{after_s:.2f} s after: added {added}, withdrawn {withdrawn}")
+        if after_s > CONFIG_S:
+            refused.update(n for n, s in enumerate(added) if s in REFUSED_STATUSES)
+            served.update(n for n, s in enumerate(withdrawn) if s == SERVED_STATUS)
+        await asyncio.sleep(REQUEST_GAP_S)
+    return [
+        f"relay {number}, later than {CONFIG_S} s after the acknowledgement: "
+        f"{refused[number]} requests with the added key refused, {served[number]} with "
+        f"the withdrawn key served"
+        for number in sorted(refused.keys() | served.keys())
     ]
-    for outcome in denied:
-        fleet.note(f"{outcome.request_id}: {outcome.status} by the relay")
-    allowed = ALLOWED + len(outcomes) * ALLOWED_PART
-    if len(denied) <= allowed:
-        return []
-    return [f"{len(denied)} proper uploads were denied, {allowed:.1f} are allowed"]
+
+
+async def send_to_all(connections: list[Connection], name: str, key: str) -> list[int]:
+    """Send a request with a key to each relay; return the statuses."""
+    outcomes = await asyncio.gather(
+        *(
+            connection.request(
+                "GET",
+                "/stall/1",
+                HOST,
+                f"{name}m{number}",
+                deadline_ms=2000,
+                headers={"Credential": key},
+            )
+            for number, connection in enumerate(connections)
+        )
+    )
+    return [outcome.status for outcome in outcomes]
 
 
 if __name__ == "__main__":
