Read a configuration object by object, so that one name rejects no other

Cause: names were limited to "!" to "~" and 200 characters, which no page says, and each part of a configuration that could not be used rejected all of it. The older one stayed in force. The same held for odd numbers, null fields, a key in two workspaces, a split without weight, one route, host, service or limit with a field of another type. Hosts beyond ASCII were accepted, but no request matched them.

Change: protocol/foreign_objects.py reads field by field. What cannot be used is left out alone, logged and counted. Keys of an unusable workspace get 503 (not run), as do requests of a route without a readable destination. Names of targets follow the same rule for headers.

Ruled out: that the target refuses the name (no relay had the generation), and that relays disagree (none changed).

--- a/buckthornshed/cli/trace.py
+++ b/buckthornshed/cli/trace.py
@@ -22,7 +22,13 @@
 """Reasons logged for a request that was sent and got no usable answer."""
 NO_ROUTE_REASON = "no_route"
 REFUSED_EVENTS = frozenset(
-    {"request_given_up", "request_over_quota", "request_unauthorized", "route_missing"}
+    {
+        "request_given_up",
+        "request_over_quota",
+        "request_unauthorized",
+        "request_unusable",
+        "route_missing",
+    }
 )
 """Events of requests that a relay answered itself."""
 END_EVENTS = REFUSED_EVENTS | {"request_answered"}
@@ -31,6 +37,10 @@
 CAUSES = {
     "over_quota": "the quota of its workspace was used up",
     "unauthorized": "it had no key that a workspace holds",
+    "unusable_key": "its key is in an entry that cannot be used, see the log of the "
+    "relay that read the configuration",
+    "unusable_route": "its route leads nowhere, see the log of the relay that read the "
+    "configuration",
     "no_route": "no route of its configuration matched",
     "not_admitted": "a service that it depends on was saturated",
     "overload": "the target was overloaded and could not start it in time",
@@ -128,7 +138,8 @@
     lines: list[LogLine] = []
     counts: Counter[str] = Counter()
     for path in logs:
-        for text in _read_log(path).splitlines():
+        # Values may contain other characters that `splitlines` takes for line ends.
+        for text in _read_log(path).split("\n"):
             if request.partition(SEPARATOR)[0] not in text:
                 continue
             line = _parse_line(text, path.name)
--- a/buckthornshed/coordination/workspaces/identity.py
+++ b/buckthornshed/coordination/workspaces/identity.py
@@ -1,23 +1,36 @@
 """Which workspace a request belongs to."""
 
 from collections.abc import Sequence
+from enum import Enum
 from typing import NamedTuple
 
 from ...state.catalog import Catalog, Route
-from ...state.workspaces import Workspace, key_digest
+from ...state.workspaces import UNUSABLE_WORKSPACE, Workspace, key_digest
 
-__all__ = ["UNIDENTIFIED", "Identity", "identify"]
+__all__ = ["UNIDENTIFIED", "Access", "Identity", "identify"]
+
+
+class Access(Enum):
+    """What may happen to a request."""
+
+    ALLOWED = "may be sent"
+    UNAUTHORIZED = "has no key of a workspace"
+    UNUSABLE = "has a key that the configuration does not let anybody use"
 
 
 class Identity(NamedTuple):
     """The workspace of a request, None if it needs none; whether it may be sent."""
 
     workspace: Workspace | None
-    authorized: bool
+    access: Access
+
+    @property
+    def authorized(self) -> bool:
+        """Whether the request may be sent."""
+        return self.access is Access.ALLOWED
 
 
-UNIDENTIFIED = Identity(None, authorized=True)
-UNAUTHORIZED = Identity(None, authorized=False)
+UNIDENTIFIED = Identity(None, Access.ALLOWED)
 
 
 def identify(catalog: Catalog, route: Route, keys: Sequence[bytes]) -> Identity:
@@ -36,6 +49,8 @@
     if not catalog.workspaces:
         return UNIDENTIFIED
     name = catalog.keys.get(key_digest(keys[0])) if len(keys) == 1 else None
+    if name == UNUSABLE_WORKSPACE:
+        return UNIDENTIFIED if route.public else Identity(None, Access.UNUSABLE)
     if name is not None:
-        return Identity(catalog.workspaces[name], authorized=True)
-    return UNIDENTIFIED if route.public else UNAUTHORIZED
+        return Identity(catalog.workspaces[name], Access.ALLOWED)
+    return UNIDENTIFIED if route.public else Identity(None, Access.UNAUTHORIZED)
--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -1,16 +1,26 @@
 """Decoders of the JSON documents in the platform's store."""
 
 import ipaddress
+import math
 import re
 from collections import defaultdict
-from typing import Annotated, NoReturn
+from collections.abc import Callable
+from typing import Annotated, Any, NoReturn
 
 import msgspec
 
 from ..errors import PlatformError
 from ..protocol.decoding import DECODE_ERRORS, parse_decimal
+from ..protocol.foreign_objects import (
+    ObjectReader,
+    UnusableEntry,
+    describe,
+    read_json,
+)
+from ..protocol.header_values import host_name, is_header_value
 from ..state.catalog import Catalog, Limits, Route, RouteDestination, Target
-from ..state.workspaces import Quota, Workspace, key_digest
+from ..state.workspace_claims import Claim, ResolvedClaims, resolve_claims
+from ..state.workspaces import UNUSABLE_WORKSPACE, Quota, Workspace
 
 __all__ = ["decode_catalog", "decode_target"]
 
@@ -18,17 +28,28 @@
 """Greatest integer that can be sent to other relays."""
 MAX_PORT = 65_535
 MAX_SLOTS = 1_000_000
-HEADER_VALUE = re.compile(r"[!-~]{1,200}")
-"""Names of workspaces and of targets, which are sent in a header."""
-VERSION = re.compile(r"r([0-9]{1,18})")
+MAX_PRIORITY = 2**31 - 1
+"""Priority that all greater ones count as; ranks that combine two fit into 64 bits."""
+MAX_SECONDS = 1e9
+"""Time that all greater ones count as."""
+MIN_RATE, MAX_RATE = 1e-6, 1e12
+"""Requests per second that smaller and greater rates count as."""
+MAX_NAME_CHARACTERS = 200
+"""Length of a key of the store, of which the name of a target is a part."""
+VERSION = re.compile(r"r0*([0-9]{1,19})")
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Ordinal = Annotated[int, msgspec.Meta(ge=0)]
 Weight = Annotated[float, msgspec.Meta(ge=0.0)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
 # Fields keep the platform's names. A field with `name=` has another name in JSON.
+# A field that cannot be read takes its default, so a default must allow no more than
+# the field may: a route's requests then run once, with a key, on one target. Parts of
+# the type `Any` are objects that are read one by one.
 
 
 class WeightedService(msgspec.Struct):
@@ -42,7 +63,7 @@
     """Destination of a rule's requests; `service` is absent if traffic is split."""
 
     timeout: Seconds = msgspec.field(name="timeoutS")
-    attempts: PositiveInteger = 1  # Targets that one request is sent to, at most.
+    attempts: Count = 1  # Targets that one request is sent to, at most.
     service: str | None = None
     split: list[WeightedService] | None = msgspec.field(
         name="trafficSplit", default=None
@@ -58,12 +79,12 @@
 class Rule(msgspec.Struct):
     """One route."""
 
-    name: str
-    kind: str  # Requests may run more than once only if this is "idempotent".
-    match: Match
-    action: Action
+    match: Any = None
+    action: Any = None
+    name: str = ""
+    kind: str = ""  # Requests may run more than once only if this is "idempotent".
     objective: Seconds = msgspec.field(name="sloS", default=1.0)  # Latency.
-    priority: NonNegativeInteger = 0  # 0 is the highest.
+    priority: Ordinal = 0  # 0 is the highest.
     public: bool = False  # Whether requests need no key.
 
 
@@ -71,7 +92,7 @@
     """Rules of one host; the platform calls it a listener, though it has no socket."""
 
     host: str
-    rules: list[Rule]
+    rules: Any = None
 
 
 class Cluster(msgspec.Struct):
@@ -84,29 +105,29 @@
     """A workspace; the platform calls it a tenant."""
 
     name: str
-    keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
-    priority: NonNegativeInteger | None = None  # Precedes that of the route.
-    rate: Rate = msgspec.field(name="ratePerS", default=0.0)  # 0 for no limit.
+    keys: Any = msgspec.field(name="apiKeys", default=None)
+    priority: Ordinal | None = None  # Precedes that of the route.
+    rate: Any = msgspec.field(name="ratePerS", default=0.0)  # 0 for no limit.
     burst: Rate = 0.0
 
 
 class ClientLimits(msgspec.Struct):
     """Limits on client requests and connections, in bytes and seconds."""
 
-    head_bytes: int = msgspec.field(name="maxHeaderBytes", default=16_384)
-    body_bytes: int = msgspec.field(name="maxBodyBytes", default=1_048_576)
-    head_timeout: float = msgspec.field(name="headerTimeoutS", default=3.0)
-    idle_timeout: float = msgspec.field(name="idleTimeoutS", default=15.0)
+    head_bytes: Count = msgspec.field(name="maxHeaderBytes", default=16_384)
+    body_bytes: Ordinal = msgspec.field(name="maxBodyBytes", default=1_048_576)
+    head_timeout: Seconds = msgspec.field(name="headerTimeoutS", default=3.0)
+    idle_timeout: Seconds = msgspec.field(name="idleTimeoutS", default=15.0)
 
 
 class Document(msgspec.Struct):
     """The operator's configuration."""
 
     version: str  # "r" and the generation.
-    listeners: list[HostRules]
-    clusters: list[Cluster]
-    limits: ClientLimits = msgspec.field(default_factory=ClientLimits)
-    tenants: list[Tenant] = msgspec.field(default_factory=list)
+    listeners: list[Any]
+    clusters: Any = None
+    limits: Any = None
+    tenants: Any = None
 
 
 class Registration(msgspec.Struct):
@@ -126,41 +147,35 @@
 IDEMPOTENT = "idempotent"
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
-DOCUMENT_DECODER = msgspec.json.Decoder(Document)
 REGISTRATION_DECODER = msgspec.json.Decoder(Registration)
 
 
-def decode_catalog(value: bytes) -> Catalog:
+def decode_catalog(
+    value: bytes, report: Callable[[UnusableEntry], None] = lambda entry: None
+) -> Catalog:
     """Decode the operator's configuration.
 
+    An entry that cannot be used costs nothing beside itself and is passed to `report`.
+    The requests of its route or of its keys are refused.
+
     Raises
     ------
     PlatformError
-        If the configuration is invalid.
+        If the configuration has no readable version, or no list of routes.
     """
     try:
-        document = DOCUMENT_DECODER.decode(value)
-    except DECODE_ERRORS as error:
+        document = msgspec.convert(read_json(value), Document)
+    except (*DECODE_ERRORS, ValueError) as error:
         _reject("configuration", str(error), "a configuration document")
-    routes: dict[str, list[Route]] = defaultdict(list)
-    for entry in document.listeners:
-        host = entry.host.lower()
-        routes[host] += [_route(host, rule) for rule in entry.rules]
+    reader = ObjectReader(report=report)
+    claims = _read_claims(reader, document.tenants)
     return Catalog(
         generation=_generation(document.version),
-        routes={
-            host: tuple(sorted(host_routes, key=lambda route: -len(route.prefix)))
-            for host, host_routes in routes.items()
-        },
-        services=tuple(cluster.name for cluster in document.clusters),
-        limits=Limits(
-            head_bytes=document.limits.head_bytes,
-            body_bytes=document.limits.body_bytes,
-            head_timeout=document.limits.head_timeout,
-            idle_timeout=document.limits.idle_timeout,
-        ),
-        workspaces=_workspaces(document.tenants),
-        keys=_keys(document.tenants),
+        routes=_read_routes(reader, document.listeners),
+        services=_read_services(reader, document.clusters),
+        limits=_read_limits(reader, document.limits),
+        workspaces=claims.workspaces,
+        keys=claims.keys,
     )
 
 
@@ -172,8 +187,8 @@
     PlatformError
         If the registration is invalid.
     """
-    if not HEADER_VALUE.fullmatch(name):
-        _reject("registration", f"name {name!r}", "a printable ASCII name")
+    if len(name) > MAX_NAME_CHARACTERS or not is_header_value(name):
+        _reject("registration", f"name {describe(name)}", "the value of a header")
     try:
         registration = REGISTRATION_DECODER.decode(value)
     except DECODE_ERRORS as error:
@@ -208,62 +223,159 @@
     return 0 < (parse_decimal(port) or 0) <= MAX_PORT
 
 
-def _route(host: str, rule: Rule) -> Route:
-    action = rule.action
-    if action.split and sum(part.weight for part in action.split) > 0.0:
-        destinations = tuple(
-            RouteDestination(part.service, part.weight) for part in action.split
-        )
-    elif action.service:
-        destinations = (RouteDestination(action.service, 1.0),)
-    else:
-        _reject(f"route {rule.name}", "no destination", "a service or a split")
+def _read_routes(
+    reader: ObjectReader, listeners: list[Any]
+) -> dict[str, tuple[Route, ...]]:
+    """Return the routes of each host, longest prefix first."""
+    routes: dict[str, list[Route]] = defaultdict(list)
+    for value in listeners:
+        entry = reader.read(value, HostRules, kind="host")
+        if entry is None:
+            continue
+        host = host_name(entry.host)
+        for rule_value in reader.read_list(entry.rules, kind="host", name=host):
+            rule = reader.read(rule_value, Rule, kind="route", name=host)
+            route = None if rule is None else _read_route(reader, host, rule)
+            if route is not None:
+                routes[host].append(route)
+    return {
+        host: tuple(sorted(host_routes, key=lambda route: -len(route.prefix)))
+        for host, host_routes in routes.items()
+    }
+
+
+def _read_route(reader: ObjectReader, host: str, rule: Rule) -> Route | None:
+    """Return a route, without destinations if they cannot be read.
+
+    Its requests are not to go where a shorter prefix leads.
+    """
+    match = reader.read(rule.match, Match, kind="route", name=rule.name)
+    if match is None:
+        return None
+    action = reader.read(rule.action, Action, kind="route", name=rule.name)
+    destinations = () if action is None else _destinations(action)
+    if action is None:
+        action = Action(timeout=rule.objective)
+    elif not destinations:
+        reader.reject("route", rule.name, "no destination", "a service or a split")
     return Route(
-        name=rule.name,
+        name=rule.name or f"{host}{match.prefix}",
         host=host,
-        prefix=rule.match.prefix,
+        prefix=match.prefix,
         destinations=destinations,
         idempotent=rule.kind == IDEMPOTENT,
-        timeout=action.timeout,
-        objective=rule.objective,
-        attempts=action.attempts,
-        rank=rule.priority,
+        timeout=min(action.timeout, MAX_SECONDS),
+        objective=min(rule.objective, MAX_SECONDS),
+        attempts=min(action.attempts, MAX_PRIORITY),
+        rank=min(rule.priority, MAX_PRIORITY),
         public=rule.public,
     )
 
 
-def _workspaces(tenants: list[Tenant]) -> dict[str, Workspace]:
-    workspaces: dict[str, Workspace] = {}
-    for tenant in tenants:
-        if not HEADER_VALUE.fullmatch(tenant.name):
-            _reject("workspace", f"name {tenant.name!r}", "a printable ASCII name")
-        if tenant.name in workspaces:
-            _reject(f"workspace {tenant.name}", "a second entry", "one entry")
-        quota = Quota(tenant.rate, tenant.burst) if tenant.rate > 0.0 else None
-        workspaces[tenant.name] = Workspace(tenant.name, tenant.priority, quota)
-    return workspaces
-
-
-def _keys(tenants: list[Tenant]) -> dict[bytes, str]:
-    """Return the workspaces by digests of keys; errors do not contain a key."""
-    keys: dict[bytes, str] = {}
-    for tenant in tenants:
-        for key in tenant.keys:
-            if not key:
-                _reject(f"workspace {tenant.name}", "an empty key", "a key")
-            holder = keys.setdefault(key_digest(key.encode()), tenant.name)
-            if holder != tenant.name:
-                _reject(
-                    f"workspace {tenant.name}", f"a key of {holder}", "its own keys"
-                )
-    return keys
+def _destinations(action: Action) -> tuple[RouteDestination, ...]:
+    parts = action.split or []
+    total = sum(part.weight for part in parts)
+    if total > 0.0:
+        # The sum of the weights is to be a number.
+        scale = 1.0 if math.isfinite(total) else 1.0 / len(parts)
+        return tuple(
+            RouteDestination(part.service, part.weight * scale) for part in parts
+        )
+    return (RouteDestination(action.service, 1.0),) if action.service else ()
+
+
+def _read_services(reader: ObjectReader, clusters: Any) -> tuple[str, ...]:
+    entries = [
+        reader.read(value, Cluster, kind="service")
+        for value in reader.read_list(clusters, kind="service")
+    ]
+    return tuple(entry.name for entry in entries if entry is not None)
+
+
+def _read_limits(reader: ObjectReader, value: Any) -> Limits:
+    """Return the limits on clients; those that cannot be read have their default."""
+    limits = None if value is None else reader.read(value, ClientLimits, kind="limits")
+    if limits is None:
+        return Limits()
+    return Limits(
+        head_bytes=min(limits.head_bytes, MAX_INTEGER),
+        body_bytes=min(limits.body_bytes, MAX_INTEGER),
+        head_timeout=min(limits.head_timeout, MAX_SECONDS),
+        idle_timeout=min(limits.idle_timeout, MAX_SECONDS),
+    )
+
+
+def _read_claims(reader: ObjectReader, tenants: Any) -> ResolvedClaims:
+    """Return the workspaces and keys; there are some if there are any entries.
+
+    Where no entry can be read, requests still need a key, and no key is usable.
+    """
+    if tenants is not None and not isinstance(tenants, list):
+        reader.reject("workspace", "", type(tenants).__name__, "a list")
+        tenants = [tenants]
+    entries = tenants or []
+    resolved = resolve_claims(_read_claim(reader, value) for value in entries)
+    for conflict in resolved.conflicts:
+        reader.reject(
+            conflict.subject, conflict.name, "a second entry", "one of its own"
+        )
+    return resolved
+
+
+def _read_claim(reader: ObjectReader, value: Any) -> Claim:
+    """Return what an entry claims; its keys may not be used if it cannot be read."""
+    tenant = reader.read(value, Tenant, kind="workspace")
+    if tenant is None:
+        unnamed = Tenant(name=UNUSABLE_WORKSPACE, keys=_field(value, "apiKeys"))
+        keys = _read_keys(reader, unnamed)
+        return Claim(Workspace(UNUSABLE_WORKSPACE), keys, usable=False)
+    keys = _read_keys(reader, tenant)
+    usable = is_header_value(tenant.name)
+    if not usable:
+        found = f"name {describe(tenant.name)}"
+        reader.reject("workspace", tenant.name, found, "the value of a header")
+    rate = _read_rate(tenant.rate)
+    if rate is None:
+        found = f"rate {describe(tenant.rate)}"
+        reader.reject("workspace", tenant.name, found, "requests per second")
+        rate, usable = 0.0, False
+    priority = None if tenant.priority is None else min(tenant.priority, MAX_PRIORITY)
+    quota = Quota(rate, min(tenant.burst, MAX_RATE)) if rate > 0.0 else None
+    return Claim(Workspace(tenant.name, priority, quota), keys, usable)
+
+
+def _read_rate(value: Any) -> float | None:
+    """Return a rate, 0 if there is no limit; None if it cannot be read."""
+    try:
+        rate = msgspec.convert(value, Rate)
+    except msgspec.ValidationError:
+        return None
+    if not math.isfinite(rate):
+        return None
+    return min(max(rate, MIN_RATE), MAX_RATE) if rate > 0.0 else 0.0
+
+
+def _read_keys(reader: ObjectReader, tenant: Tenant) -> tuple[str, ...]:
+    """Return the keys that can be read; no report contains one."""
+    keys: list[str] = []
+    for key in reader.read_list(tenant.keys, kind="key", name=tenant.name):
+        if isinstance(key, str) and key:
+            keys.append(key)
+        else:
+            reader.reject("key", tenant.name, type(key).__name__, "text")
+    return tuple(keys)
+
+
+def _field(value: Any, name: str) -> Any:
+    return value.get(name) if isinstance(value, dict) else None
 
 
 def _generation(version: str) -> int:
     match = VERSION.fullmatch(version)
-    if match is None:
-        _reject("configuration version", repr(version), "r and a number")
-    return int(match[1])
+    number = MAX_INTEGER + 1 if match is None else int(match[1])
+    if number > MAX_INTEGER:
+        _reject("configuration version", describe(version), "r and a number")
+    return number
 
 
 def _reject(subject: str, found: str, expected: str) -> NoReturn:
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ..errors import PlatformError
+from ..protocol.foreign_objects import UnusableEntry
 from ..state.catalog import Catalog, Target
 from ..transport.logs import log_event
 from .documents import decode_catalog, decode_target
@@ -44,6 +45,8 @@
 """Delay after the store has answered the watch after a cut one."""
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
+MAX_LOGGED_ENTRIES = 20
+"""Unusable entries of one configuration that are logged one by one."""
 
 
 class StoreListener(Protocol):
@@ -64,6 +67,9 @@
     def handle_catalog(self, catalog: Catalog) -> None:
         """Handle a configuration."""
 
+    def handle_unusable(self, kind: str) -> None:
+        """Handle an entry of the store that cannot be used, a `route` for example."""
+
     def handle_targets(self, targets: list[Target]) -> None:
         """Handle the complete list of registered targets."""
 
@@ -238,15 +244,37 @@
         for change in changes:
             if change.key != CATALOG_KEY or change.value is None:
                 continue
+            unusable: list[UnusableEntry] = []
             try:
-                catalog = decode_catalog(change.value)
+                catalog = decode_catalog(change.value, unusable.append)
             except PlatformError as error:
+                self.listener.handle_unusable("configuration")
                 log_event(
                     "configuration_unreadable", level=logging.WARNING, error=str(error)
                 )
             else:
+                self._report_unusable(catalog.generation, unusable)
                 self.listener.handle_catalog(catalog)
 
+    def _report_unusable(self, generation: int, entries: list[UnusableEntry]) -> None:
+        """Count the entries of a configuration that are not used, and log some."""
+        for entry in entries:
+            self.listener.handle_unusable(entry.kind)
+        for entry in entries[:MAX_LOGGED_ENTRIES]:
+            log_event(
+                "configuration_entry_unusable",
+                level=logging.WARNING,
+                generation=generation,
+                **entry._asdict(),
+            )
+        if entries:
+            log_event(
+                "configuration_partly_used",
+                level=logging.WARNING,
+                generation=generation,
+                unusable=len(entries),
+            )
+
     def _handle_all_targets(self, changes: tuple[Change, ...]) -> None:
         decoded = [
             self._decode(change)
@@ -275,5 +303,6 @@
         try:
             return decode_target(name, change.value or b"")
         except PlatformError as error:
+            self.listener.handle_unusable("registration")
             log_event("registration_ignored", target=name, error=str(error))
             return None
--- a/buckthornshed/state/workspaces.py
+++ b/buckthornshed/state/workspaces.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "KEY_DIGEST_BYTES",
+    "UNUSABLE_WORKSPACE",
     "Quota",
     "Workspace",
     "combined_rank",
@@ -16,6 +17,8 @@
 """Ranks of routes that are told apart within one priority of workspaces."""
 
 KEY_DIGEST_BYTES = 16
+UNUSABLE_WORKSPACE = ""
+"""Stands for the workspace of a key that is known, but may not be used."""
 
 
 class Quota(NamedTuple):
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -7,7 +7,8 @@
 from ....coordination.relay.dispatch_messages import RoutedRequest
 from ....coordination.relay.fleet.fleet_view import FleetView
 from ....coordination.relay.placement.load_balancer import LoadBalancer
-from ....coordination.workspaces.identity import identify
+from ....coordination.workspaces.identity import Access, identify
+from ....protocol.header_values import decode_value, host_name
 from ....protocol.http import Request, get_header
 from ....protocol.relay_messages import CallMessage, HeaderNames
 from ....state.catalog import Catalog, Route
@@ -23,6 +24,8 @@
 DRAINING_RETRY_AFTER_S = 0.2
 UNAUTHORIZED_STATUS = 401
 NO_ROUTE_STATUS = 404
+UNUSABLE_STATUS = 503
+UNUSABLE_RETRY_AFTER_S = 1.0
 ENDED_PARENT_RETRY_AFTER_S = 0.5
 CALL_TIME_FACTOR = 1.25
 """Factor on the mean time of a call, for one that has to end before the process."""
@@ -99,12 +102,13 @@
         if catalog is None:
             return UnroutedRequest(503, NO_CATALOG_RETRY_AFTER_S)
         request_id = self.request_id(request)
-        host = (get_header(request.headers, b"host") or b"").decode("latin-1")
-        path = request.path.decode("latin-1")
-        route = catalog.match(host.partition(":")[0].lower(), path)
+        host = host_name(decode_value(get_header(request.headers, b"host") or b""))
+        route = catalog.match(host, decode_value(request.path))
         if route is None:
             self._log_missing_route(now, request_id, host, catalog)
             return UnroutedRequest(NO_ROUTE_STATUS, None)
+        if not route.destinations:
+            return self._refuse_unusable(request_id, route, "unusable_route")
         keys = [v for n, v in request.headers if n == self.names.credential]
         # A request with a key is a client's, whatever its identifier looks like.
         is_client = bool(keys and catalog.workspaces)
@@ -122,7 +126,6 @@
     ) -> None:
         """Log what decided that a request has no route, and how old that is."""
         news = self.fleet_view.news
-        host = host.partition(":")[0].lower()
         log_event(
             "route_missing",
             request=request_id.decode("latin-1"),
@@ -164,6 +167,9 @@
     ) -> RoutedRequest | UnroutedRequest:
         """Return a client's request, for the workspace that holds its key."""
         identity = identify(catalog, route, keys)
+        if identity.access is Access.UNUSABLE:
+            request_id = self.request_id(request)
+            return self._refuse_unusable(request_id, route, "unusable_key")
         if not identity.authorized:
             return self._reject_unidentified(request, route, keys)
         if not catalog.workspaces:
@@ -221,6 +227,23 @@
             workspace=workspace,
         )
 
+    def _refuse_unusable(
+        self, request_id: bytes, route: Route, reason: str
+    ) -> UnroutedRequest:
+        """Refuse a request whose route or key the configuration leaves unclear.
+
+        It has not run, and may once the configuration has been corrected.
+        """
+        self.counts.requests[(route.name, reason)] += 1
+        log_event(
+            "request_unusable",
+            request=request_id.decode("latin-1"),
+            route=route.name,
+            status=UNUSABLE_STATUS,
+            reason=reason,
+        )
+        return UnroutedRequest(UNUSABLE_STATUS, UNUSABLE_RETRY_AFTER_S)
+
     def _reject_unidentified(
         self, request: Request, route: Route, keys: list[bytes]
     ) -> UnroutedRequest:
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -121,6 +121,8 @@
         Sends after the first one of each request.
     latencies : dict
         By route, the `LatencyHistogram` of its requests.
+    unusable_entries : Counter
+        Entries of the store that could not be used, by kind.
     store_calls : callable
         Returns the number of calls to the platform's store so far.
     """
@@ -130,6 +132,7 @@
         self.calls: Counter[tuple[str, ...]] = Counter()
         self.peer_messages: Counter[tuple[str, ...]] = Counter()
         self.peer_bytes: Counter[tuple[str, ...]] = Counter()
+        self.unusable_entries: Counter[tuple[str, ...]] = Counter()
         self.target_crashes = 0
         self.retries = 0
         self.latencies: dict[str, LatencyHistogram] = {}
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -1,5 +1,6 @@
 """Updates of the configuration and the targets, from the store and from peers."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from ....coordination.relay.fleet.configuration_news import STORE
@@ -59,6 +60,8 @@
         Finds out from what readers report whether something told was lost.
     told_other_domains : bool
         Whether something was told to other failure domains since the last read.
+    unusable : Counter
+        Entries of the store that this relay has read and could not use, by kind.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.unconfirmed = UnconfirmedTargets()
         self.comparison = ViewComparison()
         self.told_other_domains = False
+        self.unusable: Counter[tuple[str, ...]] = Counter()
 
     # Updates from the platform's store.
 
@@ -132,6 +136,10 @@
         if self._apply_catalog(catalog, STORE):
             self._forward(FleetUpdate(catalog=catalog))
 
+    def handle_unusable(self, kind: str) -> None:
+        """Count an entry of the store that cannot be used."""
+        self.unusable[(kind,)] += 1
+
     def handle_targets(self, targets: list[Target]) -> None:
         """Replace all registrations by those in the store; tell all what differs."""
         view = self.fleet_view
--- a/buckthornshed/transport/relay/metrics.py
+++ b/buckthornshed/transport/relay/metrics.py
@@ -80,6 +80,12 @@
             ("direction",),
             "Compressed bytes from and to other relays",
         )
+        self._add_counter(
+            "unusable_entries",
+            self.counts.unusable_entries,
+            ("kind",),
+            "Entries of the store that could not be used",
+        )
         self.meter.create_observable_counter(
             "buckthornshed.sends_again",
             callbacks=[lambda _: [Observation(self.counts.retries)]],
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -122,6 +122,7 @@
             heartbeat=settings.heartbeat,
         )
         self.fleet_updater = self.fleet_exchange.updater
+        self.counts.unusable_entries = self.fleet_updater.unusable
         self.fleet_view = self.fleet_updater.fleet_view
         self.budget = RetryBudget(limits=settings.retry_limits)
         self.crash_reports = CrashReports(
--- a/buckthornshed/transport/relay/relay_dump.py
+++ b/buckthornshed/transport/relay/relay_dump.py
@@ -5,6 +5,7 @@
 from typing_extensions import TypedDict
 
 from ...coordination.relay.fleet.configuration_news import NO_AGE
+from ...state.workspaces import UNUSABLE_WORKSPACE
 
 if TYPE_CHECKING:
     from .relay import Relay
@@ -18,6 +19,9 @@
     generation: int
     hosts: int
     routes: int
+    workspaces: list[str]
+    refused_routes: list[str]
+    unusable_keys: int
     source: str
     age: float
     confirmed_by: str
@@ -25,7 +29,10 @@
 
 
 class StoreDump(TypedDict):
-    """How the relay learns of changes; times are in seconds."""
+    """How the relay learns of changes; times are in seconds.
+
+    `unusable` counts by kind the entries that it has read and could not use.
+    """
 
     reading: bool
     unavailable: bool
@@ -33,6 +40,7 @@
     read_age: float
     grace_left: float
     gap: bool
+    unusable: dict[str, int]
 
 
 class ReaderDump(TypedDict):
@@ -86,10 +94,19 @@
     catalog = relay.fleet_view.catalog
     news = relay.fleet_view.news
     routes = {} if catalog is None else catalog.routes
+    keys = {} if catalog is None else catalog.keys
     return ConfigurationDump(
         generation=0 if catalog is None else catalog.generation,
         hosts=len(routes),
         routes=sum(map(len, routes.values())),
+        workspaces=[] if catalog is None else sorted(catalog.workspaces),
+        refused_routes=[
+            route.name
+            for each in routes.values()
+            for route in each
+            if not route.destinations
+        ],
+        unusable_keys=sum(name == UNUSABLE_WORKSPACE for name in keys.values()),
         source=news.origin.source,
         age=news.origin.age(now),
         confirmed_by=news.confirmation.source,
@@ -110,6 +127,7 @@
         else NO_AGE,
         grace_left=round(max(0.0, view.grace_until - now), 3),
         gap=readers.has_gap,
+        unusable={kind: n for (kind,), n in relay.fleet_updater.unusable.items()},
     )
 
 
