Keep a log line in one piece, whatever its fields contain

What operators would see: a workspace, route or host with a line end of Unicode (U+2028, U+0085) splits the log line of a request, and `trace` does not find its end. Bytes of a host that are no UTF-8 make a line that `trace` counts as unreadable. A target's name with a space or comma mixes with the fields of its attempt.

Cause: key=value lines escaped only what JSON must escape, `trace` split lines at all that Python takes for a line end, and names stood unescaped in `attempts`.

Tests: test_odd_names (dump, metrics, logs and trace of eight names; one line for any field).

--- a/buckthornshed/transport/logs.py
+++ b/buckthornshed/transport/logs.py
@@ -75,4 +75,8 @@
 
 def _quote(value: object) -> str:
     text = str(value)
-    return text if UNQUOTED.fullmatch(text) else json.dumps(text, ensure_ascii=False)
+    if UNQUOTED.fullmatch(text):
+        return text
+    # What does not print, such as other line ends, is escaped, and what is no text.
+    text = text.encode("utf-8", "backslashreplace").decode()
+    return json.dumps(text, ensure_ascii=not text.isprintable())
--- a/buckthornshed/transport/relay/logs/access_log.py
+++ b/buckthornshed/transport/relay/logs/access_log.py
@@ -8,6 +8,7 @@
 import logging
 import zlib
 from typing import Any
+from urllib.parse import quote
 
 from ....coordination.relay.dispatch_messages import (
     Attempt,
@@ -146,10 +147,10 @@
 
     Each attempt has its target and the target's start time, the time since the request
     arrived, the load that the target was chosen by, the age of that load and the
-    result.
+    result. Names are percent-encoded, as they may contain spaces and commas.
     """
     return " ".join(
-        f"{attempt.target.name}/{attempt.target.started}"
+        f"{quote(attempt.target.name)}/{attempt.target.started}"
         f"@{(attempt.sent_at - request.arrived) * 1e3:.0f}ms"
         f",load={attempt.load:.2f},age={attempt.load_age * 1e3:.0f}ms"
         f",end={'answer' if attempt.reason is None else attempt.reason.name.lower()}"
