End a call at once whose answer has a status that is none of HTTP

Cause: each reader of answers took a status below 200 for interim and all others for final; the parser accepts any three digits.

Change: one place decides. Interim are the registered 100, 102, 103 and 104, final are 200 to 599. Others end the call as unusable (502, or another target if it may run twice), also from a relay of an earlier version, in the node, the store's client and stand-ins.

Ruled out: skipping unknown 1xx as the RFC allows, since no request asks for them and the caller would wait for what does not come.

--- a/buckthornshed/protocol/http.py
+++ b/buckthornshed/protocol/http.py
@@ -21,6 +21,8 @@
     "add_problem_details",
     "forwardable_headers",
     "get_header",
+    "is_final_status",
+    "is_interim_status",
     "render_request",
     "render_response",
 ]
@@ -56,6 +58,13 @@
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
+INTERIM_STATUSES = frozenset({100, 102, 103, 104})
+"""Registered statuses of answers that are followed by another one.
+
+101 ends the protocol on its connection, which no request here asks for.
+"""
+FINAL_STATUSES = range(200, 600)
+
 STATUS_LINES = {
     status: b"HTTP/1.1 %d %s\r\n" % (status, phrase.encode("latin-1"))
     for status, phrase in [
@@ -74,6 +83,20 @@
     body: bytes
 
 
+def is_interim_status(status: int) -> bool:
+    """Return whether the answer to the request is still to come."""
+    return status in INTERIM_STATUSES
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status is one of the answer to a request.
+
+    One that is neither final nor interim is no answer in the protocol (RFC 9110,
+    section 15). Nothing may be concluded from it, not even that another one follows.
+    """
+    return status in FINAL_STATUSES
+
+
 def get_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first header called `name`, None if it is missing."""
     for key, value in headers:
--- a/buckthornshed/standins/http_client.py
+++ b/buckthornshed/standins/http_client.py
@@ -8,6 +8,7 @@
 import httptools
 
 from ..errors import UpstreamError
+from ..protocol.http import is_final_status, is_interim_status
 from .asgi import Response, parse_address
 
 __all__ = ["ClientPool", "UnreachableError", "encode_request"]
@@ -79,11 +80,18 @@
         """Store a chunk of the response body."""
         self.body.append(body)
 
+    def on_headers_complete(self) -> None:
+        """Fail the request if the status is that of no answer."""
+        status = self.parser.get_status_code()
+        if not (is_final_status(status) or is_interim_status(status)):
+            self.fail(f"status {status:03}")
+            self.transport.abort()
+
     def on_message_complete(self) -> None:
         """Complete the pending response, unless it is informational."""
         status = self.parser.get_status_code()
         if (
-            status < 200
+            is_interim_status(status)
             or self.pending_response is None
             or self.pending_response.done()
         ):
--- a/buckthornshed/tests/relay/standin_target.py
+++ b/buckthornshed/tests/relay/standin_target.py
@@ -197,7 +197,28 @@
     return True
 
 
+def respond_with_status(status, *, signed=True):
+    """Return the behaviour that answers with a status, a text of three digits."""
+
+    async def respond(target, request_id, writer):
+        answer = target.signed_answer(request_id, status=status)
+        if not signed:
+            answer = answer.replace(b"response-seal", b"other")
+        writer.write(answer)
+        return True
+
+    return respond
+
+
+ODD_STATUSES = ("000", "001", "099", "101", "105", "199", "600", "999")
+"""Statuses of answers that are neither final nor registered as interim ones."""
+
 BEHAVIOURS = {
+    **{f"status {each}": respond_with_status(each) for each in ODD_STATUSES},
+    **{
+        f"unsigned status {each}": respond_with_status(each, signed=False)
+        for each in ODD_STATUSES
+    },
     "ok": respond_ok,
     "slow": respond_ok,
     "hang": respond_ok,
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -11,7 +11,12 @@
 
 import httptools
 
-from ..protocol.http import CONTEXT_HEADER, get_header
+from ..protocol.http import (
+    CONTEXT_HEADER,
+    get_header,
+    is_final_status,
+    is_interim_status,
+)
 from ..protocol.messages import Fault, Headers
 from .http_parsing import (
     MAX_SKIPPED_ANSWERS,
@@ -155,7 +160,11 @@
             self.transport.abort()
 
     def _head_complete(self) -> None:
-        if self.parser.get_status_code() == 101:
+        status = self.parser.get_status_code()
+        if is_interim_status(status):
+            return
+        if not is_final_status(status) and not self._answers_another():
+            self._fail(f"status {status:03}, which is no answer")
             return
         if self.head_only:
             self._message_complete()
@@ -168,7 +177,7 @@
             # Data after the answer belongs to no request.
             self.reusable = False
             return
-        if status < 200 or self._answers_another():
+        if is_interim_status(status) or self._answers_another():
             self.skipped_answers += 1
             if self.skipped_answers > MAX_SKIPPED_ANSWERS:
                 self._fail("other answers without an end")
--- a/buckthornshed/transport/relay/peers/peer_messages.py
+++ b/buckthornshed/transport/relay/peers/peer_messages.py
@@ -5,6 +5,7 @@
 
 from ....coordination.relay.retries.unresolved_calls import Resolution
 from ....protocol.crash_messages import CrashNotice
+from ....protocol.http import is_final_status
 from ....protocol.quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 from ....protocol.relay_messages import (
     AnswerMessage,
@@ -15,6 +16,7 @@
     Ping,
     Pong,
     RefusalMessage,
+    RefusalReason,
     RelayMessage,
     Status,
     ViewRequest,
@@ -62,7 +64,7 @@
             QuotaLow: lambda _, notice: relay.quotas.record_low(notice),
         }
         self.link_handlers: dict[type, Callable[[str, Any], None]] = {
-            AnswerMessage: lambda _, answer: self._end_call(answer),
+            AnswerMessage: self._end_answered_call,
             RefusalMessage: lambda _, refusal: self._end_call(refusal),
             QuotaGrant: lambda _, grant: relay.quotas.record_grant(grant),
             QuotaLow: lambda _, notice: relay.quotas.record_low(notice),
@@ -161,6 +163,19 @@
         self.relay.fleet_exchange.apply(update, session.instance)
         self.relay.target_reports.learn_limits(update.limits)
 
+    def _end_answered_call(self, instance: str, answer: AnswerMessage) -> None:
+        """Handle an answer that another relay passes on; it may be an earlier version.
+
+        One whose status is no answer's is not passed on to the client. It may have run.
+        """
+        if is_final_status(answer.status):
+            self._end_call(answer)
+            return
+        log_event("peer_answer_unusable", peer=instance, status=answer.status)
+        self._end_call(
+            RefusalMessage(answer.exchange, RefusalReason.LOST, 0.0, answer.load)
+        )
+
     def _end_call(self, outcome: CallOutcome) -> None:
         now, dispatcher = self.relay.clock(), self.relay.dispatcher
         if isinstance(outcome, AnswerMessage):
--- a/buckthornshed/transport/relay/target/target_connection.py
+++ b/buckthornshed/transport/relay/target/target_connection.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from ....protocol.http import get_header
+from ....protocol.http import get_header, is_final_status, is_interim_status
 from ....protocol.messages import Headers
 from ...http_parsing import (
     MAX_SKIPPED_ANSWERS,
@@ -159,7 +159,11 @@
         self.feed = MessageParser(parser=self.parser, collector=self.collector).feed
 
     def _head_complete(self) -> None:
-        if self.parser.get_status_code() < 200:
+        status = self.parser.get_status_code()
+        if is_interim_status(status):
+            return
+        if not is_final_status(status) and not self._answers_another():
+            self._fail(FaultKind.UNUSABLE, f"status {status:03}")
             return
         names = {name for name, _ in self.collector.pairs}
         has_length = b"content-length" in names or b"transfer-encoding" in names
@@ -175,7 +179,7 @@
             # A second answer belongs to no request.
             self.reusable = False
             return
-        if status < 200:
+        if is_interim_status(status):
             self._skip_answer()
             return
         bodyless = status in (204, 304)
@@ -196,13 +200,19 @@
         if answered_id is None and self.request_id:
             self._fail(FaultKind.UNUSABLE, "answer without the request's identifier")
             return
-        if answered_id is not None and answered_id != self.request_id:
+        if self._answers_another():
             self._skip_answer()
             return
         status = self.parser.get_status_code()
         self.complete_answer = TargetAnswer(status, headers, self.collector.body)
         self.reusable = reusable and not self.head_only
 
+    def _answers_another(self) -> bool:
+        """Return whether an answer states that it belongs to another request."""
+        name = self.pool.names.request_id
+        answered_id = get_header(self.collector.headers, name)
+        return answered_id is not None and answered_id != self.request_id
+
     def _skip_answer(self) -> None:
         """Discard an interim answer, or one to another request."""
         self.collector.reset()
