Read large answers of a target on only as the relay that asked takes them

What callers saw: 200 answers of 4 MB at once between two relays take the one beside the target to 246 MB of 200 and 326 MB of 300. The platform kills it, with the requests of all clients there. Of 40 answers of 15 MB, 36 were replaced by 502 though they ran.

Cause: only incomplete messages were counted. Complete answers waited as messages, as their encodings and as the join of all of one iteration of the event loop, and the relay read on from the target meanwhile. Above the budget for incomplete messages the largest, nearest to its end, was dropped.

Change: AnswerReading pauses the connections of large answers but the fullest while much is incomplete, and those whose asking relay has not taken the answers before; one that arrives slowly keeps nobody waiting. Large messages are written at once and decoded without copies.

--- a/buckthornshed/protocol/relay_frames.py
+++ b/buckthornshed/protocol/relay_frames.py
@@ -24,6 +24,8 @@
 
 The small window suffices, because the heads of calls repeat within a few calls.
 """
+MAX_JOINED_BYTES = 65_536
+"""Bytes of messages that are compressed as one, which is faster for small ones."""
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 DECOMPRESSED_PART_BYTES = 1024 * 1024
 """Bytes that are decompressed before the length of the frame is checked again."""
@@ -33,26 +35,40 @@
 
 
 class FrameWriter:
-    """Encodes and compresses the messages of one direction of a connection."""
+    """Encodes and compresses the messages of one direction of a connection.
+
+    Attributes
+    ----------
+    size : int
+        Bytes of the messages that wait for a `flush`, before compression.
+    """
 
     def __init__(self) -> None:
         self.compressor = zlib.compressobj(
             level=COMPRESSION_LEVEL, wbits=-WINDOW_BITS, memLevel=MEMORY_LEVEL
         )
         self.frames: list[bytes] = []
+        self.size = 0
 
     def add(self, message: RelayMessage) -> None:
         """Add a message to the next `flush`."""
         body = MESSAGE_ENCODER.encode(message)
         self.frames.append(len(body).to_bytes(LENGTH_PREFIX_BYTES, "big"))
         self.frames.append(body)
+        self.size += LENGTH_PREFIX_BYTES + len(body)
 
     def flush(self) -> bytes:
         """Return the compressed bytes of all messages added since the last call."""
-        data = b"".join(self.frames)
-        self.frames.clear()
         compressor = self.compressor
-        return compressor.compress(data) + compressor.flush(zlib.Z_SYNC_FLUSH)
+        if self.size <= MAX_JOINED_BYTES:
+            parts = [compressor.compress(b"".join(self.frames))]
+        else:
+            # A copy of all of them would take as much memory again.
+            parts = [compressor.compress(frame) for frame in self.frames]
+        self.frames.clear()
+        self.size = 0
+        parts.append(compressor.flush(zlib.Z_SYNC_FLUSH))
+        return b"".join(parts)
 
 
 class FrameReader:
@@ -105,16 +121,15 @@
             end = begin + LENGTH_PREFIX_BYTES + size
             if len(self.buffer) < end:
                 break
-            messages.append(
-                _decode(bytes(self.buffer[begin + LENGTH_PREFIX_BYTES : end]))
-            )
+            with memoryview(self.buffer) as view:
+                messages.append(_decode(view[begin + LENGTH_PREFIX_BYTES : end]))
             begin = end
         if begin:
             del self.buffer[:begin]
         return messages
 
 
-def _decode(body: bytes) -> RelayMessage:
+def _decode(body: memoryview) -> RelayMessage:
     try:
         return MESSAGE_DECODER.decode(body)
     except DECODE_ERRORS as error:
--- a/buckthornshed/transport/relay/peers/peer_connections.py
+++ b/buckthornshed/transport/relay/peers/peer_connections.py
@@ -111,6 +111,10 @@
         """Remove a link that has ended and report its pending calls."""
 
 
+MAX_BATCH_BYTES = 262_144
+"""Bytes of messages that are written together."""
+
+
 class Outbox:
     """Batches the messages of one iteration of the event loop into one write."""
 
@@ -120,16 +124,25 @@
         self.scheduled = False
 
     def send(self, transport: asyncio.Transport, message: RelayMessage) -> None:
-        """Send a message with the next iteration of the event loop."""
+        """Send a message with the next iteration of the event loop.
+
+        Many large ones would take much memory until then, so they are written at once.
+        """
         self.writer.add(message)
         self.counts.peer_messages["sent", type(message).__name__] += 1
-        if not self.scheduled:
+        if self.writer.size > MAX_BATCH_BYTES:
+            self._write(transport)
+        elif not self.scheduled:
             self.scheduled = True
             asyncio.get_running_loop().call_soon(self.flush, transport)
 
     def flush(self, transport: asyncio.Transport) -> None:
         """Write the messages that wait."""
         self.scheduled = False
+        if self.writer.size:
+            self._write(transport)
+
+    def _write(self, transport: asyncio.Transport) -> None:
         data = self.writer.flush()
         self.counts.peer_bytes["sent",] += len(data)
         if not transport.is_closing():
@@ -230,6 +243,13 @@
             self.send(Welcome(self.links.hello.started, last))
         self.links.handler.handle_new_session(self.instance)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the other relay has not taken yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def replace(self) -> None:
         """End the connection at once, as the other relay uses another one."""
         self.replaced = True
--- a/buckthornshed/transport/relay/peers/peer_links.py
+++ b/buckthornshed/transport/relay/peers/peer_links.py
@@ -211,11 +211,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that other relays have not taken yet."""
-        return sum(
-            session.transport.get_write_buffer_size()
-            for session in self.sessions
-            if session.transport is not None
-        )
+        return sum(session.unsent_bytes for session in self.sessions)
 
     def close(self) -> None:
         """Close all connections at once."""
--- a/buckthornshed/transport/relay/peers/peer_messages.py
+++ b/buckthornshed/transport/relay/peers/peer_messages.py
@@ -143,6 +143,11 @@
         if session is not None:
             session.send(outcome)
 
+    def unsent_bytes(self, key: CallKey) -> int:
+        """Return the bytes that the relay which a call came from has not taken yet."""
+        session = self.sessions.get(key.session)
+        return 0 if session is None else session.unsent_bytes
+
     def _submit_call(self, session: PeerSession, message: CallMessage) -> None:
         self.sessions[session.number] = session
         key = CallKey(session.number, message.exchange)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -145,6 +145,7 @@
             access_log=self.access_log,
             clock=clock,
             buffers=buffers,
+            unsent_bytes=self.peer_messages.unsent_bytes,
         )
         self.statuses = StatusExchange(
             instance=settings.name,
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -65,6 +65,8 @@
         Returns seconds of the monotonic clock.
     buffers : BufferBudget
         Bounds the bytes of incomplete answers.
+    unsent_bytes : callable
+        Returns the bytes that the relay which a call came from has not taken yet.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         access_log: AccessLog,
         clock: Callable[[], float],
         buffers: BufferBudget,
+        unsent_bytes: Callable[[CallKey], int],
     ) -> None:
         self.address = address
         self.names = names
@@ -94,6 +97,7 @@
             on_end=self._handle_end,
             clock=clock,
             buffers=buffers,
+            unsent_bytes=lambda run_id: unsent_bytes(self._key_of(run_id)),
         )
         self.crash_reports = crash_reports
         self.isolation = SuspectIsolation(suspects=crash_reports.suspects)
@@ -203,8 +207,16 @@
             )
             self._stop(call)
             self._refuse(call, RefusalReason.TIMED_OUT, 0.0)
+        self.pool.reading.resume()
         self._execute(self.limiter.tick(now))
 
+    def _key_of(self, run_id: int) -> CallKey:
+        """Return the key of a running call; that of no connection if it has ended."""
+        call = self.runs.get(run_id)
+        key = CallKey(0, 0) if call is None else call.key
+        assert isinstance(key, CallKey)
+        return key
+
     def _suspect_refusal(self, call: LimiterCall) -> RefusalReason | None:
         """Return why a call may not run if it is suspected of crashes."""
         suspects = self.crash_reports.suspects
--- a/buckthornshed/transport/relay/target/target_connection.py
+++ b/buckthornshed/transport/relay/target/target_connection.py
@@ -125,6 +125,8 @@
             # Data after the complete answer belongs to no request.
             self.reusable = self.reusable and self.collector.complete
             self._end_exchange()
+        elif self.exchange is not None:
+            self.pool.reading.note_progress(self)
 
     def send(
         self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
@@ -141,10 +143,23 @@
         assert self.transport is not None
         self.transport.write(data)
 
+    def pause(self) -> None:
+        """Stop reading, so that the target waits."""
+        if self.is_open:
+            assert self.transport is not None
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Go on reading."""
+        if self.is_open:
+            assert self.transport is not None
+            self.transport.resume_reading()
+
     def abort(self) -> None:
         """Abort the connection; an exchange in progress ends without a report."""
         self.exchange = None
         self.collector.reset()
+        self.pool.reading.note_end(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -226,6 +241,7 @@
         self.collector.reset()
         self.exchange = None
         self.complete_answer = None
+        self.pool.reading.note_end(self)
         if exchange is None or answer is None:
             return
         if answer.status >= FAILED_STATUS:
--- a/buckthornshed/transport/relay/target/target_pool.py
+++ b/buckthornshed/transport/relay/target/target_pool.py
@@ -11,6 +11,7 @@
 from ....protocol.messages import Headers
 from ....protocol.relay_messages import HeaderNames
 from ...buffer_budget import BufferBudget
+from .answer_reading import AnswerReading
 from .target_connection import FaultKind, TargetAnswer, TargetConnection, TargetFault
 
 __all__ = ["TargetPool"]
@@ -39,6 +40,13 @@
         Returns seconds of the monotonic clock.
     buffers : BufferBudget
         Bounds the bytes of incomplete answers.
+    unsent_bytes : callable, optional
+        Returns the bytes of answers that whoever asked for an exchange has not taken.
+
+    Attributes
+    ----------
+    reading : AnswerReading
+        Decides which answers are read on.
     """
 
     def __init__(
@@ -49,6 +57,7 @@
         on_end: EndHandler,
         clock: Callable[[], float],
         buffers: BufferBudget,
+        unsent_bytes: Callable[[int], int] = lambda exchange: 0,
     ) -> None:
         host, _, port = address.rpartition(":")
         self.host = host
@@ -57,6 +66,9 @@
         self.on_end = on_end
         self.clock = clock
         self.buffers = buffers
+        self.reading = AnswerReading(
+            buffers=buffers, unsent_bytes=unsent_bytes, clock=clock
+        )
         self.idle: list[TargetConnection] = []
         self.active: dict[int, TargetConnection] = {}
         self.connecting: dict[int, asyncio.Task[None]] = {}
