Count no infinite weight as one, and resume nothing where nothing waits

A weight beyond the numbers (1e400, which JSON allows) was read as infinite since the configuration is read field by field, so the shares of its route would be no numbers. It makes its route unusable. Connections of the target are looked at only if one waits.

Tests: test_platform_documents, extreme weights and such that are no number; 1e400 and Infinity failed before.

--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -3,6 +3,7 @@
 import ipaddress
 import math
 import re
+import sys
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Annotated, Any, NoReturn
@@ -42,7 +43,7 @@
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Ordinal = Annotated[int, msgspec.Meta(ge=0)]
-Weight = Annotated[float, msgspec.Meta(ge=0.0)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0, le=sys.float_info.max)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
--- a/buckthornshed/tests/relay/test_platform_documents.py
+++ b/buckthornshed/tests/relay/test_platform_documents.py
@@ -1,6 +1,7 @@
 """Tests of decoding the platform documents and the settings file of a relay."""
 
 import json
+import math
 
 import pytest
 
@@ -113,6 +114,25 @@
 NO_WEIGHT = [{"service": "x", "weight": 0}, {"service": "y", "weight": 0}]
 
 
+@pytest.mark.parametrize("weights", [[1e308, 1e308], [5e-324, 0]])
+def test_the_sum_of_extreme_weights_is_a_number_above_0(weights):
+    split = [{"service": "x", "weight": weight} for weight in weights]
+    catalog = decode_catalog(encode(make_document(trafficSplit=split)))
+    route = catalog.match("stalls.example", "/book/1")
+    assert route is not None
+    assert 0.0 < sum(part.weight for part in route.destinations) < math.inf
+
+
+@pytest.mark.parametrize("number", ["1e400", "-1", "NaN", "Infinity"])
+def test_a_weight_that_is_no_number_makes_its_route_unusable(number):
+    split = [{"service": "x", "weight": 12345}, {"service": "y", "weight": 1}]
+    value = encode(make_document(trafficSplit=split))
+    catalog = decode_catalog(value.replace(b"12345", number.encode()))
+    route = catalog.match("stalls.example", "/book/1")
+    assert route is not None
+    assert route.destinations == ()
+
+
 # Guards against a whole configuration that is rejected for one route.
 @pytest.mark.parametrize("action", [{}, {"trafficSplit": NO_WEIGHT}, {"service": 5}])
 def test_a_route_without_a_destination_is_kept_apart_and_reported(action):
--- a/buckthornshed/transport/relay/target/answer_reading.py
+++ b/buckthornshed/transport/relay/target/answer_reading.py
@@ -117,6 +117,8 @@
 
     def resume(self) -> None:
         """Resume the connections that need not wait any longer, the fullest first."""
+        if not self.waiting:
+            return
         now = self.clock()
         for source in [e for e, step in self.reading.items() if now - step.at > STEP_S]:
             self.slow[source] = self.reading.pop(source)
