Get past an item of the store whose key or value is no text

Cause: items are decoded one by one, but the decoder rejects the text around them for half a character in any string. Each watch and range then failed for ever.

Change: such an answer is read again without the items that are no text, which are logged like other unreadable ones.

Ruled out: an outage; `store_lost` has the message of the decoder.

--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -5,13 +5,14 @@
 import binascii
 import logging
 from collections.abc import Callable
-from typing import NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from ..errors import PlatformError
 from ..protocol.decoding import DECODE_ERRORS
+from ..protocol.foreign_objects import read_json
 from ..protocol.messages import Fault
 from ..transport.http_client import ConnectionPool, ExchangeHandlers, RawAnswer
 from ..transport.logs import log_event
@@ -92,6 +93,7 @@
 
 Body = TypeVar("Body", Page, Events)
 
+ITEM_FIELDS = {"items", "events"}
 PAGE_DECODER = msgspec.json.Decoder(Page)
 EVENTS_DECODER = msgspec.json.Decoder(Events)
 ITEM_DECODER = msgspec.json.Decoder(Item)
@@ -287,12 +289,43 @@
 def _decode(decoder: msgspec.json.Decoder[Body], data: bytes) -> Body:
     try:
         return decoder.decode(data)
-    except DECODE_ERRORS as error:
+    except DECODE_ERRORS:
+        pass
+    try:
+        return decoder.decode(_without_unreadable_items(data))
+    except (*DECODE_ERRORS, ValueError) as error:
         raise PlatformError(
             subject="store", found=str(error), expected="items or events"
         ) from error
 
 
+def _without_unreadable_items(data: bytes) -> bytes:
+    """Return an answer in which null takes the place of items that are no text.
+
+    Raises
+    ------
+    ValueError, RecursionError
+        If the answer is not JSON, or nested too deeply.
+    """
+    body = read_json(data)
+    if isinstance(body, dict):
+        for name in ITEM_FIELDS & body.keys():
+            if isinstance(body[name], list):
+                body[name] = [_if_readable(item) for item in body[name]]
+    try:
+        return msgspec.json.encode(body)
+    except TypeError as error:
+        raise ValueError(str(error)) from error
+
+
+def _if_readable(item: Any) -> Any:
+    try:
+        msgspec.json.encode(item)
+    except (TypeError, ValueError):
+        return None
+    return item
+
+
 def _read_items(items: list[msgspec.Raw]) -> list[Change]:
     """Return the changes that can be read."""
     changes: list[Change] = []
--- a/buckthornshed/tests/relay/test_odd_entries.py
+++ b/buckthornshed/tests/relay/test_odd_entries.py
@@ -128,6 +128,23 @@
     run(scenario())
 
 
+# Guards against an entry whose key is no text, which makes each answer of the store
+# undecodable, so that no relay learns of anything more (review/7).
+def test_a_key_that_is_no_text_hides_neither_targets_nor_configurations():
+    async def scenario():
+        async with fleet_of(2) as fleet:
+            await fleet.store.put("servers/\udcff\udcfe", REGISTRATION)
+            await fleet.register(fleet.targets[0], "stalls", state="draining", seq=2)
+            await fleet.store.put("op/config", configuration(2))
+            await until(lambda: all(follows(relay, fleet) for relay in fleet.relays))
+            await fleet.store.drop_history()
+            await fleet.restart(1)
+            await until(lambda: follows(fleet.relays[1], fleet))
+            assert (await fleet.ask(fleet.relays[1])).status == 200
+
+    run(scenario())
+
+
 def follows(relay, fleet):
     view = relay.fleet_view
     names = {target.name for target in fleet.targets}
@@ -166,8 +183,10 @@
         b'{"key": "b", "rev": %s}' % (b"9" * DIGITS),
         b'{"key": "b", "rev": 1, "value": ["e30="]}',
         b"null",
+        rb'{"key": "servers/\udcff\udcfe", "rev": 1, "value": "e30="}',
+        rb'{"key": "b", "rev": 1, "value": "\ud800", "\udfff": 1}',
     ],
-    ids=["key", "revision", "value", "null"],
+    ids=["key", "revision", "value", "null", "half a character", "halves elsewhere"],
 )
 @pytest.mark.parametrize("kind", ["range", "watch"])
 def test_an_odd_item_hides_no_item_after_it(odd, kind):
