Read the whole state when a watch has more than an answer may contain

Cause: a watch answers with each change since its revision, 32 MB here, over the limit of 8 MiB. That counted as an outage, and the reader asked the same again until the store had dropped that history.

Change: Fault.too_large tells it from an outage, and the next read is a range, which has pages of 1 MB.

Ruled out: a larger limit, as the history of 20 s has no bound.

--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -46,6 +46,10 @@
     """The connection of a call ended before the answer was complete."""
 
 
+class AnswerTooLargeError(PlatformError):
+    """An answer exceeds the size limit, and would again."""
+
+
 class ReadCutError(PlatformError):
     """The connection of a watch was closed early, or that of a read became silent."""
 
@@ -171,7 +175,7 @@
             If the connection is closed before the wait is over, or nothing arrives.
         HistoryLostError
             If the store no longer has the changes after that revision, or leaves
-            them out.
+            them out, or has more than an answer may contain.
         StoreRestoredError
             If the store has returned from an old copy since the last answer.
         PlatformError
@@ -194,6 +198,13 @@
                 found=f"the connection closed after {waited:.3f} s",
                 expected=f"events within {wait} s",
             ) from error
+        except AnswerTooLargeError as error:
+            # The same question would get the same answer. A range has pages.
+            raise HistoryLostError(
+                subject=error.subject,
+                found="more changes than an answer may contain",
+                expected=f"events after revision {after}",
+            ) from error
         events = _decode(EVENTS_DECODER, body)
         if events.at < after:
             # An answer to an earlier watch; the one to this watch may still come.
@@ -275,7 +286,10 @@
             )
 
     def _fault_error(self, fault: Fault) -> PlatformError:
-        error_type = ConnectionEndedError if fault.closed else PlatformError
+        if fault.too_large:
+            error_type: type[PlatformError] = AnswerTooLargeError
+        else:
+            error_type = ConnectionEndedError if fault.closed else PlatformError
         return error_type(
             subject=f"store at {self.address}", found=fault.detail, expected="an answer"
         )
--- a/buckthornshed/protocol/messages.py
+++ b/buckthornshed/protocol/messages.py
@@ -151,12 +151,15 @@
         Description of the failure for log lines.
     closed : bool
         Whether the failure is that the connection ended before the answer did.
+    too_large : bool
+        Whether the failure is that the answer exceeds the size limit.
     """
 
     exchange: int
     maybe_sent: bool
     detail: str
     closed: bool = False
+    too_large: bool = False
 
 
 def refusal_answer(
--- a/buckthornshed/tests/relay/test_odd_entries.py
+++ b/buckthornshed/tests/relay/test_odd_entries.py
@@ -11,7 +11,11 @@
 from buckthornshed.errors import PeerError, PlatformError, SettingsError
 from buckthornshed.platform.documents import decode_catalog, decode_target
 from buckthornshed.platform.settings import parse_settings
-from buckthornshed.platform.store import StoreClient
+from buckthornshed.platform.store import (
+    MAX_BODY_BYTES,
+    HistoryLostError,
+    StoreClient,
+)
 from buckthornshed.platform.wire import read_era
 from buckthornshed.protocol.relay_frames import MESSAGE_ENCODER, FrameReader
 from buckthornshed.protocol.relay_messages import FleetUpdate
@@ -145,6 +149,23 @@
     run(scenario())
 
 
+# Guards against a reader that asks again and again for changes that are more than an
+# answer may contain, and learns of nothing meanwhile (review/6).
+def test_changes_beyond_the_size_of_an_answer_are_read_as_a_range():
+    async def scenario():
+        events = b'{"events": [], "at": 5, "x": "%s"}' % (b"x" * MAX_BODY_BYTES)
+        server, address = await serve_once(events)
+        client = StoreClient(address=address, clock=lambda: 0.0)
+        with pytest.raises(HistoryLostError):
+            await client.watch("", 4, 1.0)
+        with pytest.raises(PlatformError) as error:
+            await client.range("")
+        assert not isinstance(error.value, HistoryLostError)
+        server.close()
+
+    run(scenario())
+
+
 def follows(relay, fleet):
     view = relay.fleet_view
     names = {target.name for target in fleet.targets}
--- a/buckthornshed/transport/http_client.py
+++ b/buckthornshed/transport/http_client.py
@@ -129,7 +129,7 @@
             # this connection could else be answered by what follows the answer.
             self._end_exchange(self.answer)
         elif self.collector.too_large:
-            self._fail("answer over the size limit")
+            self._fail("answer over the size limit", too_large=True)
 
     def send(
         self,
@@ -187,7 +187,7 @@
             self._fail(fault)
             return
         if self.collector.too_large:
-            self._fail("answer over the size limit")
+            self._fail("answer over the size limit", too_large=True)
             return
         self.answer = RawAnswer(status, self.collector.headers, self.collector.body)
         self.reusable = self.parser.should_keep_alive() and not self.head_only
@@ -218,12 +218,20 @@
                 return None
         return "answer has no length, so truncation cannot be detected"
 
-    def _fail(self, detail: str, *, closed: bool = False) -> None:
+    def _fail(
+        self, detail: str, *, closed: bool = False, too_large: bool = False
+    ) -> None:
         exchange, handlers = self.exchange, self.handlers
         self.abort()
         if exchange is not None and handlers is not None:
             handlers.on_fault(
-                Fault(exchange=exchange, maybe_sent=True, detail=detail, closed=closed)
+                Fault(
+                    exchange=exchange,
+                    maybe_sent=True,
+                    detail=detail,
+                    closed=closed,
+                    too_large=too_large,
+                )
             )
 
 
