Refuse an upload that is dropped for memory with 503, not with 413

Cause: a message that is dropped as all connections hold too much was marked like one that exceeds its own limit.

Change: MessageCollector.dropped tells one from the other. Such a request gets 503 with Retry-After: it has not run, and may be sent again.

Ruled out: a larger budget. Uploads of 64 MiB need one for each connection.

--- a/buckthornshed/transport/http_parsing.py
+++ b/buckthornshed/transport/http_parsing.py
@@ -58,6 +58,8 @@
     ----------
     too_large : bool
         Whether the message exceeds a limit; what is left of it is not kept.
+    dropped : bool
+        Whether that limit is the one on the bytes of all connections.
     events : int
         Number of callbacks of the parser so far.
     """
@@ -93,6 +95,7 @@
         self.complete = False
         self.head_complete = False
         self.too_large = False
+        self.dropped = False
 
     @property
     def headers(self) -> Headers:
@@ -105,6 +108,11 @@
         return bytes(self.buffer)
 
     def overflow(self) -> None:
+        """Drop the body, as all connections together hold too much."""
+        self.dropped = True
+        self.refuse()
+
+    def refuse(self) -> None:
         """Drop the body and mark the message as too large."""
         self.too_large = True
         self.buffer = bytearray()
@@ -144,7 +152,7 @@
         self.body_parts += 1
         too_many = self.body_parts > MAX_SMALL_PARTS + self.body_bytes / MIN_PART_BYTES
         if too_many or self.body_bytes > self.max_body_bytes:
-            self.overflow()
+            self.refuse()
         if self.too_large:
             return
         self.buffer += part
@@ -207,7 +215,7 @@
             return
         self.unreported_bytes += len(part)
         if self.unreported_bytes > collector.max_head_bytes + HEAD_MARGIN_BYTES:
-            collector.overflow()
+            collector.refuse()
 
 
 def framing_fault(headers: Headers) -> str | None:
--- a/buckthornshed/transport/relay/clients/client_listener.py
+++ b/buckthornshed/transport/relay/clients/client_listener.py
@@ -236,6 +236,10 @@
         self.listener.handler.handle_request(exchange, request)
 
     def _reject_too_large(self) -> None:
+        if self.collector.dropped:
+            # The request itself is within the limits, and may be sent again.
+            self._reject(503, "requests take too much memory")
+            return
         in_head = not self.collector.head_complete
         self._reject(431 if in_head else 413, "request exceeds a size limit")
 
--- a/buckthornshed/transport/relay/clients/client_requests.py
+++ b/buckthornshed/transport/relay/clients/client_requests.py
@@ -22,6 +22,7 @@
 
 __all__ = ["ClientRequests"]
 
+NO_MEMORY_STATUS = 503
 MEMORY_RETRY_AFTER_S = 1.0
 """Time after which a client may ask again that others leave no memory for."""
 
@@ -98,7 +99,8 @@
     def handle_rejection(self, status: int, detail: str) -> bytes:
         """Return the response to an invalid request."""
         log_event("request_rejected", status=status, detail=detail)
-        return local_response(status, self.names, close=True)
+        retry_after = MEMORY_RETRY_AFTER_S if status == NO_MEMORY_STATUS else None
+        return local_response(status, self.names, b"", retry_after, close=True)
 
     def _apply_quota(
         self, exchange: Exchange, routed: RoutedRequest, verdict: QuotaVerdict
