Count large requests from their arrival to their end

Cause: a request that has arrived was counted nowhere, and the relay beside the target held it twice, as its body and joined with its head.

A large body is written beside its head.

Ruled out: a bound on their number, as sizes differ by five orders of magnitude; a bound at one relay alone, as many relays send to one target.

--- a/buckthornshed/transport/relay/clients/client_requests.py
+++ b/buckthornshed/transport/relay/clients/client_requests.py
@@ -4,6 +4,7 @@
 
 from ....coordination.relay.admission.demand_class import class_name
 from ....coordination.relay.admission.offered_rates import OfferedRates
+from ....coordination.relay.admission.request_memory import RequestMemory
 from ....coordination.relay.dispatch_messages import (
     DispatchAction,
     FailRequest,
@@ -48,6 +49,8 @@
         Carries out what the dispatcher decides.
     clock : callable
         Returns seconds of the monotonic clock.
+    request_memory : RequestMemory
+        Bounds the bytes of requests that are in progress.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         offered: OfferedRates,
         execute: Callable[[list[DispatchAction]], None],
         clock: Callable[[], float],
+        request_memory: RequestMemory,
     ) -> None:
         self.names = names
         self.router = router
@@ -70,6 +74,7 @@
         self.offered = offered
         self.execute = execute
         self.clock = clock
+        self.request_memory = request_memory
 
     def handle_request(self, exchange: Exchange, request: Request) -> None:
         """Match a complete request to a route and dispatch it."""
@@ -92,6 +97,7 @@
     def handle_disconnect(self, exchange: Exchange) -> None:
         """Cancel the call of a request whose client has disconnected."""
         self.responses.memory.end(exchange.token)
+        self.request_memory.end(exchange.token)
         if self.responses.exchanges.pop(exchange.token, None) is not None:
             now = self.clock()
             self.execute(self.dispatcher.client_disconnected(now, exchange.token))
@@ -114,8 +120,8 @@
         else:
             self.responses.refuse_over_quota(exchange, routed, verdict.retry_after)
 
-    def _refuse_large_answer(self, exchange: Exchange, routed: RoutedRequest) -> None:
-        """Refuse a request whose answer there would be no room for."""
+    def _refuse_for_memory(self, exchange: Exchange, routed: RoutedRequest) -> None:
+        """Refuse a request that there is no room for, or none for its answer."""
         log_event(
             "request_refused_memory",
             request=routed.request_id.decode("latin-1"),
@@ -136,8 +142,11 @@
     def _dispatch(self, exchange: Exchange, routed: RoutedRequest) -> None:
         if not routed.nested:
             self.offered.count(class_name(routed.route.name, routed.priority))
-        if not self.responses.memory.begin(exchange.token, routed.route.name):
-            self._refuse_large_answer(exchange, routed)
+        has_room = self.request_memory.begin(exchange.token, len(routed.body))
+        if not (
+            has_room and self.responses.memory.begin(exchange.token, routed.route.name)
+        ):
+            self._refuse_for_memory(exchange, routed)
             return
         actions = self.dispatcher.submit(self.clock(), exchange.token, routed)
         self.execute(actions)
--- a/buckthornshed/transport/relay/clients/client_responses.py
+++ b/buckthornshed/transport/relay/clients/client_responses.py
@@ -6,6 +6,7 @@
 from ....coordination.relay.admission.answer_memory import AnswerMemory
 from ....coordination.relay.admission.controller import AdmissionController
 from ....coordination.relay.admission.demand_class import class_name
+from ....coordination.relay.admission.request_memory import RequestMemory
 from ....coordination.relay.dispatch_messages import (
     DeliverAnswer,
     FailRequest,
@@ -38,6 +39,8 @@
         Called with the workspace of a request that was not run.
     memory : AnswerMemory
         Bounds the bytes of answers that clients have not read.
+    request_memory : RequestMemory
+        Bounds the bytes of requests that are in progress.
     clock : callable
         Returns seconds of the monotonic clock.
 
@@ -57,6 +60,7 @@
         admission: AdmissionController,
         refund: Callable[[str], None],
         memory: AnswerMemory,
+        request_memory: RequestMemory,
         clock: Callable[[], float],
     ) -> None:
         self.names = names
@@ -64,6 +68,7 @@
         self.admission = admission
         self.refund = refund
         self.memory = memory
+        self.request_memory = request_memory
         self.clock = clock
         self.exchanges: dict[int, Exchange] = {}
         self.draining = False
@@ -71,6 +76,7 @@
     def deliver(self, action: DeliverAnswer) -> None:
         """Respond with the answer of a target."""
         self.memory.end(action.token)
+        self.request_memory.end(action.token)
         exchange = self.exchanges.pop(action.token, None)
         if exchange is None:
             return
@@ -106,6 +112,7 @@
         """Respond in place of a target."""
         request = action.request
         self.memory.end(action.token)
+        self.request_memory.end(action.token)
         if request.workspace and not request.nested and not action.may_have_run:
             self.refund(request.workspace)
         exchange = self.exchanges.pop(action.token, None)
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ...coordination.relay.admission.answer_memory import AnswerMemory
+from ...coordination.relay.admission.request_memory import RequestMemory
 from ...coordination.relay.dispatch_messages import (
     CancelCall,
     DeliverAnswer,
@@ -146,6 +147,7 @@
             clock=clock,
             buffers=buffers,
             unsent_bytes=self.peer_messages.unsent_bytes,
+            memory=RequestMemory(memory=settings.memory),
         )
         self.statuses = StatusExchange(
             instance=settings.name,
@@ -163,6 +165,7 @@
             is_reachable=self.links.has_link,
             clock=clock,
         )
+        request_memory = RequestMemory(memory=settings.memory)
         self.responses = ClientResponses(
             names=names,
             access_log=self.access_log,
@@ -172,6 +175,7 @@
                 memory=settings.memory,
                 held_bytes=lambda: self.listener.unsent_bytes,
             ),
+            request_memory=request_memory,
             clock=clock,
         )
         self.target_reports = TargetReports(
@@ -207,6 +211,7 @@
             offered=self.statuses.offered,
             execute=self.execute,
             clock=clock,
+            request_memory=request_memory,
         )
         self.listener = ClientListener(
             handler=self.requests,
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Hashable
 
 from ....coordination.relay.admission.call_graph import CallGraph
+from ....coordination.relay.admission.request_memory import RequestMemory
 from ....coordination.relay.crashes.suspect_isolation import SuspectIsolation
 from ....coordination.relay.limiter.concurrency_limiter import (
     ConcurrencyLimiter,
@@ -67,6 +68,8 @@
         Bounds the bytes of incomplete answers.
     unsent_bytes : callable
         Returns the bytes that the relay which a call came from has not taken yet.
+    memory : RequestMemory
+        Bounds the bytes of calls that are queued or running.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         clock: Callable[[], float],
         buffers: BufferBudget,
         unsent_bytes: Callable[[CallKey], int],
+        memory: RequestMemory,
     ) -> None:
+        self.memory = memory
         self.address = address
         self.names = names
         self.deliver = deliver
@@ -166,6 +171,9 @@
         call = LimiterCall(
             key=key, message=message, deadline=now + message.time_left, arrived=now
         )
+        if not self.memory.begin(key, len(message.body)):
+            self._refuse(call, RefusalReason.OVERLOAD, self.limiter.retry_after())
+            return
         refusal = self._suspect_refusal(call)
         if refusal is not None:
             self._refuse_suspect(call, refusal)
@@ -246,6 +254,7 @@
     def _stop(self, call: LimiterCall) -> None:
         """Remove a call; close its connection if it is running."""
         self.isolation.end(call.key)
+        self.memory.end(call.key)
         was_running, actions = self.limiter.cancel(self.clock(), call.key)
         if was_running:
             run_id = self.run_ids.pop(call.key)
@@ -289,16 +298,17 @@
         self.run_ids[call.key] = run_id
         self.calls_by_request_id[message.request_id] = call
         time_left_ms = max(1, int((call.deadline - self.clock()) * 1e3))
-        data = b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+        head = b"%s%s: %d\r\n%s: %s\r\n\r\n" % (
             message.head,
             self.names.deadline,
             time_left_ms,
             self.names.expected_target,
             message.target.encode(),
-            message.body,
         )
         head_only = message.head.startswith(b"HEAD ")
-        self.pool.send(run_id, message.request_id, data, head_only=head_only)
+        self.pool.send(
+            run_id, message.request_id, head, message.body, head_only=head_only
+        )
 
     def _handle_end(self, run_id: int, result: TargetAnswer | TargetFault) -> None:
         call = self.runs.pop(run_id, None)
@@ -391,6 +401,7 @@
         key = call.key
         assert isinstance(key, CallKey)
         self.isolation.end(key)
+        self.memory.end(key)
         self.access_log.log_call(
             self.clock(),
             call.message,
--- a/buckthornshed/transport/relay/target/target_connection.py
+++ b/buckthornshed/transport/relay/target/target_connection.py
@@ -27,6 +27,8 @@
 __all__ = ["FaultKind", "TargetAnswer", "TargetConnection", "TargetFault"]
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_JOINED_BYTES = 65_536
+"""Size of a body that is written together with its head."""
 FAILED_STATUS = 400
 """Lowest status after which a request may be sent to the target again."""
 MAX_FAILED_REQUESTS = 64
@@ -129,7 +131,13 @@
             self.pool.reading.note_progress(self)
 
     def send(
-        self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
+        self,
+        exchange: int,
+        request_id: bytes,
+        head: bytes,
+        body: bytes,
+        *,
+        head_only: bool,
     ) -> None:
         """Send the request of an exchange."""
         self.exchange = exchange
@@ -141,7 +149,12 @@
         self.collector.reset()
         self.pool.requests_sent += 1
         assert self.transport is not None
-        self.transport.write(data)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.transport.write(head + body)
+            return
+        # A joined copy of a large body would take as much memory again.
+        self.transport.write(head)
+        self.transport.write(body)
 
     def pause(self) -> None:
         """Stop reading, so that the target waits."""
--- a/buckthornshed/transport/relay/target/target_pool.py
+++ b/buckthornshed/transport/relay/target/target_pool.py
@@ -76,15 +76,24 @@
         self.requests_sent = 0
 
     def send(
-        self, exchange: int, request_id: bytes, data: bytes, *, head_only: bool
+        self,
+        exchange: int,
+        request_id: bytes,
+        head: bytes,
+        body: bytes = b"",
+        *,
+        head_only: bool,
     ) -> None:
-        """Send a request on an idle connection, or open a new one for it."""
+        """Send a request on an idle connection, or open a new one for it.
+
+        `head` ends with its empty line.
+        """
         connection = self._pop_idle(request_id)
         if connection is not None:
             self.active[exchange] = connection
-            connection.send(exchange, request_id, data, head_only=head_only)
+            connection.send(exchange, request_id, head, body, head_only=head_only)
             return
-        opening = self._connect_and_send(exchange, request_id, data, head_only)
+        opening = self._connect_and_send(exchange, request_id, head, body, head_only)
         self.connecting[exchange] = asyncio.get_running_loop().create_task(opening)
 
     def cancel(self, exchange: int) -> None:
@@ -171,7 +180,12 @@
         return None
 
     async def _connect_and_send(
-        self, exchange: int, request_id: bytes, data: bytes, head_only: bool
+        self,
+        exchange: int,
+        request_id: bytes,
+        head: bytes,
+        body: bytes,
+        head_only: bool,
     ) -> None:
         try:
             connection = await self._connect()
@@ -184,7 +198,7 @@
             connection.abort()
             return
         self.active[exchange] = connection
-        connection.send(exchange, request_id, data, head_only=head_only)
+        connection.send(exchange, request_id, head, body, head_only=head_only)
 
 
 def _keep_alive_time(headers: Headers) -> float:
