--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -43,6 +43,7 @@
         self.ports = Ports(machines=len(services))
         self.store = Store()
         self.version = 0
+        self.idle_timeout_s = 15
         self.tasks: list[asyncio.Task[Any]] = []
         self.machines = [
             Machine(
@@ -95,7 +96,7 @@
                     "maxHeaderBytes": 16384,
                     "maxBodyBytes": 67108864,
                     "headerTimeoutS": 3,
-                    "idleTimeoutS": 15,
+                    "idleTimeoutS": self.idle_timeout_s,
                 },
                 "listeners": [{"host": "app.example", "rules": rules}],
                 "clusters": [
