--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A slow first answer lets the answers behind it take all memory of a relay."""
+"""A configuration whose version has twenty digits is never taken over."""
 
 import asyncio
 import sys
@@ -6,77 +6,58 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from rig3.case import Bystanders, report_lost, run_case, slow_down, with_trouble
-from rig3.client import PipelineResult, send_pipeline
+from rig3.case import run_case, with_trouble
+from rig3.client import KeptConnection
 from rig3.deployment import Deployment, rule
 
-CLIENTS = 24
-FOLLOWING = 31
-"""Requests that a client sends behind the first one."""
-ANSWER_BYTES = 400_000
-FIRST_WORK_MS = 300
-SLOW_FACTOR = 12.0
-STAGGER_S = 0.03
-DEADLINE_MS = 6_000
+FIRST_VERSION = 20_261_207_220_800
+"""Time of the change, to the second."""
+NEXT_VERSION = 20_261_207_221_530_123_456
+"""Time of the change, to the microsecond."""
+NEXT_VERSION_CALM = 20_261_207_221_530
+CONFIG_S = 2.0
+WATCH_S = 10.0
 SETTLE_S = 4.0
 """Time after the start from which the machines are in touch."""
-AFTER_S = 8.0
+PAUSE_S = 0.1
+LISTEN_MARGIN_S = 0.05
 
 
 def make() -> Deployment:
-    """Return three machines, each with a server of another service.
-
-    The pictures come from the server beside the clients' relay, so that they pass no
-    link between machines.
-    """
+    """Return three machines, each with a server of another service."""
     return Deployment(
-        folder=Path(__file__).parent,
-        services=["agenda", "catalogo", "reservas"],
+        folder=Path(__file__).parent, services=["agenda", "catalogo", "reservas"]
     )
 
 
 async def play(deployment: Deployment) -> bool:
-    """Let clients ask for a list and its pictures; return whether the rule held."""
-    await deployment.open(
-        [
-            rule("list", "agenda"),
-            rule("picture", "catalogo"),
-            rule("book", "reservas", kind="non_idempotent", priority=0),
-        ]
-    )
-    bystanders = Bystanders(
-        deployment=deployment, machine=1, count=12, path="/book/work-1500/hut"
-    )
+    """Move a route to another service; return whether the rule held."""
+    record = deployment.record
+    deployment.version = FIRST_VERSION
+    await deployment.open([rule("list", "agenda")], step=0)
     await asyncio.sleep(SETTLE_S)
-    if with_trouble():
-        slow_down(deployment.servers[0], SLOW_FACTOR)
+    version = NEXT_VERSION if with_trouble() else NEXT_VERSION_CALM
+    deployment.configure([rule("list", "catalogo")], step=version - FIRST_VERSION)
+    acknowledged_at = record.now
     clients = [
-        deployment.spawn(ask(deployment, number, number * STAGGER_S))
-        for number in range(CLIENTS)
+        KeptConnection(address=m.client_address, record=record, name=f"client-{n}")
+        for n, m in enumerate(deployment.machines)
     ]
-    results = await asyncio.gather(*clients)
-    got: dict[str, int] = {}
-    for result in results:
-        for status, count in result.statuses.items():
-            got[status] = got.get(status, 0) + count
-    deployment.record.say("clients", got=got, cut=sum(r.cut for r in results))
-    await bystanders.stop()
-    return report_lost(deployment, bystanders)
-
-
-async def ask(deployment: Deployment, number: int, delay: float) -> PipelineResult:
-    """Send one client's requests."""
-    await asyncio.sleep(delay)
-    pictures = [
-        f"/picture/work-5/bytes-{ANSWER_BYTES}/{number}-{n}" for n in range(FOLLOWING)
-    ]
-    return await send_pipeline(
-        deployment.machines[1].client_address,
-        deployment.record,
-        name=f"client-{number}",
-        paths=[f"/list/work-{FIRST_WORK_MS}/{number}", *pictures],
-        deadline_ms=DEADLINE_MS,
-    )
+    late: dict[str, float] = {}
+    while record.now - acknowledged_at < WATCH_S:
+        outcomes = await asyncio.gather(*(c.send("/list/work-5/x") for c in clients))
+        for each in outcomes:
+            age = each.sent_at - acknowledged_at
+            ran_old = each.request_id in deployment.servers[0].runs
+            if ran_old and age > CONFIG_S + LISTEN_MARGIN_S:
+                late[each.request_id] = age
+                record.note("late", id=each.request_id, sent_after_s=round(age, 3))
+        await asyncio.sleep(PAUSE_S)
+    old, new = deployment.servers[0], deployment.servers[1]
+    record.say("runs", old_service=len(old.runs), new_service=len(new.runs))
+    latest = round(max(late.values(), default=0.0), 3)
+    record.say("result", late=len(late), latest_s=latest, allowed_s=CONFIG_S)
+    return not late
 
 
 if __name__ == "__main__":
--- a/review/rig3/client.py
+++ b/review/rig3/client.py
@@ -29,13 +29,16 @@
     method: str = "GET",
     body: bytes = b"",
     deadline_ms: int = 5_000,
+    key: str = "",
 ) -> bytes:
-    """Return the bytes of a request."""
+    """Return the bytes of a request; `key` is that of the client's tenant, if any."""
     headers = {
         "Host": HOST_HEADER,
         "Request-Id": request_id,
         "Deadline-Ms": str(deadline_ms),
     }
+    if key:
+        headers["Credential"] = key
     return render(f"{method} {path} HTTP/1.1", headers, body)
 
 
@@ -61,9 +64,14 @@
         Where requests and answers are noted.
     name : str
         Name of the client in the record.
+    key : str
+        Key of the client's tenant, empty if it has none.
     """
 
-    def __init__(self, *, address: tuple[str, int], record: Record, name: str) -> None:
+    def __init__(
+        self, *, address: tuple[str, int], record: Record, name: str, key: str = ""
+    ) -> None:
+        self.key = key
         self.address = address
         self.record = record
         self.name = name
@@ -88,7 +96,12 @@
                 self.reader, self.writer = await asyncio.open_connection(*self.address)
             assert self.reader is not None
             data = request_bytes(
-                path, request_id, method=method, body=body, deadline_ms=deadline_ms
+                path,
+                request_id,
+                method=method,
+                body=body,
+                deadline_ms=deadline_ms,
+                key=self.key,
             )
             self.writer.write(data)
             async with asyncio.timeout(deadline_ms / 1e3 + 1.0):
--- a/review/rig3/deployment.py
+++ b/review/rig3/deployment.py
@@ -43,7 +43,7 @@
         self.ports = Ports(machines=len(services))
         self.store = Store()
         self.version = 0
-        self.idle_timeout_s = 15
+        self.tenants: list[dict[str, Any]] = []
         self.tasks: list[asyncio.Task[Any]] = []
         self.machines = [
             Machine(
@@ -71,11 +71,12 @@
             for index, service in enumerate(services)
         ]
 
-    async def open(self, rules: list[dict[str, Any]]) -> None:
+    async def open(self, rules: list[dict[str, Any]], step: int = 3) -> None:
         """Start everything and wait until all relays are ready."""
         await self.store.open(STORE_HOST, self.ports.store)
-        self.configure(rules)
-        for server in self.servers:
+        self.configure(rules, step)
+        for machine, server in zip(self.machines, self.servers, strict=True):
+            server.outbound = machine.client_address
             await server.open()
             self.spawn(server.beat(self.store, BEAT_S))
         for machine in self.machines:
@@ -88,23 +89,23 @@
         """Publish a configuration; it is acknowledged when this returns."""
         self.version += step
         services = sorted({server.service for server in self.servers})
-        self.store.put(
-            CONFIG_KEY,
-            {
-                "version": f"r{self.version}",
-                "limits": {
-                    "maxHeaderBytes": 16384,
-                    "maxBodyBytes": 67108864,
-                    "headerTimeoutS": 3,
-                    "idleTimeoutS": self.idle_timeout_s,
-                },
-                "listeners": [{"host": "app.example", "rules": rules}],
-                "clusters": [
-                    {"name": each, "healthPath": "/health", "maxConns": 424}
-                    for each in services
-                ],
+        document: dict[str, Any] = {
+            "version": f"r{self.version}",
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 67108864,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
             },
-        )
+            "listeners": [{"host": "app.example", "rules": rules}],
+            "clusters": [
+                {"name": each, "healthPath": "/health", "maxConns": 424}
+                for each in services
+            ],
+        }
+        if self.tenants:
+            document["tenants"] = self.tenants
+        self.store.put(CONFIG_KEY, document)
         self.record.say("configuration", version=f"r{self.version}")
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/review/rig3/server.py
+++ b/review/rig3/server.py
@@ -5,6 +5,7 @@
 import hashlib
 import os
 import re
+import secrets
 import time
 from urllib.parse import unquote
 
@@ -16,6 +17,9 @@
 """Part of a path that states the milliseconds of work."""
 SIZE = re.compile(r"/bytes-([0-9]+)(?=/|$)")
 """Part of a path that states the bytes of the answer."""
+CALL = re.compile(r"/call-([a-z]+)(?=/|$)")
+"""Part of a path that names the route of a call that the run makes."""
+CALL_DEADLINE_MS = 2_000
 POOL_BYTES = 8 * 1024 * 1024
 POOL = os.urandom(POOL_BYTES)
 """Bytes that answers are cut from; they cannot be compressed."""
@@ -43,6 +47,10 @@
     ----------
     runs : dict
         Number of runs by `Request-Id`.
+    outbound : tuple or None
+        Address of the relay on its machine, to which it sends its calls.
+    call_statuses : list of tuple
+        Status of each of its calls, and whether the answer had a seal.
     """
 
     def __init__(
@@ -72,6 +80,8 @@
         self.arrived_at: dict[str, float] = {}
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.outbound: tuple[str, int] | None = None
+        self.call_statuses: list[tuple[int, bool]] = []
 
     async def open(self) -> None:
         """Listen."""
@@ -173,6 +183,11 @@
             work = WORK.search(path)
             if work is not None:
                 await asyncio.sleep(self.slow_factor * int(work[1]) / 1e3)
+            call = CALL.search(path)
+            if call is not None and not await self._call(call[1]):
+                seal = {"Response-Seal": f"{self.name}.0"}
+                self.record.note("failed", server=self.name, id=request_id)
+                return render("HTTP/1.1 500 Internal Server Error", echoed | seal)
         finally:
             self.running -= 1
         size = SIZE.search(path)
@@ -181,6 +196,31 @@
         self.record.note("ran", server=self.name, id=request_id, bytes=len(body))
         return render("HTTP/1.1 200 OK", echoed | seal, body)
 
+    async def _call(self, route: str) -> bool:
+        """Make a call through the system; return whether it succeeded."""
+        assert self.outbound is not None
+        call_id = secrets.token_hex(8)
+        headers = {
+            "Host": "app.example",
+            "Request-Id": call_id,
+            "Deadline-Ms": str(CALL_DEADLINE_MS),
+        }
+        reader, writer = await asyncio.open_connection(*self.outbound)
+        try:
+            writer.write(render(f"GET /{route}/work-5/x HTTP/1.1", headers))
+            message = await read_message(reader)
+        finally:
+            writer.close()
+        if message is None:
+            return False
+        status = int(message.start.split(" ")[1])
+        sealed = "response-seal" in message.headers
+        self.call_statuses.append((status, sealed))
+        self.record.note(
+            "call", server=self.name, id=call_id, status=status, sealed=sealed
+        )
+        return status == 200
+
 
 def answer_body(request_id: str, size: int) -> bytes:
     """Return the whole body of the answer to a request."""
