--- a/review/rig3/server.py
+++ b/review/rig3/server.py
@@ -74,6 +74,7 @@
         self.slow_factor = 1.0
         self.running = 0
         self.state = "ready"
+        self.beating = True
         self.sequence = 0
         self.born = int(time.time() * 1e3)
         self.runs: dict[str, int] = {}
@@ -106,10 +107,18 @@
 
     async def beat(self, store: Store, interval: float) -> None:
         """Write heartbeats to the store until cancelled."""
-        while True:
+        while self.beating:
             store.put(f"servers/{self.name}", self.registration())
             await asyncio.sleep(interval)
 
+    async def end(self) -> None:
+        """End at once, with all connections."""
+        self.record.say("server_ends", server=self.name, running=self.running)
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
