Take over versions of the configuration with any number of digits

Cause: a version is a number without a bound, but the decoder took 19 digits up to 2^63 - 1 and rejected the whole configuration otherwise, as messages between relays have integers of 64 bits. Callers saw the old service run their requests for as long as the operator numbered so.

Change: a generation is text that compares as its number does. On the wire its field has an abbreviation that keeps the order and exceeds no number, and a new last field, which the last landing ignores, the digits. Dump and logs have text; the gauge is approximate from 16 digits on, a second one has the last 15 digits. Store revisions are abbreviated in reports in the same way.

Ruled out: comparison as text or in floating point; the message between relays (it would have been the next fault: msgspec raises OverflowError from 2^64 on).

--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -20,6 +20,7 @@
 )
 from ..protocol.header_values import host_name, is_header_value
 from ..state.catalog import Catalog, Limits, Route, RouteDestination, Target
+from ..state.generation import Generation
 from ..state.workspace_claims import Claim, ResolvedClaims, resolve_claims
 from ..state.workspaces import UNUSABLE_WORKSPACE, Quota, Workspace
 
@@ -37,7 +38,8 @@
 """Requests per second that smaller and greater rates count as."""
 MAX_NAME_CHARACTERS = 200
 """Length of a key of the store, of which the name of a target is a part."""
-VERSION = re.compile(r"r0*([0-9]{1,19})")
+VERSION = re.compile(r"r([0-9]+)")
+"""A number without a bound."""
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -371,12 +373,11 @@
     return value.get(name) if isinstance(value, dict) else None
 
 
-def _generation(version: str) -> int:
+def _generation(version: str) -> Generation:
     match = VERSION.fullmatch(version)
-    number = MAX_INTEGER + 1 if match is None else int(match[1])
-    if number > MAX_INTEGER:
+    if match is None:
         _reject("configuration version", describe(version), "r and a number")
-    return number
+    return Generation(match[1])
 
 
 def _reject(subject: str, found: str, expected: str) -> NoReturn:
--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -8,6 +8,7 @@
 from ..errors import PlatformError
 from ..protocol.foreign_objects import UnusableEntry
 from ..state.catalog import Catalog, Target
+from ..state.generation import Generation
 from ..transport.logs import log_event
 from .documents import decode_catalog, decode_target
 from .store import (
@@ -256,7 +257,9 @@
                 self._report_unusable(catalog.generation, unusable)
                 self.listener.handle_catalog(catalog)
 
-    def _report_unusable(self, generation: int, entries: list[UnusableEntry]) -> None:
+    def _report_unusable(
+        self, generation: Generation, entries: list[UnusableEntry]
+    ) -> None:
         """Count the entries of a configuration that are not used, and log some."""
         for entry in entries:
             self.listener.handle_unusable(entry.kind)
@@ -264,14 +267,14 @@
             log_event(
                 "configuration_entry_unusable",
                 level=logging.WARNING,
-                generation=generation,
+                generation=str(generation),
                 **entry._asdict(),
             )
         if entries:
             log_event(
                 "configuration_partly_used",
                 level=logging.WARNING,
-                generation=generation,
+                generation=str(generation),
                 unusable=len(entries),
             )
 
--- a/buckthornshed/protocol/relay_frames.py
+++ b/buckthornshed/protocol/relay_frames.py
@@ -7,10 +7,12 @@
 """
 
 import zlib
+from typing import Any
 
 import msgspec
 
 from ..errors import PeerError
+from ..state.generation import Generation
 from .decoding import DECODE_ERRORS
 from .relay_messages import RelayMessage
 
@@ -30,8 +32,23 @@
 DECOMPRESSED_PART_BYTES = 1024 * 1024
 """Bytes that are decompressed before the length of the frame is checked again."""
 
-MESSAGE_ENCODER = msgspec.msgpack.Encoder()
-MESSAGE_DECODER = msgspec.msgpack.Decoder(RelayMessage)
+
+def _encode_object(value: Any) -> int:
+    """Return the integer that stands for a generation in its field of a message."""
+    if isinstance(value, Generation):
+        return value.abbreviation
+    raise NotImplementedError(f"a message contains a {type(value).__name__}")
+
+
+def _decode_object(expected: type, value: Any) -> Generation:
+    """Return a generation from the integer of its field."""
+    if expected is Generation and isinstance(value, int) and value >= 0:
+        return Generation(value)
+    raise ValueError(f"a message contains {value!r} in place of a generation")
+
+
+MESSAGE_ENCODER = msgspec.msgpack.Encoder(enc_hook=_encode_object)
+MESSAGE_DECODER = msgspec.msgpack.Decoder(RelayMessage, dec_hook=_decode_object)
 
 
 class FrameWriter:
--- a/buckthornshed/protocol/relay_messages.py
+++ b/buckthornshed/protocol/relay_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..state.catalog import Catalog, Target
+from ..state.generation import Generation
 from .crash_messages import CrashNotice
 from .quota_messages import QuotaGrant, QuotaLow, QuotaQuestion, QuotaUse
 
@@ -115,6 +116,12 @@
         return self in MAY_HAVE_RUN_REASONS
 
 
+def _long_digits(generation: Generation) -> str:
+    """Return the digits of a generation that exceeds its field, else nothing."""
+    digits = str(generation)
+    return "" if str(generation.abbreviation) == digits else digits
+
+
 MAY_HAVE_RUN_REASONS = frozenset(
     {RefusalReason.LOST, RefusalReason.TIMED_OUT, RefusalReason.CRASHED}
 )
@@ -289,16 +296,27 @@
     Parameters
     ----------
     revision : int
-        Revision of the store up to which it has read.
-    generation : int
-        Generation of its configuration; 0 if it has none.
+        Revision of the store up to which it has read, of 64 bits.
+    generation : Generation
+        Generation of its configuration; `NO_GENERATION` if it has none.
     targets : int
         Digest of the registrations that it knows.
+    long_generation : str
+        Digits of a generation that exceeds its field on the wire, else empty. Versions
+        before this field ignore it, and compare the abbreviation.
     """
 
     revision: int
-    generation: int
+    generation: Generation
     targets: int
+    long_generation: str = ""
+
+    def __post_init__(self) -> None:
+        """Fill in the long generation, or take it over after decoding."""
+        if self.long_generation:
+            self.generation = Generation(self.long_generation)
+        else:
+            self.long_generation = _long_digits(self.generation)
 
 
 class FleetUpdate(msgspec.Struct, array_like=True, tag=8):
@@ -323,6 +341,9 @@
     summary : ViewSummary or None
         What the sender knows after this and earlier updates, if it has just read the
         store. Versions before this field ignore it.
+    long_generation : str
+        Digits of the catalog's generation if it exceeds its field on the wire, else
+        empty. Versions before this field take over the abbreviation.
     """
 
     catalog: Catalog | None = None
@@ -333,6 +354,17 @@
     reader: ReaderReport | None = None
     silent: list[str] = []
     summary: ViewSummary | None = None
+    long_generation: str = ""
+
+    def __post_init__(self) -> None:
+        """Fill in the long generation, or take it over after decoding."""
+        if self.catalog is None:
+            return
+        if self.long_generation:
+            generation = Generation(self.long_generation)
+            self.catalog = self.catalog._replace(generation=generation)
+        else:
+            self.long_generation = _long_digits(self.catalog.generation)
 
 
 RelayMessage = (
--- a/buckthornshed/state/catalog.py
+++ b/buckthornshed/state/catalog.py
@@ -4,6 +4,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
+from .generation import Generation
 from .workspaces import Workspace
 
 __all__ = ["Catalog", "Limits", "Release", "Route", "RouteDestination", "Target"]
@@ -72,8 +73,8 @@
 
     Parameters
     ----------
-    generation : int
-        Number of the configuration; a higher generation replaces a lower one.
+    generation : Generation
+        Number of the configuration; a higher one replaces a lower one.
     routes : mapping
         The routes of each host, longest prefix first.
     services : tuple of str
@@ -86,7 +87,7 @@
         Name of the workspace by the digest of each of its keys.
     """
 
-    generation: int
+    generation: Generation
     routes: Mapping[str, tuple[Route, ...]]
     services: tuple[str, ...]
     limits: Limits
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -133,7 +133,7 @@
             reason="no_route",
             host=host,
             host_routes=len(catalog.routes.get(host, ())),
-            generation=catalog.generation,
+            generation=str(catalog.generation),
             source=news.origin.source or "-",
             age=news.origin.age(now),
             confirmed_by=news.confirmation.source or "-",
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -27,8 +27,9 @@
 
     Parameters
     ----------
-    generation : int
-        Generation of the configuration in force; 0 before the first.
+    generation : float
+        Generation of the configuration in force; 0 before the first. From 16 digits on
+        it is approximate.
     targets : int
         Registered targets that are not draining.
     peers : int
@@ -59,9 +60,11 @@
         Seconds since the configuration came into force; -1 before the first.
     confirmed_age : float
         Seconds since a reader of the store last said that there is no newer one.
+    generation_tail : int
+        The last 15 digits of the generation, which are exact.
     """
 
-    generation: int
+    generation: float
     targets: int
     peers: int
     requests: int
@@ -78,6 +81,7 @@
     quotas_owned: int = 0
     configuration_age: float = -1.0
     confirmed_age: float = -1.0
+    generation_tail: int = 0
 
 
 class LatencyHistogram:
--- a/buckthornshed/transport/relay/fleet/fleet_updater.py
+++ b/buckthornshed/transport/relay/fleet/fleet_updater.py
@@ -14,6 +14,8 @@
 from ....coordination.relay.fleet.view_comparison import ViewComparison
 from ....protocol.relay_messages import FleetUpdate, ReaderReport, ViewSummary
 from ....state.catalog import Catalog, Target
+from ....state.generation import NO_GENERATION
+from ....state.integers import abbreviated
 from ...logs import log_event
 
 __all__ = ["FleetUpdater"]
@@ -128,8 +130,9 @@
     def _summarize(self, revision: int) -> ViewSummary:
         """Return what this relay knows, for others that may lack something of it."""
         view = self.fleet_view
-        generation = 0 if view.catalog is None else view.catalog.generation
-        return ViewSummary(revision, generation, view.digest.value)
+        catalog = view.catalog
+        generation = NO_GENERATION if catalog is None else catalog.generation
+        return ViewSummary(abbreviated(revision), generation, view.digest.value)
 
     def handle_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration from the store."""
@@ -276,8 +279,8 @@
             "view_behind",
             peer=sender,
             revision=reported.revision,
-            told_generation=reported.generation,
-            generation=own.generation,
+            told_generation=str(reported.generation),
+            generation=str(own.generation),
             targets_differ=reported.targets != own.targets,
         )
 
@@ -391,7 +394,7 @@
         self.fleet_view.news.record_origin(sender or source, self.clock())
         log_event(
             "configuration_in_force",
-            generation=catalog.generation,
+            generation=str(catalog.generation),
             source=source,
             peer=sender or "-",
         )
--- a/buckthornshed/transport/relay/gauges.py
+++ b/buckthornshed/transport/relay/gauges.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...state.generation import NO_GENERATION
 from .counts import NO_LIMIT, RelayGauges
 
 if TYPE_CHECKING:
@@ -16,8 +17,10 @@
     catalog = relay.fleet_view.catalog
     rate_limiter = limiter.rate_limiter
     suspects = relay.crash_reports.suspects
+    generation = NO_GENERATION if catalog is None else catalog.generation
     return RelayGauges(
-        generation=0 if catalog is None else catalog.generation,
+        generation=generation.approximation,
+        generation_tail=generation.tail,
         targets=sum(map(len, relay.fleet_view.usable.values())),
         peers=len(relay.links.links),
         requests=len(relay.responses.exchanges),
--- a/buckthornshed/transport/relay/relay_dump.py
+++ b/buckthornshed/transport/relay/relay_dump.py
@@ -5,6 +5,7 @@
 from typing_extensions import TypedDict
 
 from ...coordination.relay.fleet.configuration_news import NO_AGE
+from ...state.generation import NO_GENERATION
 from ...state.workspaces import UNUSABLE_WORKSPACE
 
 if TYPE_CHECKING:
@@ -14,9 +15,12 @@
 
 
 class ConfigurationDump(TypedDict):
-    """The configuration in force; ages are in seconds, -1 for never."""
+    """The configuration in force; ages are in seconds, -1 for never.
 
-    generation: int
+    The generation is text, as it may exceed the integers of readers of JSON.
+    """
+
+    generation: str
     hosts: int
     routes: int
     workspaces: list[str]
@@ -96,7 +100,7 @@
     routes = {} if catalog is None else catalog.routes
     keys = {} if catalog is None else catalog.keys
     return ConfigurationDump(
-        generation=0 if catalog is None else catalog.generation,
+        generation=str(NO_GENERATION if catalog is None else catalog.generation),
         hosts=len(routes),
         routes=sum(map(len, routes.values())),
         workspaces=[] if catalog is None else sorted(catalog.workspaces),
