Read numbers of others in any form, and bound only what has to be

Registrations took whole numbers only as 1, not as 1.0, and seq up to 2^63 - 1; a revision written 12.0 made each answer of the store unreadable; 1e400 and numbers of thousands of digits fell back to defaults, a priority to the highest; limits.maxFds=4100.0 ended the process at its start. Callers saw running targets without work, or a relay that never got ready.

--- a/buckthornshed/platform/documents.py
+++ b/buckthornshed/platform/documents.py
@@ -17,19 +17,20 @@
     UnusableEntry,
     describe,
     read_json,
+    usable_numbers,
 )
 from ..protocol.header_values import host_name, is_header_value
 from ..state.catalog import Catalog, Limits, Route, RouteDestination, Target
 from ..state.generation import Generation
+from ..state.integers import MAX_INT63, abbreviated
 from ..state.workspace_claims import Claim, ResolvedClaims, resolve_claims
 from ..state.workspaces import UNUSABLE_WORKSPACE, Quota, Workspace
 
 __all__ = ["decode_catalog", "decode_target"]
 
-MAX_INTEGER = 2**63 - 1
-"""Greatest integer that can be sent to other relays."""
 MAX_PORT = 65_535
 MAX_SLOTS = 1_000_000
+"""Slots that all greater numbers count as."""
 MAX_PRIORITY = 2**31 - 1
 """Priority that all greater ones count as; ranks that combine two fit into 64 bits."""
 MAX_SECONDS = 1e9
@@ -41,11 +42,10 @@
 VERSION = re.compile(r"r([0-9]+)")
 """A number without a bound."""
 
-PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
-NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+Count64 = Annotated[int, msgspec.Meta(ge=1, le=MAX_INT63)]
 Ordinal = Annotated[int, msgspec.Meta(ge=0)]
-Weight = Annotated[float, msgspec.Meta(ge=0.0, le=sys.float_info.max)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0, lt=sys.float_info.max)]
 Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
@@ -139,10 +139,10 @@
     service: str
     addr: str  # Address of the target, reachable only from its own instance.
     zone: str  # Failure domain.
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]  # Concurrent calls.
+    slots: Count64  # Concurrent calls.
     state: str  # A key of DRAINING_BY_STATE.
-    born: PositiveInteger  # Start of the target in Unix milliseconds.
-    seq: NonNegativeInteger  # Sequence number of the registration, within one start.
+    born: Count64  # Start of the target in Unix milliseconds.
+    seq: Ordinal  # Sequence number of the registration, within one start.
     version: str = ""  # Version of the target's software.
     warmup_left: float = msgspec.field(name="coldLeftS", default=0.0)  # In seconds.
 
@@ -193,8 +193,8 @@
     if len(name) > MAX_NAME_CHARACTERS or not is_header_value(name):
         _reject("registration", f"name {describe(name)}", "the value of a header")
     try:
-        registration = REGISTRATION_DECODER.decode(value)
-    except DECODE_ERRORS as error:
+        registration = _read_registration(value)
+    except (*DECODE_ERRORS, ValueError) as error:
         _reject(f"registration {name}", str(error), "a registration")
     draining = DRAINING_BY_STATE.get(registration.state)
     if draining is None:
@@ -206,17 +206,25 @@
     return Target(
         name=name,
         started=registration.born,
-        sequence=registration.seq,
+        sequence=abbreviated(registration.seq),
         service=registration.service,
         address=registration.addr,
         failure_domain=registration.zone,
-        slots=registration.slots,
+        slots=min(registration.slots, MAX_SLOTS),
         draining=draining,
-        warmup_left=registration.warmup_left,
+        warmup_left=min(registration.warmup_left, MAX_SECONDS),
         version=registration.version,
     )
 
 
+def _read_registration(value: bytes) -> Registration:
+    """Return a registration, also if its numbers are written in an unusual form."""
+    try:
+        return REGISTRATION_DECODER.decode(value)
+    except DECODE_ERRORS:
+        return msgspec.convert(usable_numbers(read_json(value)), Registration)
+
+
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
     try:
@@ -301,8 +309,8 @@
     if limits is None:
         return Limits()
     return Limits(
-        head_bytes=min(limits.head_bytes, MAX_INTEGER),
-        body_bytes=min(limits.body_bytes, MAX_INTEGER),
+        head_bytes=min(limits.head_bytes, MAX_INT63),
+        body_bytes=min(limits.body_bytes, MAX_INT63),
         head_timeout=min(limits.head_timeout, MAX_SECONDS),
         idle_timeout=min(limits.idle_timeout, MAX_SECONDS),
     )
@@ -350,7 +358,7 @@
 def _read_rate(value: Any) -> float | None:
     """Return a rate, 0 if there is no limit; None if it cannot be read."""
     try:
-        rate = msgspec.convert(value, Rate)
+        rate = msgspec.convert(usable_numbers(value), Rate)
     except msgspec.ValidationError:
         return None
     if not math.isfinite(rate):
--- a/buckthornshed/platform/settings.py
+++ b/buckthornshed/platform/settings.py
@@ -1,9 +1,9 @@
 """Decoder of the platform's settings file, which has lines ``a.b=value``."""
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
-from typing import NoReturn, TypeVar
+from typing import NoReturn
 
 from ..errors import SettingsError
 from ..protocol.decoding import parse_decimal
@@ -16,8 +16,6 @@
 MAX_PORT = 65_535
 MAX_SHOWN_VALUE = 80
 
-Value = TypeVar("Value", int, float)
-
 
 def read_settings(path: Path) -> RelaySettings:
     """Read the settings file at `path`.
@@ -60,14 +58,14 @@
         target_address=_parse_address(fields, "appAddr"),
         target_service=_get_required(fields, "service"),
         store_address=_parse_address(fields, "platform.addr"),
-        grace=_parse_number(fields, "bounds.graceS", float),
+        grace=_parse_number(fields, "bounds.graceS"),
         retry_limits=RetryLimits(
-            ratio=_parse_number(fields, "bounds.retryRatio", float),
-            window=_parse_number(fields, "bounds.retryWindowS", float),
-            slack=_parse_number(fields, "bounds.retrySlack", float),
+            ratio=_parse_number(fields, "bounds.retryRatio"),
+            window=_parse_number(fields, "bounds.retryWindowS"),
+            slack=_parse_number(fields, "bounds.retrySlack"),
         ),
-        descriptors=_parse_number(fields, "limits.maxFds", int),
-        memory=int(_parse_number(fields, "limits.memoryMb", float) * BYTES_PER_MB),
+        descriptors=int(_parse_number(fields, "limits.maxFds")),
+        memory=int(_parse_number(fields, "limits.memoryMb") * BYTES_PER_MB),
         heartbeat=_parse_heartbeat(fields),
     )
 
@@ -88,16 +86,13 @@
     return value
 
 
-def _parse_number(
-    fields: Mapping[str, str], name: str, convert: Callable[[str], Value]
-) -> Value:
+def _parse_number(fields: Mapping[str, str], name: str) -> float:
     value = _get_required(fields, name)
     try:
-        number = convert(value)
-        finite = math.isfinite(number)
-    except (ValueError, OverflowError):
-        finite = False
-    if not finite:
+        number = float(value)
+    except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
         _reject(name, repr(value[:MAX_SHOWN_VALUE]), "a number")
     return number
 
@@ -106,7 +101,7 @@
     """Return the interval of registrations, 0 if the file does not state it."""
     if not fields.get("beatS"):
         return 0.0
-    heartbeat = _parse_number(fields, "beatS", float)
+    heartbeat = _parse_number(fields, "beatS")
     if heartbeat < 0.0:
         _reject("beatS", fields["beatS"], "a time of 0 or more")
     return heartbeat
--- a/buckthornshed/platform/store.py
+++ b/buckthornshed/platform/store.py
@@ -12,7 +12,7 @@
 
 from ..errors import PlatformError
 from ..protocol.decoding import DECODE_ERRORS
-from ..protocol.foreign_objects import read_json
+from ..protocol.foreign_objects import read_json, usable_numbers
 from ..protocol.messages import Fault
 from ..transport.http_client import ConnectionPool, ExchangeHandlers, RawAnswer
 from ..transport.logs import log_event
@@ -72,7 +72,7 @@
     """An item or a change event; `rev` is the revision of the item's last change."""
 
     key: str
-    rev: int
+    rev: int | float
     value: str | None = None
     deleted: bool = False
 
@@ -306,15 +306,18 @@
     except DECODE_ERRORS:
         pass
     try:
-        return decoder.decode(_without_unreadable_items(data))
+        return decoder.decode(_in_usable_form(data))
     except (*DECODE_ERRORS, ValueError) as error:
         raise PlatformError(
             subject="store", found=str(error), expected="items or events"
         ) from error
 
 
-def _without_unreadable_items(data: bytes) -> bytes:
-    """Return an answer in which null takes the place of items that are no text.
+def _in_usable_form(data: bytes) -> bytes:
+    """Return an answer in a form that can be decoded.
+
+    Null takes the place of items that are no text, an integer that of a revision that
+    is written with a fraction.
 
     Raises
     ------
@@ -326,6 +329,7 @@
         for name in ITEM_FIELDS & body.keys():
             if isinstance(body[name], list):
                 body[name] = [_if_readable(item) for item in body[name]]
+        body |= {name: usable_numbers(body[name]) for name in {"at"} & body.keys()}
     try:
         return msgspec.json.encode(body)
     except TypeError as error:
--- a/buckthornshed/protocol/foreign_objects.py
+++ b/buckthornshed/protocol/foreign_objects.py
@@ -6,6 +6,7 @@
 
 import json
 import math
+import sys
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
 
@@ -18,12 +19,16 @@
     "UnusableEntry",
     "describe",
     "read_json",
+    "usable_numbers",
 ]
 
 MAX_DESCRIPTION_CHARACTERS = 80
 MAX_INTEGER_DIGITS = 300
 """Digits of an integer that is kept as one; a longer one becomes infinite."""
 
+GREATEST_NUMBER = int(sys.float_info.max)
+"""Number that all greater ones count as; the greatest one in floating point."""
+
 StructType = TypeVar("StructType", bound=msgspec.Struct)
 
 
@@ -61,8 +66,8 @@
     """Return a JSON document as plain objects.
 
     JSON allows escapes of half a character and numbers out of range (RFC 8259, sections
-    6 and 8.2). These become `UnreadableText` and infinite numbers, which no field
-    takes, so that the rest of the document can be read.
+    6 and 8.2). These become `UnreadableText`, which no field takes, and infinite
+    numbers, see `usable_numbers`, so that the rest of the document can be read.
 
     Raises
     ------
@@ -97,9 +102,12 @@
         if not isinstance(value, dict):
             self.reject(kind, name, type(value).__name__, "an object")
             return None
-        fields = {
-            field: _whole(each) for field, each in value.items() if each is not None
-        }
+        fields = {field: each for field, each in value.items() if each is not None}
+        try:
+            return msgspec.convert(fields, object_type)
+        except msgspec.ValidationError:
+            pass
+        fields = usable_numbers(fields)
         try:
             return msgspec.convert(fields, object_type)
         except msgspec.ValidationError:
@@ -157,10 +165,22 @@
     return f"{text[:MAX_DESCRIPTION_CHARACTERS]}..."
 
 
-def _whole(value: Any) -> Any:
-    """Return a number without a fraction as an integer, all else unchanged."""
+def usable_numbers(value: Any) -> Any:
+    """Return a decoded document with its numbers in one form.
+
+    A number without a fraction is an integer, however it was written: ``1.0``, ``1e0``.
+    One out of range counts as the greatest or least.
+    """
+    if isinstance(value, dict):
+        return {key: usable_numbers(each) for key, each in value.items()}
+    if isinstance(value, list):
+        return [usable_numbers(each) for each in value]
+    if isinstance(value, float) and math.isinf(value):
+        return int(math.copysign(GREATEST_NUMBER, value))
     if isinstance(value, float) and value.is_integer():
         return int(value)
+    if isinstance(value, int) and abs(value) > GREATEST_NUMBER:
+        return GREATEST_NUMBER if value > 0 else -GREATEST_NUMBER
     return value
 
 
