Serve calls of targets whose identifiers say nothing

Cause: where workspaces have keys, a request without one was a call only if its identifier was that of a running request, a full stop and a suffix. Callers saw bookings that had run fail with 500, as their calls got 401.

Change: the relay knows the runs at its target (ParentRuns). A request without a key is a call while a run is in progress; 503, not run, where only a run that has ended or was given up may have made it, or one from before a restart of the relay (bootstrap=false); else 401. A call that names no run gets no workspace, the highest rank and the latest deadline of the runs, and counts as a retry as often as they are retried. An unknown or withdrawn key gets 401 before all else, also in a planned stop, where it had got 503. A call that names its run ends with it.

Ruled out: a parent that is not known as it ended (503, not 401); a refusal by the called service.

--- a/buckthornshed/coordination/relay/dispatch_messages.py
+++ b/buckthornshed/coordination/relay/dispatch_messages.py
@@ -23,7 +23,8 @@
     `head` is the request's head as sent to the target, without its final empty line;
     `arrived` and `deadline` are in seconds of the monotonic clock. `rank` is the rank
     of the client request that started the call chain. `nested` is true if a target made
-    the request while it ran another one, `is_retry` if an upstream run is a retry.
+    the request while it ran another one, whose identifier is `parent`, empty if it is
+    not known which one; `is_retry` is true if an upstream run is a retry.
     `calls_left` is the number of calls to the same route, with this one, that the
     upstream run still has to make. `workspace` is the name of the workspace that the
     chain belongs to, empty if it has none; `priority` is that of its workspace for a
@@ -42,6 +43,7 @@
     calls_left: float = 1.0
     workspace: str = ""
     priority: int | None = None
+    parent: bytes = b""
 
 
 class SendCall(NamedTuple):
--- a/buckthornshed/platform/settings.py
+++ b/buckthornshed/platform/settings.py
@@ -67,6 +67,7 @@
         descriptors=int(_parse_number(fields, "limits.maxFds")),
         memory=int(_parse_number(fields, "limits.memoryMb") * BYTES_PER_MB),
         heartbeat=_parse_heartbeat(fields),
+        first_start=fields.get("bootstrap") != "false",
     )
 
 
--- a/buckthornshed/state/relay_settings.py
+++ b/buckthornshed/state/relay_settings.py
@@ -51,6 +51,9 @@
         Maximum memory of the process, in bytes.
     heartbeat : float
         Interval at which targets renew their registrations, in seconds; 0 if unknown.
+    first_start : bool
+        Whether the whole system starts for the first time. Else the target may run
+        requests that it got from an earlier process.
     """
 
     name: str
@@ -67,6 +70,7 @@
     descriptors: int
     memory: int
     heartbeat: float = 0.0
+    first_start: bool = True
 
     @property
     def peer_port(self) -> int:
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -7,15 +7,16 @@
 from ....coordination.relay.dispatch_messages import RoutedRequest
 from ....coordination.relay.fleet.fleet_view import FleetView
 from ....coordination.relay.placement.load_balancer import LoadBalancer
+from ....coordination.relay.runs.parent_runs import Caller, CallOrigin, Run
 from ....coordination.workspaces.identity import Access, identify
 from ....protocol.header_values import decode_value, host_name
 from ....protocol.http import Request, get_header
-from ....protocol.relay_messages import CallMessage, HeaderNames
+from ....protocol.relay_messages import HeaderNames
 from ....state.catalog import Catalog, Route
 from ....state.workspaces import combined_rank
 from ...logs import log_event
 from ..counts import RelayCounts
-from ..target.local_target import LocalTarget, is_nested_id
+from ..target.local_target import LocalTarget
 from .responses import request_head
 
 __all__ = ["RequestRouter", "UnroutedRequest"]
@@ -26,6 +27,7 @@
 NO_ROUTE_STATUS = 404
 UNUSABLE_STATUS = 503
 UNUSABLE_RETRY_AFTER_S = 1.0
+LATE_CALL_STATUS = 503
 ENDED_PARENT_RETRY_AFTER_S = 0.5
 CALL_TIME_FACTOR = 1.25
 """Factor on the mean time of a call, for one that has to end before the process."""
@@ -107,20 +109,28 @@
         if route is None:
             self._log_missing_route(now, request_id, host, catalog)
             return UnroutedRequest(NO_ROUTE_STATUS, None)
-        if not route.destinations:
-            return self._refuse_unusable(request_id, route, "unusable_route")
         keys = [v for n, v in request.headers if n == self.names.credential]
-        # A request with a key is a client's, whatever its identifier looks like.
-        is_client = bool(keys and catalog.workspaces)
-        parent = None if is_client else self.local_target.find_parent(request_id)
-        if parent is None and self._outlasts_process(now, route):
-            # The request might not complete before the process ends.
-            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
-            return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
-        if parent is not None:
-            return self._nested(now, request, route, parent)
+        caller = self._find_caller(now, request_id, catalog, keys)
+        if caller.parent is not None:
+            return self._named_call(now, request, route, caller.parent)
+        if not keys and catalog.workspaces and not route.public:
+            if caller.origin is CallOrigin.UNNAMED:
+                return self._unnamed_call(now, request, route)
+            if caller.origin is CallOrigin.ENDED:
+                return self._refuse_late_call(request_id, route)
         return self._of_client(now, request, route, catalog, keys)
 
+    def _find_caller(
+        self, now: float, request_id: bytes, catalog: Catalog, keys: list[bytes]
+    ) -> Caller:
+        """Return which run of the local target may have made a request.
+
+        One with a key is a client's, whatever its identifier looks like.
+        """
+        if keys and catalog.workspaces:
+            return Caller(CallOrigin.NO_RUN)
+        return self.local_target.parent_runs.find(now, request_id)
+
     def _log_missing_route(
         self, now: float, request_id: bytes, host: str, catalog: Catalog
     ) -> None:
@@ -166,12 +176,18 @@
         keys: list[bytes],
     ) -> RoutedRequest | UnroutedRequest:
         """Return a client's request, for the workspace that holds its key."""
+        request_id = self.request_id(request)
         identity = identify(catalog, route, keys)
         if identity.access is Access.UNUSABLE:
-            request_id = self.request_id(request)
             return self._refuse_unusable(request_id, route, "unusable_key")
         if not identity.authorized:
-            return self._reject_unidentified(request, route, keys)
+            return self._reject_unidentified(request_id, route, keys)
+        if not route.destinations:
+            return self._refuse_unusable(request_id, route, "unusable_route")
+        if self._outlasts_process(now, route):
+            # The request might not complete before the process ends.
+            log_event("request_refused_stopping", request=request_id.decode("latin-1"))
+            return UnroutedRequest(503, DRAINING_RETRY_AFTER_S)
         if not catalog.workspaces:
             return self._routed(now, request, route, rank=route.rank, workspace="")
         workspace = identity.workspace
@@ -187,21 +203,63 @@
         )
         return routed._replace(priority=priority)
 
-    def _nested(
-        self, now: float, request: Request, route: Route, parent: CallMessage
-    ) -> RoutedRequest:
+    def _named_call(
+        self, now: float, request: Request, route: Route, run: Run
+    ) -> RoutedRequest | UnroutedRequest:
         """Return a call of the local target, for the workspace of its parent."""
-        graph = self.local_target.graph
+        parent, graph = run.message, self.local_target.graph
+        if not route.destinations:
+            request_id = self.request_id(request)
+            return self._refuse_unusable(request_id, route, "unusable_route")
         graph.record_call(parent.request_id, route.name)
         routed = self._routed(
             now, request, route, rank=parent.rank, workspace=parent.workspace
         )
         return routed._replace(
             nested=True,
+            parent=parent.request_id,
+            deadline=min(routed.deadline, run.deadline),
             is_retry=parent.is_retry,
             calls_left=graph.calls_left(parent.request_id, parent.route, route.name),
         )
 
+    def _unnamed_call(
+        self, now: float, request: Request, route: Route
+    ) -> RoutedRequest | UnroutedRequest:
+        """Return a call of the local target that names no run as its parent.
+
+        It gets no workspace, as this would be a guess that targets rely on. What else
+        its parent would give it is taken from all runs in progress.
+        """
+        if not route.destinations:
+            request_id = self.request_id(request)
+            return self._refuse_unusable(request_id, route, "unusable_route")
+        self.counts.unnamed_calls += 1
+        runs = self.local_target.parent_runs
+        routed = self._routed(
+            now, request, route, rank=runs.highest_rank(), workspace=""
+        )
+        return routed._replace(
+            nested=True,
+            deadline=min(routed.deadline, runs.latest_deadline()),
+            is_retry=runs.next_is_retry(),
+        )
+
+    def _refuse_late_call(self, request_id: bytes, route: Route) -> UnroutedRequest:
+        """Refuse what may be a call whose parent has ended.
+
+        Nobody waits for it, but it is not to be told that it was not allowed.
+        """
+        self.counts.requests[(route.name, "parent_ended")] += 1
+        log_event(
+            "call_refused_late",
+            request=request_id.decode("latin-1"),
+            route=route.name,
+            status=LATE_CALL_STATUS,
+            reason="parent_ended",
+        )
+        return UnroutedRequest(LATE_CALL_STATUS, ENDED_PARENT_RETRY_AFTER_S)
+
     def _routed(
         self, now: float, request: Request, route: Route, *, rank: int, workspace: str
     ) -> RoutedRequest:
@@ -245,16 +303,9 @@
         return UnroutedRequest(UNUSABLE_STATUS, UNUSABLE_RETRY_AFTER_S)
 
     def _reject_unidentified(
-        self, request: Request, route: Route, keys: list[bytes]
+        self, request_id: bytes, route: Route, keys: list[bytes]
     ) -> UnroutedRequest:
-        """Return the response to a request without a key that a workspace holds.
-
-        A call of the local target whose parent has ended has no key either. Nobody
-        waits for it any more, but it is not to be told that it was not allowed.
-        """
-        request_id = self.request_id(request)
-        if not keys and is_nested_id(request_id):
-            return UnroutedRequest(503, ENDED_PARENT_RETRY_AFTER_S)
+        """Return the response to a request without a key that a workspace holds."""
         self.counts.requests[(route.name, "unauthorized")] += 1
         log_event(
             "request_unauthorized",
--- a/buckthornshed/transport/relay/counts.py
+++ b/buckthornshed/transport/relay/counts.py
@@ -123,6 +123,8 @@
         Ends of the local target while it ran calls.
     retries : int
         Sends after the first one of each request.
+    unnamed_calls : int
+        Requests without a key that one of the runs in progress may have made.
     latencies : dict
         By route, the `LatencyHistogram` of its requests.
     unusable_entries : Counter
@@ -139,6 +141,7 @@
         self.unusable_entries: Counter[tuple[str, ...]] = Counter()
         self.target_crashes = 0
         self.retries = 0
+        self.unnamed_calls = 0
         self.latencies: dict[str, LatencyHistogram] = {}
         self.store_calls: Callable[[], int] = int
 
--- a/buckthornshed/transport/relay/logs/access_log.py
+++ b/buckthornshed/transport/relay/logs/access_log.py
@@ -133,7 +133,7 @@
     request_id = request.request_id.decode("latin-1")
     return {
         "request": request_id,
-        "parent": request_id.rpartition(".")[0] if request.nested else "-",
+        "parent": _parent(request),
         "route": request.route.name,
         "rank": request.rank,
         "workspace": request.workspace or "-",
@@ -142,6 +142,13 @@
     }
 
 
+def _parent(request: RoutedRequest) -> str:
+    """Return the run that made a request, `?` if it is not known which one."""
+    if not request.nested:
+        return "-"
+    return request.parent.decode("latin-1") or "?"
+
+
 def _format_attempts(request: RoutedRequest, attempts: tuple[Attempt, ...]) -> str:
     """Return the attempts of a request as text.
 
--- a/buckthornshed/transport/relay/metrics.py
+++ b/buckthornshed/transport/relay/metrics.py
@@ -91,6 +91,11 @@
             callbacks=[lambda _: [Observation(self.counts.retries)]],
             description="Sends after the first one of a request",
         )
+        self.meter.create_observable_counter(
+            "buckthornshed.unnamed_calls",
+            callbacks=[lambda _: [Observation(self.counts.unnamed_calls)]],
+            description="Calls without a key that name no run as their parent",
+        )
         self.meter.create_observable_counter(
             "buckthornshed.target_crashes",
             callbacks=[lambda _: [Observation(self.counts.target_crashes)]],
--- a/buckthornshed/transport/relay/relay.py
+++ b/buckthornshed/transport/relay/relay.py
@@ -27,7 +27,7 @@
     HeaderNames,
     Hello,
 )
-from ...state.catalog import Target
+from ...state.catalog import Catalog, Target
 from ...state.relay_settings import RelaySettings
 from ..buffer_budget import BufferBudget
 from .clients.client_listener import ClientListener
@@ -60,6 +60,8 @@
 """
 ANSWER_MARGIN_S = 0.1
 """Time that the answer of a target that stopped at a deadline takes, at most."""
+MAX_EARLIER_RUN_S = 30.0
+"""Time after the start in which calls of earlier runs are expected, at most."""
 TICKS_PER_STATUS = 8
 """Ticks between two status reports on the local target."""
 TICKS_PER_LINK_CHECK = 2
@@ -221,6 +223,7 @@
         )
         self.leaving = False
         self.tick_count = 0
+        self.started_at = clock()
 
     @property
     def ready(self) -> bool:
@@ -324,6 +327,15 @@
         self.admission.configure(catalog)
         self.quotas.configure(catalog)
         self.target_reports.update_local_target()
+        if not self.settings.first_start:
+            self._expect_earlier_calls(catalog)
+
+    def _expect_earlier_calls(self, catalog: Catalog) -> None:
+        """Expect calls of runs that the target began before this process started."""
+        routes = [route for each in catalog.routes.values() for route in each]
+        longest = max((route.timeout for route in routes), default=0.0)
+        until = self.started_at + min(longest, MAX_EARLIER_RUN_S)
+        self.local_target.parent_runs.expect_calls(until)
 
     def _unanswered_time(self, now: float, route: str) -> float:
         pending = self.dispatcher.pending.values()
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -12,6 +12,7 @@
     LimiterCall,
     StartCall,
 )
+from ....coordination.relay.runs.parent_runs import ParentRuns, Run, RunEnd
 from ....protocol.relay_messages import (
     AnswerMessage,
     CallMessage,
@@ -31,7 +32,7 @@
 from .target_pool import TargetPool
 from .target_statement import TargetStatement, read_statement
 
-__all__ = ["LocalTarget", "is_nested_id"]
+__all__ = ["LocalTarget"]
 
 MAX_OVERRUN_S = 5.0
 """Time after its deadline at which a running call is given up.
@@ -39,9 +40,6 @@
 A target stops work at the deadline, but one in trouble may send an answer without end.
 """
 
-PARENT_SEPARATOR = b"."
-"""Separates the identifier of a run from the suffix of its nested requests."""
-
 
 class LocalTarget:
     """Runs calls at the target and delivers one outcome for each.
@@ -120,7 +118,7 @@
         self.refusing = False
         self.logged_statement = TargetStatement()
         self.graph = CallGraph()
-        self.calls_by_request_id: dict[bytes, LimiterCall] = {}
+        self.parent_runs = ParentRuns()
 
     @property
     def busy(self) -> bool:
@@ -134,11 +132,8 @@
 
     def find_parent(self, request_id: bytes) -> CallMessage | None:
         """Return the running call that made a nested request, or None."""
-        parent_id, separator, _ = request_id.rpartition(PARENT_SEPARATOR)
-        if not separator:
-            return None
-        call = self.calls_by_request_id.get(parent_id)
-        return None if call is None else call.message
+        parent = self.parent_runs.find(self.clock(), request_id).parent
+        return None if parent is None else parent.message
 
     def update_registration(self, target: Target | None) -> None:
         """Apply the current registration of the target, None if it has none."""
@@ -259,7 +254,7 @@
         if was_running:
             run_id = self.run_ids.pop(call.key)
             del self.runs[run_id]
-            self._end_run(call, succeeded=False)
+            self._end_run(run_id, call, RunEnd.UNKNOWN)
             self.pool.cancel(run_id)
             self.crash_detector.record_cancelled(call.message)
         self._execute(actions)
@@ -296,7 +291,7 @@
         self.next_run_id += 1
         self.runs[run_id] = call
         self.run_ids[call.key] = run_id
-        self.calls_by_request_id[message.request_id] = call
+        self.parent_runs.begin(run_id, Run(message, call.deadline))
         time_left_ms = max(1, int((call.deadline - self.clock()) * 1e3))
         head = b"%s%s: %d\r\n%s: %s\r\n\r\n" % (
             message.head,
@@ -323,7 +318,7 @@
         succeeded = isinstance(outcome, AnswerMessage) and not outcome.failed
         target_full = getattr(outcome, "reason", None) is RefusalReason.TARGET_FULL
         self.limiter.capacity.record_result(rejected=target_full)
-        self._end_run(call, succeeded=succeeded)
+        self._end_run(run_id, call, _run_end(outcome))
         fault = result.kind if isinstance(result, TargetFault) else None
         actions = self.limiter.finish(
             self.clock(),
@@ -382,11 +377,11 @@
         if statement.leaving:
             self.on_leaving(call.message.target)
 
-    def _end_run(self, call: LimiterCall, *, succeeded: bool) -> None:
+    def _end_run(self, run_id: int, call: LimiterCall, end: RunEnd) -> None:
         message = call.message
-        self.calls_by_request_id.pop(message.request_id, None)
+        self.parent_runs.end(self.clock(), run_id, end)
         self.graph.record_run_end(
-            message.request_id, message.route, succeeded=succeeded
+            message.request_id, message.route, succeeded=end is RunEnd.ANSWERED
         )
 
     def _refuse(
@@ -426,6 +421,8 @@
     return key.session
 
 
-def is_nested_id(request_id: bytes) -> bool:
-    """Return whether an identifier is that of a call that a target makes."""
-    return PARENT_SEPARATOR in request_id
+def _run_end(outcome: CallOutcome) -> RunEnd:
+    """Return how a run ended that has this outcome."""
+    if isinstance(outcome, AnswerMessage):
+        return RunEnd.FAILED if outcome.failed else RunEnd.ANSWERED
+    return RunEnd.UNKNOWN if outcome.reason.may_have_run else RunEnd.NOT_RUN
