Use no server whose entry cannot be read any longer

Cause: a change that could not be decoded was skipped, so what the entry had said before stayed in force. Callers saw bookings cut at a server that had left, whose entry another writer had replaced.

Change: such a change is the end of the registration, as it is in a read of the whole list; the server's next write registers it again.

Ruled out: a late change (registration_ignored is logged at once).

--- a/buckthornshed/platform/reader.py
+++ b/buckthornshed/platform/reader.py
@@ -292,13 +292,12 @@
         for change in changes:
             if not change.key.startswith(TARGET_PREFIX):
                 continue
-            if change.value is None:
-                self.listener.handle_target_deletion(
-                    change.key.removeprefix(TARGET_PREFIX)
-                )
-                continue
-            target = self._decode(change)
-            if target is not None:
+            # An entry that cannot be read names no target, whatever it said before.
+            target = None if change.value is None else self._decode(change)
+            if target is None:
+                name = change.key.removeprefix(TARGET_PREFIX)
+                self.listener.handle_target_deletion(name)
+            else:
                 self.listener.handle_target_change(target)
 
     def _decode(self, change: Change) -> Target | None:
--- a/buckthornshed/tests/relay/test_odd_entries.py
+++ b/buckthornshed/tests/relay/test_odd_entries.py
@@ -133,6 +133,37 @@
     run(scenario())
 
 
+SLOTLESS = with_text("slots", "0").replace(b'"ready"', b'"draining"')
+UNNAMED_STATE = with_text("state", '"stopped"')
+
+
+# Guards against bookings at a server that leaves, whose entry another writer has
+# replaced (review/12): an entry that cannot be read names no server.
+@pytest.mark.parametrize(
+    "value", [*ODD_VALUES.values(), b"{}", SLOTLESS, UNNAMED_STATE]
+)
+def test_a_target_whose_entry_is_replaced_is_not_used_until_it_registers(value):
+    async def scenario():
+        async with fleet_of(6) as fleet:
+            name = fleet.targets[0].name
+            await fleet.store.put(f"servers/{name}", value)
+            await until(lambda: not any(knows(each, name) for each in fleet.relays))
+            assert fleet.relays[0].local_target.draining
+            for relay in fleet.relays:
+                assert (await fleet.ask(relay)).status == 200
+            assert fleet.targets[0].ran == []
+            await fleet.register(fleet.targets[0], "stalls", seq=2)
+            await until(lambda: all(knows(each, name) for each in fleet.relays))
+            await until(lambda: not fleet.relays[0].local_target.draining)
+
+    run(scenario())
+
+
+def knows(relay, name):
+    usable = relay.fleet_view.usable.get("stalls", ())
+    return name in {target.name for target in usable}
+
+
 # Guards against an entry whose key is no text, which makes each answer of the store
 # undecodable, so that no relay learns of anything more (review/7).
 def test_a_key_that_is_no_text_hides_neither_targets_nor_configurations():
