Let no identifier name a run whose request has none

Cause: a request without an identifier that ended was kept under the empty one, which is what precedes the full stop in an identifier without any. For the rest of its time each request without a key got 503 where it had to get 401, or service as a call beside runs.

Change: only a part before the full stop names a run. The router checks the destinations of calls in one place.

Ruled out: a client that can send such an identifier to gain access: it was refused, not served.

Evidence: the state machine of parent runs finds it within its first examples once it asks what explains a refusal; it holds now.

--- a/buckthornshed/coordination/relay/runs/parent_runs.py
+++ b/buckthornshed/coordination/relay/runs/parent_runs.py
@@ -11,7 +11,7 @@
 
 from ....protocol.relay_messages import CallMessage
 
-__all__ = ["CallOrigin", "Caller", "ParentRuns", "Run", "RunEnd"]
+__all__ = ["NO_CALLER", "CallOrigin", "Caller", "ParentRuns", "Run", "RunEnd"]
 
 PARENT_SEPARATOR = b"."
 """Separates the identifier of a run from the suffix in those of its calls."""
@@ -56,6 +56,11 @@
     parent: Run | None = None
 
 
+UNNAMED_CALLER = Caller(CallOrigin.UNNAMED)
+ENDED_CALLER = Caller(CallOrigin.ENDED)
+NO_CALLER = Caller(CallOrigin.NO_RUN)
+
+
 class ParentRuns:
     """Runs at the local target, those in progress and those that ended of late.
 
@@ -108,16 +113,15 @@
     def find(self, now: float, request_id: bytes) -> Caller:
         """Return what may have made a request without a key."""
         parent_id, _, _ = request_id.rpartition(PARENT_SEPARATOR)
-        parent = self.named.get(parent_id) if parent_id else None
-        if parent is not None:
-            return Caller(CallOrigin.NAMED, parent)
-        if now < self.ended.get(parent_id, now):
-            return Caller(CallOrigin.ENDED)
+        if parent_id:
+            parent = self.named.get(parent_id)
+            if parent is not None:
+                return Caller(CallOrigin.NAMED, parent)
+            if now < self.ended.get(parent_id, now):
+                return ENDED_CALLER
         if self.running:
-            return Caller(CallOrigin.UNNAMED)
-        if now < self.unfinished_until:
-            return Caller(CallOrigin.ENDED)
-        return Caller(CallOrigin.NO_RUN)
+            return UNNAMED_CALLER
+        return ENDED_CALLER if now < self.unfinished_until else NO_CALLER
 
     # What holds for a call of which only is known that some run in progress made it.
 
--- a/buckthornshed/tests/properties/test_parent_runs_machine.py
+++ b/buckthornshed/tests/properties/test_parent_runs_machine.py
@@ -26,6 +26,7 @@
         self.number = 0
         self.running: dict[int, Run] = {}
         self.unfinished: list[float] = []
+        self.ended: list[tuple[bytes, float]] = []
 
     @rule(request_id=IDS, rank=st.integers(0, 9), left=st.floats(0.1, 5.0))
     def begin(self, request_id, rank, left):
@@ -42,8 +43,11 @@
         number = data.draw(st.sampled_from(sorted(self.running)))
         run = self.running.pop(number)
         self.runs.end(self.now, number, end)
+        ends_at = max(self.now, run.deadline) + LATE_CALL_S
+        if end is not RunEnd.NOT_RUN:
+            self.ended.append((run.message.request_id, ends_at))
         if end is RunEnd.UNKNOWN:
-            self.unfinished.append(max(self.now, run.deadline) + LATE_CALL_S)
+            self.unfinished.append(ends_at)
         if end is RunEnd.FAILED:
             self.unfinished.append(self.now + LATE_CALL_S)
 
@@ -66,6 +70,14 @@
             assert all(until <= self.now for until in self.unfinished)
         if caller.origin is CallOrigin.UNNAMED:
             assert self.running
+        if caller.origin is CallOrigin.ENDED:
+            # A run that ended explains it: one that is named, or may go on unseen.
+            ends = [
+                until
+                for ended_id, until in self.ended
+                if ended_id and (run_id + suffix).rpartition(b".")[0] == ended_id
+            ]
+            assert any(self.now < until for until in [*ends, *self.unfinished])
 
     @invariant()
     def fallbacks_lie_within_the_runs(self):
--- a/buckthornshed/tests/relay/test_unnamed_calls.py
+++ b/buckthornshed/tests/relay/test_unnamed_calls.py
@@ -257,6 +257,17 @@
             assert runs.find(now, request_id).origin is expected
 
 
+# A client may send no identifier. No call names the run of such a request.
+def test_a_run_without_an_identifier_is_named_by_no_call():
+    runs = ParentRuns()
+    runs.begin(1, make_run(b""))
+    for request_id in (b"opaque", b".1", b""):
+        assert runs.find(1.0, request_id).origin is CallOrigin.UNNAMED
+    runs.end(2.0, 1, RunEnd.ANSWERED)
+    for request_id in (b"opaque", b".1", b""):
+        assert runs.find(2.0, request_id).origin is CallOrigin.NO_RUN
+
+
 def test_the_most_important_run_decides_on_the_rank_and_the_last_on_the_time():
     runs = ParentRuns()
     runs.begin(1, make_run(rank=17, deadline=3.0))
--- a/buckthornshed/tests/relay/test_whole_path.py
+++ b/buckthornshed/tests/relay/test_whole_path.py
@@ -387,7 +387,7 @@
             (runner,) = [
                 each
                 for each in fleet.relays
-                if each.local_target.find_parent(b"run-1.a") is not None
+                if b"run-1" in each.local_target.parent_runs.named
             ]
             runner.start_draining(runner.clock() + 6.0)
             runner.refuse_new_requests()
--- a/buckthornshed/transport/relay/clients/request_router.py
+++ b/buckthornshed/transport/relay/clients/request_router.py
@@ -7,7 +7,12 @@
 from ....coordination.relay.dispatch_messages import RoutedRequest
 from ....coordination.relay.fleet.fleet_view import FleetView
 from ....coordination.relay.placement.load_balancer import LoadBalancer
-from ....coordination.relay.runs.parent_runs import Caller, CallOrigin, Run
+from ....coordination.relay.runs.parent_runs import (
+    NO_CALLER,
+    Caller,
+    CallOrigin,
+    Run,
+)
 from ....coordination.workspaces.identity import Access, identify
 from ....protocol.header_values import decode_value, host_name
 from ....protocol.http import Request, get_header
@@ -111,14 +116,17 @@
             return UnroutedRequest(NO_ROUTE_STATUS, None)
         keys = [v for n, v in request.headers if n == self.names.credential]
         caller = self._find_caller(now, request_id, catalog, keys)
+        needs_key = bool(catalog.workspaces) and not route.public
+        is_unnamed = needs_key and caller.origin is CallOrigin.UNNAMED
+        if needs_key and caller.origin is CallOrigin.ENDED:
+            return self._refuse_late_call(request_id, route)
+        if caller.parent is None and not is_unnamed:
+            return self._of_client(now, request, route, catalog, keys)
+        if not route.destinations:
+            return self._refuse_unusable(request_id, route, "unusable_route")
         if caller.parent is not None:
             return self._named_call(now, request, route, caller.parent)
-        if not keys and catalog.workspaces and not route.public:
-            if caller.origin is CallOrigin.UNNAMED:
-                return self._unnamed_call(now, request, route)
-            if caller.origin is CallOrigin.ENDED:
-                return self._refuse_late_call(request_id, route)
-        return self._of_client(now, request, route, catalog, keys)
+        return self._unnamed_call(now, request, route)
 
     def _find_caller(
         self, now: float, request_id: bytes, catalog: Catalog, keys: list[bytes]
@@ -128,7 +136,7 @@
         One with a key is a client's, whatever its identifier looks like.
         """
         if keys and catalog.workspaces:
-            return Caller(CallOrigin.NO_RUN)
+            return NO_CALLER
         return self.local_target.parent_runs.find(now, request_id)
 
     def _log_missing_route(
@@ -205,12 +213,9 @@
 
     def _named_call(
         self, now: float, request: Request, route: Route, run: Run
-    ) -> RoutedRequest | UnroutedRequest:
+    ) -> RoutedRequest:
         """Return a call of the local target, for the workspace of its parent."""
         parent, graph = run.message, self.local_target.graph
-        if not route.destinations:
-            request_id = self.request_id(request)
-            return self._refuse_unusable(request_id, route, "unusable_route")
         graph.record_call(parent.request_id, route.name)
         routed = self._routed(
             now, request, route, rank=parent.rank, workspace=parent.workspace
@@ -225,15 +230,12 @@
 
     def _unnamed_call(
         self, now: float, request: Request, route: Route
-    ) -> RoutedRequest | UnroutedRequest:
+    ) -> RoutedRequest:
         """Return a call of the local target that names no run as its parent.
 
         It gets no workspace, as this would be a guess that targets rely on. What else
         its parent would give it is taken from all runs in progress.
         """
-        if not route.destinations:
-            request_id = self.request_id(request)
-            return self._refuse_unusable(request_id, route, "unusable_route")
         self.counts.unnamed_calls += 1
         runs = self.local_target.parent_runs
         routed = self._routed(
--- a/buckthornshed/transport/relay/target/local_target.py
+++ b/buckthornshed/transport/relay/target/local_target.py
@@ -130,11 +130,6 @@
         """Whether the target itself leaves or is no longer registered."""
         return self.registration is not None and self.registration.draining
 
-    def find_parent(self, request_id: bytes) -> CallMessage | None:
-        """Return the running call that made a nested request, or None."""
-        parent = self.parent_runs.find(self.clock(), request_id).parent
-        return None if parent is None else parent.message
-
     def update_registration(self, target: Target | None) -> None:
         """Apply the current registration of the target, None if it has none."""
         previous = self.registration
