Let the soak's targets call without a name, and lengthen versions

Change: targets make calls without a key whose identifiers name no run; none may get 401. Versions get 18 to 26 digits in some runs, sequence numbers are written with a fraction. Relays that start again are told so (bootstrap=false). While relays of an earlier version run, versions and numbers keep their form and only newer relays are held to the calls.

--- a/buckthornshed/tests/soak/disturbances.py
+++ b/buckthornshed/tests/soak/disturbances.py
@@ -8,11 +8,12 @@
 from typing import Any
 
 from .history import STABLE_S
-from .system import System
+from .system import CALLING, System
 from .workspaces import STEADY_KEY, UNKNOWN_KEY
 
 Disturbance = Callable[[System, Random], Coroutine[Any, Any, None]]
 
+CALLING_REQUESTS = 20
 DEADLY_REQUESTS = 10
 DRAIN_S = 2.0
 """Time after which a removed target gets no requests."""
@@ -219,6 +220,22 @@
             system.history.faults.append(f"an unknown key was answered with {status}")
 
 
+@disturbance
+async def let_targets_call(system, rng):
+    """Send requests whose runs make a call, to any relay."""
+    for _ in range(CALLING_REQUESTS):
+        await system.ask(rng.choice(system.instances), STEADY_KEY, f"{CALLING}1")
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
+
+@disturbance
+async def lengthen_version(system, rng):
+    """Give the configurations many more digits from now on."""
+    if system.old is None:
+        system.version += 10 ** rng.choice([18, 19, 25])
+        await system.publish()
+
+
 @disturbance
 async def exceed_quota(system, rng):
     """Send far more than a quota allows, at one relay or at all of them."""
--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -16,11 +16,16 @@
 
 DEADLY = "/avail/deadly"
 """Path of a request that ends each target that runs it."""
+CALLING = "/front/"
+"""Paths of requests whose runs make a call."""
+ID_STEP, ID_RANGE = 0x9E3779B97F4A7C15, 2**64
+"""An odd number, whose multiples are the opaque identifiers, and their range."""
 DOWN_S = 0.3
 DEADLINE_MS = 2_000
 CLIENT_TIMEOUT_S = 8.0
 """Time after which a client counts a request as unanswered."""
 RUN_S = 0.02
+UNAUTHORIZED = 401
 BEAT_S = 1.5
 """Interval at which a target writes its registration."""
 
@@ -39,7 +44,7 @@
         self.instance = instance
         self.history = instance.system.history
         self.delay = RUN_S
-        self.on_run = end_if_deadly
+        self.on_run = follow_path
 
     async def _run(self, headers, body, reader, writer):
         request_id = headers["request-id"]
@@ -55,7 +60,9 @@
                 )
 
 
-async def end_if_deadly(target, path):
+async def follow_path(target, path):
+    if path.startswith(CALLING):
+        await target.instance.system.call(target.instance)
     if path == DEADLY:
         target.history.record_deadly_run(time.monotonic(), target.instance.number)
         target.instance.crash_target()
@@ -94,6 +101,7 @@
                 target=self.target.address,
                 store=self.system.store.address,
             )
+            + "bootstrap=true\n"
         )
         await self.start_relay()
 
@@ -139,7 +147,8 @@
             "slots": 20,
             "state": state,
             "coldLeftS": 0,
-            "seq": self.sequence,
+            # Relays of earlier versions take whole numbers in one form only.
+            "seq": self.sequence if self.system.old else float(self.sequence),
             "born": 1_700_000_000_000 + self.incarnation,
         }
         await self.system.store.put(f"servers/{self.target.name}", entry)
@@ -172,6 +181,7 @@
         self.stops += 1
         self.process.send_signal(signum)
         status = await self.process.wait()
+        self.target_may_run_earlier_requests()
         self.system.history.record_disturbed(time.monotonic(), self.number)
         if signum == signal.SIGTERM and status != 0:
             self.system.history.faults.append(f"relay {self.number} ended: {status}")
@@ -181,6 +191,11 @@
         self.killed = False
         self.restarting = False
 
+    def target_may_run_earlier_requests(self):
+        """Tell the next relay process that the system does not start the first time."""
+        text = self.settings.read_text().replace("bootstrap=true", "bootstrap=false")
+        self.settings.write_text(text)
+
     async def replace_relay(self):
         """Replace the relay by one of this version, in a planned stop."""
         while self.source is not None:
@@ -277,6 +292,26 @@
             return None
         return response.status
 
+    async def call(self, instance):
+        """Make a call of a run at a target: without a key, and with an opaque name."""
+        self.sent += 1
+        request_id = f"{self.sent * ID_STEP % ID_RANGE:016x}"
+        self.history.senders[request_id] = (instance.number, time.monotonic())
+        self.workspaces.calls.add(request_id)
+        is_old = instance.source is not None
+        try:
+            async with asyncio.timeout(CLIENT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    instance.address, self.client_port
+                )
+                writer.write(make_request(request_id, "GET /avail/1", None))
+                response = await read_response(reader)
+                writer.close()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return
+        if response.status == UNAUTHORIZED and not is_old:
+            self.history.faults.append(f"the call {request_id} was not allowed")
+
     async def run_client(self, instance, rng, stop):
         """Send requests on one connection for as long as it stays open."""
         while not stop.is_set():
@@ -347,9 +382,10 @@
 
 
 def make_request(request_id, line, key=STEADY_KEY):
-    """Return the bytes of a request with a method, a path and a key."""
+    """Return the bytes of a request with a method, a path and a key, or without one."""
+    credential = "" if key is None else f"Credential: {key}\r\n"
     return (
         f"{line} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {DEADLINE_MS}\r\nCredential: {key}\r\nTenant: forged\r\n"
+        f"Deadline-Ms: {DEADLINE_MS}\r\n{credential}Tenant: forged\r\n"
         "Content-Length: 0\r\n\r\n"
     ).encode()
--- a/buckthornshed/tests/soak/workspaces.py
+++ b/buckthornshed/tests/soak/workspaces.py
@@ -27,6 +27,8 @@
         Keys of `ROTATED` in the newest configuration.
     expected : dict
         Workspace by request, None if its key is unknown.
+    calls : set of str
+        Calls of targets, which have no key and name no run.
     changed_at : float
         Time at which the keys changed last, in seconds.
     """
@@ -36,6 +38,7 @@
         self.holders = {STEADY_KEY: STEADY, "key-of-ranch": LIMITED}
         self.keys = []
         self.expected = {}
+        self.calls = set()
         self.arrivals = defaultdict(list)
         self.changed_at = 0.0
         self.faults = []
@@ -76,7 +79,7 @@
     def record_run(self, now, request_id, headers):
         """Check the headers of a request that a target runs."""
         workspace = self.expected.get(request_id)
-        if workspace is None:
+        if workspace is None and request_id not in self.calls:
             self.faults.append(f"{request_id} ran with a key that nobody holds")
         if headers.get("tenant") != workspace:
             self.faults.append(f"{request_id} ran for {headers.get('tenant')}")
