Hold only processes of this version to calls without a name in the soak

Cause: an instance counted as one of this version as soon as its planned stop began, while the relay of the earlier version still answered calls with 401.

Change: the version is that of the process that was started.

Ruled out: a relay of this version that refuses calls after its start.

--- a/buckthornshed/tests/soak/system.py
+++ b/buckthornshed/tests/soak/system.py
@@ -87,6 +87,7 @@
         self.crashes: set[asyncio.Task[None]] = set()
         self.stops = 0
         self.source = system.old
+        self.runs_old = False
 
     async def open(self):
         await self.start_target()
@@ -170,6 +171,7 @@
     async def start_relay(self):
         path = self.system.folder / f"relay-{self.number}.log"
         with path.open("ab") as log:
+            self.runs_old = self.source is not None
             self.process = await start_process(self.settings, log, self.source)
 
     async def stop_relay(self, signum):
@@ -298,7 +300,7 @@
         request_id = f"{self.sent * ID_STEP % ID_RANGE:016x}"
         self.history.senders[request_id] = (instance.number, time.monotonic())
         self.workspaces.calls.add(request_id)
-        is_old = instance.source is not None
+        is_old = instance.runs_old
         try:
             async with asyncio.timeout(CLIENT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
